--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: admission, placement, retries, membership, distribution."""
--- /dev/null
+++ b/packages/savoryroute/savoryroute/errors.py
@@ -0,0 +1,60 @@
+"""Exceptions of the package."""
+
+from __future__ import annotations
+
+__all__ = [
+    "ConnectionClosedError",
+    "DocumentError",
+    "FrameError",
+    "PlatformError",
+    "RegistryError",
+    "SavoryrouteError",
+    "SettingsError",
+]
+
+
+class SavoryrouteError(Exception):
+    """Base of all errors of this package."""
+
+
+class RegistryError(SavoryrouteError):
+    """A name is unknown to a registry, or registered twice."""
+
+
+class FrameError(SavoryrouteError):
+    """Bytes from a peer are not a frame of the protocol."""
+
+
+class ConnectionClosedError(SavoryrouteError):
+    """The connection to a peer or an upstream is gone."""
+
+
+class PlatformError(SavoryrouteError):
+    """The configuration service did not answer a read or a watch."""
+
+
+class CheckError(SavoryrouteError):
+    """Input text failed a check.
+
+    Attributes:
+        source: Name of the file or key that the text came from.
+        where: Path of the offending value, such as ``classes.booking.rank``,
+            or ``line 3 column 7`` where the text cannot be parsed.
+        found: What stands there.
+        allowed: What may stand there.
+    """
+
+    def __init__(self, source: str, where: str, found: str, allowed: str) -> None:
+        super().__init__(f"{source}: {where}: found {found}; allowed: {allowed}")
+        self.source = source
+        self.where = where
+        self.found = found
+        self.allowed = allowed
+
+
+class SettingsError(CheckError):
+    """A settings file failed its check."""
+
+
+class DocumentError(CheckError):
+    """An environment document failed its check."""
--- /dev/null
+++ b/packages/savoryroute/savoryroute/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons, and the forms HTTP callers see."""
--- /dev/null
+++ b/packages/savoryroute/savoryroute/protocol/frames.py
@@ -0,0 +1,292 @@
+"""Messages between daemons and their CBOR form."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar, get_type_hints
+
+import attrs
+import cbor2
+
+from ..errors import FrameError
+from ..registry import Registry
+
+__all__ = [
+    "FRAMES",
+    "FRAME_BYTES_MAX",
+    "Answer",
+    "Call",
+    "Cancel",
+    "DocumentFrame",
+    "DocumentRequest",
+    "Fence",
+    "FenceAnswer",
+    "Frame",
+    "Goodbye",
+    "Heartbeat",
+    "Hello",
+    "decode",
+    "encode",
+]
+
+FRAME_BYTES_MAX = 9 * 1024 * 1024
+DEPTH_MAX = 8
+
+FRAMES: Registry[type[Frame]] = Registry("frame")
+
+
+class Frame:
+    """Base of all messages between daemons.
+
+    A frame travels as a CBOR array: its code, then its fields in order.
+    """
+
+    code: ClassVar[int]
+    field_types: ClassVar[tuple[tuple[str, type], ...]]
+
+
+def _frame(code: int):
+    """Return a decorator that makes a frozen frame class and registers it."""
+
+    def decorate(cls: type) -> type:
+        cls = attrs.frozen(cls)
+        hints = get_type_hints(cls)
+        cls.code = code
+        cls.field_types = tuple(
+            (field.name, _plain_type(hints[field.name])) for field in attrs.fields(cls)
+        )
+        return FRAMES.register(code)(cls)
+
+    return decorate
+
+
+def _plain_type(hint: Any) -> type:
+    """Return the class to check a decoded value against."""
+    return getattr(hint, "__origin__", hint)
+
+
+@_frame(1)
+class Hello(Frame):
+    """First frame in each direction of a connection.
+
+    Attributes:
+        host: Name of the sending host.
+        incarnation: Number drawn anew at each start of the sender.
+        service: Service of the sender's upstream.
+        failure_domain: Failure domain of the sender.
+        region: Region of the sender.
+        peers: Address at which the sender takes peers, ``ip:port``.
+        uptime_ms: Milliseconds since the sender started.
+    """
+
+    host: str
+    incarnation: int
+    service: str
+    failure_domain: str
+    region: str
+    peers: str
+    uptime_ms: int
+
+
+@_frame(2)
+class Call(Frame):
+    """One attempt of a request, for the receiver's upstream.
+
+    Attributes:
+        id: Number of the call, unique within its connection.
+        action: Identity of the action (idempotency key or trace id).
+        key: Idempotency key, or an empty string.
+        cancels: Key of the action that this one cancels, or an empty string.
+        class_name: Class of the whole action.
+        time_left_ms: Milliseconds until the deadline.
+        allowance: Deliveries to upstreams that this call may cause.
+        depth: Number of hops above this one.
+        is_spill_over: Whether the call comes from another failure domain
+            because its own had no capacity.
+        traceparent: W3C trace context, or an empty string.
+        method: HTTP method.
+        target: Path and query within the service.
+        headers: Further headers for the upstream, as flat name, value pairs.
+        body: The whole body.
+    """
+
+    id: int
+    action: str
+    key: str
+    cancels: str
+    class_name: str
+    time_left_ms: int
+    allowance: int
+    depth: int
+    is_spill_over: bool
+    traceparent: str
+    method: str
+    target: str
+    headers: list[str]
+    body: bytes
+
+
+@_frame(3)
+class Answer(Frame):
+    """Final answer to one call.
+
+    Attributes:
+        id: Number of the call.
+        verdict: A ``Verdict`` value.
+        reason: A ``Reason`` value, or an empty string for ``ran``.
+        detail: One sentence, or an empty string.
+        retry_after_ms: Milliseconds after which to come back, or 0.
+        is_load: Whether load was the cause of a refusal.
+        from_deep: Whether a hop below the receiver refused.
+        status: HTTP status of the upstream, or 0.
+        headers: Headers of the upstream's answer, flat pairs.
+        body: The whole body.
+        allowance_left: Deliveries lent with the call and not used.
+        level: Lowest importance now admitted along the chain below, see
+            ``coordination.pressure``.
+        n_in_flight: Requests in flight at the receiver's upstream.
+        limit: Concurrency limit there.
+        n_queued: Requests waiting there.
+    """
+
+    id: int
+    verdict: str
+    reason: str
+    detail: str
+    retry_after_ms: int
+    is_load: bool
+    from_deep: bool
+    status: int
+    headers: list[str]
+    body: bytes
+    allowance_left: int
+    level: float
+    n_in_flight: int
+    limit: int
+    n_queued: int
+
+
+@_frame(4)
+class Cancel(Frame):
+    """The sender no longer wants the answer to a call."""
+
+    id: int
+
+
+@_frame(5)
+class Heartbeat(Frame):
+    """Sign of life with what is known of others.
+
+    Attributes:
+        uptime_ms: Milliseconds since the sender started.
+        rumours: Membership rumours, each an array as in
+            ``state.members.Rumour.pack``.
+        suspects: Fingerprints of requests seen in flight at a crash, each
+            ``[fingerprint, crashes, age_ms]``.
+        revisions: ``[environment, revision, digest]`` of the documents in force.
+    """
+
+    uptime_ms: int
+    rumours: list[Any]
+    suspects: list[Any]
+    revisions: list[Any]
+
+
+@_frame(6)
+class DocumentRequest(Frame):
+    """Ask a peer for a document newer than one's own.
+
+    Attributes:
+        environment: ``production`` or ``trial``.
+        have_revision: Revision in force at the sender, 0 for none.
+        whole: Whether the whole is wanted instead of a difference.
+    """
+
+    environment: str
+    have_revision: int
+    whole: bool
+
+
+@_frame(7)
+class DocumentFrame(Frame):
+    """A document, whole or as the difference from an older revision.
+
+    Attributes:
+        environment: ``production`` or ``trial``.
+        revision: Revision of the platform.
+        base_revision: Revision that the difference applies to, 0 for a whole.
+        digest: SHA-256 of the canonical CBOR of the resulting document.
+        payload: CBOR of the whole, or of the difference.
+    """
+
+    environment: str
+    revision: int
+    base_revision: int
+    digest: bytes
+    payload: bytes
+
+
+@_frame(8)
+class Goodbye(Frame):
+    """The sender takes no new work from now on."""
+
+    host: str
+    incarnation: int
+
+
+@_frame(9)
+class Fence(Frame):
+    """Ask the home of a key to make sure that it never runs."""
+
+    id: int
+    key: str
+
+
+@_frame(10)
+class FenceAnswer(Frame):
+    """What the home of a key knows after a fence, as a ``Verdict`` value."""
+
+    id: int
+    verdict: str
+
+
+def encode(frame: Frame) -> bytes:
+    """Return the CBOR form of a frame."""
+    values = [frame.code]
+    for name, _ in frame.field_types:
+        values.append(getattr(frame, name))
+    return cbor2.dumps(values)
+
+
+def decode(data: bytes) -> Frame:
+    """Return the frame in ``data``.
+
+    Raises:
+        FrameError: The bytes are too long, not CBOR, nested too deeply, of an
+            unknown code, or a field is missing or of another type.
+    """
+    if len(data) > FRAME_BYTES_MAX:
+        raise FrameError(f"frame of {len(data)} bytes, at most {FRAME_BYTES_MAX}")
+    try:
+        values = cbor2.loads(data, max_depth=DEPTH_MAX, allow_indefinite=False)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        raise FrameError(f"not a frame: {error}") from error
+    if type(values) is not list or not values:
+        raise FrameError("a frame is a non-empty array")
+    return _build(values)
+
+
+def _build(values: list[Any]) -> Frame:
+    """Return the frame of decoded values, each field checked."""
+    code = values[0]
+    if type(code) is not int or code not in FRAMES:
+        raise FrameError(f"unknown frame code {code!r:.40}")
+    cls = FRAMES.get(code)
+    expected = cls.field_types
+    if len(values) != len(expected) + 1:
+        raise FrameError(f"{cls.__name__} has {len(expected)} fields")
+    for (name, kind), value in zip(expected, values[1:], strict=True):
+        if kind is float and type(value) is int:
+            continue
+        if type(value) is not kind:
+            raise FrameError(f"{cls.__name__}.{name} is not {kind.__name__}")
+    return cls(*values[1:])
--- /dev/null
+++ b/packages/savoryroute/savoryroute/protocol/peer_network.py
@@ -0,0 +1,54 @@
+"""Links from one daemon to others, as coordination sees them."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Awaitable, Callable
+
+from result import Result
+
+from ..errors import ConnectionClosedError
+from .frames import Frame, Hello
+
+__all__ = ["ControlHandler", "LinkHandler", "PeerNetwork"]
+
+ControlHandler = Callable[[str, Frame], Awaitable[None]]
+LinkHandler = Callable[[Hello, bool], None]
+
+
+class PeerNetwork(abc.ABC):
+    """Open links to peers by host name.
+
+    A real network runs over WebSocket connections; the in-memory twin serves long
+    histories in tests. Calls and answers do not pass here: handlers see control
+    frames only (heartbeats, document frames, goodbyes).
+    """
+
+    @property
+    @abc.abstractmethod
+    def hosts(self) -> list[str]:
+        """Names of the hosts with an open link."""
+
+    @abc.abstractmethod
+    async def connect(self, peers_address: str) -> Result[Hello, ConnectionClosedError]:
+        """Open a link to ``ip:port``, or reuse the open one.
+
+        Returns:
+            The first frame of the peer, or the reason why there is no link.
+        """
+
+    @abc.abstractmethod
+    async def send(self, host: str, frame: Frame) -> bool:
+        """Send a control frame; return whether there was a link to send it on."""
+
+    @abc.abstractmethod
+    def hello(self, host: str) -> Hello | None:
+        """Return the first frame of the peer on the open link, or None."""
+
+    @abc.abstractmethod
+    def disconnect(self, host: str) -> None:
+        """Close the link to a host, if there is one."""
+
+    @abc.abstractmethod
+    def set_handlers(self, on_control: ControlHandler, on_link: LinkHandler) -> None:
+        """Set who hears of control frames and of links going up or down."""
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/__init__.py
@@ -0,0 +1,1 @@
+"""What a daemon knows: documents, members, ledger, audit trail."""
--- /dev/null
+++ b/packages/savoryroute/savoryroute/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Byte streams: WebSocket links and HTTP connections."""
--- /dev/null
+++ b/packages/savoryroute/savoryroute/verdict.py
@@ -0,0 +1,72 @@
+"""Whether a request may have run, and the refusal that says so."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+__all__ = ["Reason", "Refusal", "Verdict"]
+
+
+class Verdict(enum.StrEnum):
+    """What is known about the execution of a request."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused or given up."""
+
+    OVERLOAD = "overload"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    LEAVING = "leaving"
+    NOT_READY = "not_ready"
+    NO_UPSTREAM = "no_upstream"
+    UNREACHABLE = "unreachable"
+    CONNECTION_LOST = "connection_lost"
+    ALLOWANCE_SPENT = "allowance_spent"
+    QUARANTINED = "quarantined"
+    KEY_REQUIRED = "key_required"
+    KEY_INVALID = "key_invalid"
+    KEY_REUSED = "key_reused"
+    KEY_SPENT = "key_spent"
+    KEY_EXPIRED = "key_expired"
+    KEY_HOME_GONE = "key_home_gone"
+    IN_PROGRESS = "in_progress"
+    CANCELLED = "cancelled"
+    TOO_LARGE = "too_large"
+    BAD_REQUEST = "bad_request"
+    BAD_ANSWER = "bad_answer"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
+
+
+@attrs.frozen
+class Refusal:
+    """Final answer of the fleet to a request that it gives up on.
+
+    Attributes:
+        verdict: ``NOT_RUN`` or ``MAY_HAVE_RUN``; never ``RAN``.
+        reason: Why the request was given up.
+        detail: One sentence for a person.
+        retry_after_s: Seconds after which the caller may come back, or None.
+        is_load: Whether load at an upstream was the cause.
+        from_deep: Whether a hop below the first one refused.
+        status: HTTP status that the refusing upstream itself chose, or 0.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str
+    retry_after_s: float | None = None
+    is_load: bool = False
+    from_deep: bool = False
+    status: int = 0
+
+    def as_may_have_run(self) -> Refusal:
+        """Return the same refusal with the verdict ``MAY_HAVE_RUN``."""
+        return attrs.evolve(self, verdict=Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/packages/savoryroute_cli/savoryroute_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators and callers."""
--- /dev/null
+++ b/packages/savoryroute_lab/savoryroute_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around savoryroute, load and experiments."""
