--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/checking.py
@@ -0,0 +1,248 @@
+"""Typed reading of plain values, with the path of each value in its errors."""
+
+from __future__ import annotations
+
+import difflib
+import ipaddress
+import math
+import re
+from collections.abc import Collection, Iterator
+
+from ..errors import CheckError
+from .address import Address
+
+__all__ = ["Members", "describe"]
+
+NAME_PATTERN = re.compile(r"[a-z][a-z0-9_-]{0,63}")
+NAME_ALLOWED = "1 to 64 of a-z, 0-9, - and _, a letter first"
+SHOWN_CHARACTERS = 60
+PORT_MAX = 65535
+
+_REQUIRED = object()
+
+
+def describe(value: object) -> str:
+    """Return a short text that shows a value of any type."""
+    if isinstance(value, dict):
+        return "an object" if value else "an empty object"
+    if isinstance(value, list | tuple):
+        return "a list" if value else "an empty list"
+    if value is None or isinstance(value, bool):
+        return {None: "null", True: "true", False: "false"}[value]
+    if isinstance(value, int) and value.bit_length() > 64:
+        return "a huge integer"
+    if not isinstance(value, int | float | str | bytes):
+        return f"a {type(value).__name__}"
+    if isinstance(value, str | bytes):
+        value = value[: SHOWN_CHARACTERS + 1]
+    shown = ascii(value)
+    if len(shown) > SHOWN_CHARACTERS:
+        return shown[:SHOWN_CHARACTERS] + "..."
+    return shown
+
+
+class Members:
+    """Members of one object, read by name and type.
+
+    Each getter raises the error that the reader was made with when the member
+    is missing without a default, has another type or is out of its range.
+    """
+
+    def __init__(
+        self,
+        values: object,
+        source: str,
+        error: type[CheckError],
+        path: str = "",
+    ) -> None:
+        self._source = source
+        self._error = error
+        self._path = path
+        if not isinstance(values, dict):
+            self.fail("", values, "an object")
+        self._values = values
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._values
+
+    def fail(self, name: str, found: object, allowed: str) -> None:
+        """Raise the error for a member.
+
+        Raises:
+            CheckError: Always.
+        """
+        raise self._error(self._source, self._where(name), describe(found), allowed)
+
+    def only(self, known: Collection[str]) -> None:
+        """Refuse members with other names than the known ones."""
+        for name in self._values:
+            if name not in known:
+                self._refuse_name(name, known)
+
+    def get(self, name: str, default: object = _REQUIRED) -> object:
+        """Return a member as it stands, or its default."""
+        value = self._values.get(name, default)
+        if value is _REQUIRED:
+            raise self._error(
+                self._source, self._where(name), "nothing", "this member is required"
+            )
+        return value
+
+    def integer(
+        self, name: str, low: int, high: int, default: object = _REQUIRED
+    ) -> int:
+        """Return an integer from ``low`` to ``high``."""
+        value = self.get(name, default)
+        if type(value) is not int or not low <= value <= high:
+            self.fail(name, value, f"an integer from {low} to {high}")
+        return value
+
+    def number(
+        self, name: str, low: float, high: float, default: object = _REQUIRED
+    ) -> float:
+        """Return a finite number from ``low`` to ``high`` as a float."""
+        value = self.get(name, default)
+        is_number = type(value) in (int, float)
+        if not is_number or not low <= value <= high or not math.isfinite(value):
+            self.fail(name, value, f"a number from {low:g} to {high:g}")
+        return float(value)
+
+    def flag(self, name: str, default: object = _REQUIRED) -> bool:
+        """Return a boolean."""
+        value = self.get(name, default)
+        if type(value) is not bool:
+            self.fail(name, value, "true or false")
+        return value
+
+    def text(
+        self,
+        name: str,
+        pattern: re.Pattern[str],
+        allowed: str,
+        default: object = _REQUIRED,
+    ) -> str:
+        """Return a text of which the whole matches a pattern."""
+        value = self.get(name, default)
+        if type(value) is not str or not pattern.fullmatch(value):
+            self.fail(name, value, allowed)
+        return value
+
+    def name(self, name: str, default: object = _REQUIRED) -> str:
+        """Return a text that is a name of a class, service or failure domain."""
+        return self.text(name, NAME_PATTERN, NAME_ALLOWED, default)
+
+    def secret(self, name: str, pattern: re.Pattern[str], allowed: str) -> str:
+        """Return a text of which the whole matches a pattern; errors hide it."""
+        value = self.get(name)
+        if type(value) is not str or not pattern.fullmatch(value):
+            where = self._where(name)
+            raise self._error(self._source, where, "another value", allowed)
+        return value
+
+    def choice(
+        self, name: str, known: Collection[str], default: object = _REQUIRED
+    ) -> str:
+        """Return a text that is one of the known ones."""
+        value = self.get(name, default)
+        if type(value) is not str or value not in known:
+            self.fail(name, value, _list_names(known) + _suggestion(value, known))
+        return value
+
+    def address(self, name: str, lowest_port: int = 1) -> Address:
+        """Return an address by IP number and port."""
+        return self._as_address(name, self.get(name), lowest_port)
+
+    def addresses(self, name: str, default: object = _REQUIRED) -> tuple[Address, ...]:
+        """Return a list of addresses by IP number and port."""
+        values = self._list(name, default)
+        return tuple(
+            self._as_address(f"{name}[{i}]", value, 1) for i, value in enumerate(values)
+        )
+
+    def integers(
+        self, name: str, low: int, high: int, default: object = _REQUIRED
+    ) -> list[int]:
+        """Return a list of integers from ``low`` to ``high``."""
+        values = self._list(name, default)
+        for i, value in enumerate(values):
+            if type(value) is not int or not low <= value <= high:
+                self.fail(f"{name}[{i}]", value, f"an integer from {low} to {high}")
+        return values
+
+    def members(self, name: str, default: object = _REQUIRED) -> Members:
+        """Return a reader of a member that is an object."""
+        return self._child(name, self.get(name, default))
+
+    def named_members(
+        self, name: str, default: object = _REQUIRED
+    ) -> Iterator[tuple[str, Members]]:
+        """Yield name and reader of each object of an object, sorted by name."""
+        table = self.members(name, default)
+        for key in table._values:
+            if type(key) is not str or not NAME_PATTERN.fullmatch(key):
+                table.fail("", key, f"names of {NAME_ALLOWED}")
+        for key in sorted(table._values):
+            yield key, table.members(key)
+
+    def listed_members(
+        self, name: str, default: object = _REQUIRED
+    ) -> Iterator[Members]:
+        """Yield a reader of each object of a list."""
+        for i, value in enumerate(self._list(name, default)):
+            yield self._child(f"{name}[{i}]", value)
+
+    def _child(self, name: str, value: object) -> Members:
+        return Members(value, self._source, self._error, self._where(name))
+
+    def _where(self, name: str) -> str:
+        if not name:
+            return self._path or "root"
+        return f"{self._path}.{name}" if self._path else name
+
+    def _list(self, name: str, default: object) -> list:
+        value = self.get(name, default)
+        if type(value) is not list:
+            self.fail(name, value, "a list")
+        return value
+
+    def _as_address(self, name: str, value: object, lowest_port: int) -> Address:
+        address = _parse_address(value)
+        if address is None or not lowest_port <= address.port <= PORT_MAX:
+            allowed = f"an IP number and a port from {lowest_port} to {PORT_MAX}"
+            self.fail(name, value, f'{allowed}, as "127.0.0.1:7101" or "[::1]:7101"')
+        return address
+
+    def _refuse_name(self, name: object, known: Collection[str]) -> None:
+        raise self._error(
+            self._source,
+            self._where(""),
+            f"unknown member {describe(name)}",
+            _list_names(known) + _suggestion(name, known),
+        )
+
+
+def _list_names(known: Collection[str]) -> str:
+    return "one of " + ", ".join(sorted(known))
+
+
+def _suggestion(name: object, known: Collection[str]) -> str:
+    if type(name) is not str:
+        return ""
+    nearest = difflib.get_close_matches(name[:SHOWN_CHARACTERS], known, n=1)
+    return f" (did you mean {nearest[0]}?)" if nearest else ""
+
+
+def _parse_address(value: object) -> Address | None:
+    if type(value) is not str:
+        return None
+    ip, colon, port = value.rpartition(":")
+    if not colon or not re.fullmatch(r"[0-9]{1,5}", port):
+        return None
+    is_bracketed = ip.startswith("[") and ip.endswith("]")
+    try:
+        parsed = ipaddress.ip_address(ip[1:-1] if is_bracketed else ip)
+    except ValueError:
+        return None
+    if is_bracketed != (parsed.version == 6):
+        return None
+    return Address(str(parsed), int(port))
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/decisions.py
@@ -0,0 +1,77 @@
+"""Recent decisions by action, for operators who ask why."""
+
+from __future__ import annotations
+
+import collections
+import time
+from collections.abc import Callable
+
+import attrs
+
+__all__ = ["DecisionEntry", "DecisionLog"]
+
+CAPACITY_DEFAULT = 20_000
+
+
+@attrs.frozen
+class DecisionEntry:
+    """One decision about an action.
+
+    Attributes:
+        uptime_s: Seconds from the start of the process to the decision.
+        what: Name of the decision.
+        detail: What it rested on.
+    """
+
+    uptime_s: float
+    what: str
+    detail: str
+
+    def to_plain(self) -> dict:
+        """Return the entry as JSON carries it."""
+        return attrs.asdict(self)
+
+
+class DecisionLog:
+    """Ring of the latest decisions, found by the action they are about.
+
+    Args:
+        capacity: Decisions that are kept over all actions.
+        clock: Monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        capacity: int = CAPACITY_DEFAULT,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._capacity = capacity
+        self._clock = clock
+        self._started_s = clock()
+        self._actions: collections.deque[str] = collections.deque()
+        self._by_action: dict[str, collections.deque[DecisionEntry]] = {}
+
+    def __len__(self) -> int:
+        return len(self._actions)
+
+    def note(self, action: str, what: str, detail: str) -> None:
+        """Keep one decision about an action."""
+        entry = DecisionEntry(self._clock() - self._started_s, what, detail)
+        entries = self._by_action.get(action)
+        if entries is None:
+            entries = self._by_action[action] = collections.deque()
+        entries.append(entry)
+        self._actions.append(action)
+        if len(self._actions) > self._capacity:
+            self._forget_oldest()
+
+    def explain(self, action: str) -> list[DecisionEntry]:
+        """Return the decisions about an action, oldest first."""
+        return list(self._by_action.get(action, ()))
+
+    def _forget_oldest(self) -> None:
+        action = self._actions.popleft()
+        entries = self._by_action[action]
+        entries.popleft()
+        if not entries:
+            del self._by_action[action]
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/parsing.py
@@ -0,0 +1,104 @@
+"""Text of a JSON document, with or without comments, to plain values."""
+
+from __future__ import annotations
+
+import json
+import re
+
+import json5
+
+from ..errors import CheckError
+
+__all__ = ["JSON5_BYTES_MAX", "TEXT_BYTES_MAX", "parse_object"]
+
+TEXT_BYTES_MAX = 1_000_000
+JSON5_BYTES_MAX = 64 * 1024
+
+JSON5_PLACE = re.compile(r"^[^:]*:(\d+) (.*) at column (\d+)$", re.DOTALL)
+
+
+class _DuplicateMemberError(Exception):
+    """An object names one member twice."""
+
+
+class _ConstantError(Exception):
+    """A number of the text is NaN or infinite."""
+
+
+def parse_object(text: str, source: str, error: type[CheckError]) -> dict:
+    """Parse strict JSON, else JSON with comments, into an object.
+
+    Args:
+        text: The text to parse.
+        source: Name of the file or key that the text came from.
+        error: Kind of error to raise.
+
+    Returns:
+        The object at the root of the text.
+
+    Raises:
+        CheckError: The text is too large, is not JSON or holds no object.
+    """
+    n_bytes = len(text.encode("utf-8", "surrogatepass"))
+    if n_bytes > TEXT_BYTES_MAX:
+        raise error(
+            source, "size", f"{n_bytes} bytes", f"at most {TEXT_BYTES_MAX} bytes"
+        )
+    try:
+        value = _parse(text, n_bytes, source, error)
+    except _DuplicateMemberError as exc:
+        raise error(source, f"member {exc}", "a duplicate", "one of each") from None
+    except _ConstantError as exc:
+        raise error(source, "a number", str(exc), "finite numbers") from None
+    except RecursionError:
+        raise error(source, "nesting", "too many levels", "fewer levels") from None
+    if not isinstance(value, dict):
+        raise error(source, "root", type(value).__name__, "an object")
+    return value
+
+
+def _parse(text: str, n_bytes: int, source: str, error: type[CheckError]) -> object:
+    try:
+        return json.loads(
+            text, object_pairs_hook=_unique_members, parse_constant=_refuse_constant
+        )
+    except json.JSONDecodeError as exc:
+        if n_bytes > JSON5_BYTES_MAX:
+            allowed = (
+                f"strict JSON in a text above {JSON5_BYTES_MAX} bytes: "
+                "publish the form that `savoryroute render` prints"
+            )
+            where = f"line {exc.lineno} column {exc.colno}"
+            raise error(source, where, exc.msg, allowed) from None
+    except ValueError as exc:
+        raise error(source, "a number", str(exc), "smaller numbers") from None
+    return _parse_json5(text, source, error)
+
+
+def _parse_json5(text: str, source: str, error: type[CheckError]) -> object:
+    try:
+        return json5.loads(
+            text, object_pairs_hook=_unique_members, parse_constant=_refuse_constant
+        )
+    except ValueError as exc:
+        place = JSON5_PLACE.match(str(exc))
+        if place is None:
+            raise error(source, "text", str(exc), "JSON with comments") from None
+        line, message, column = place.groups()
+        where = f"line {line} column {column}"
+        raise error(source, where, message, "JSON with comments") from None
+
+
+def _unique_members(pairs: list[tuple[str, object]]) -> dict:
+    members = dict(pairs)
+    if len(members) < len(pairs):
+        seen = set()
+        for name, _ in pairs:
+            if name in seen:
+                raise _DuplicateMemberError(repr(name))
+            seen.add(name)
+    return members
+
+
+def _refuse_constant(name: str) -> object:
+    raise _ConstantError(name)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/settings.py
@@ -0,0 +1,127 @@
+"""Settings of one daemon."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import re
+
+import attrs
+from result import Err, Ok, Result
+
+from ..errors import SettingsError
+from .address import Address
+from .checking import Members
+from .parsing import TEXT_BYTES_MAX, parse_object
+
+__all__ = ["Address", "Settings", "parse_settings", "read_settings"]
+
+LOG_LEVELS = ("debug", "info", "warning", "error")
+LOG_LEVEL_DEFAULT = "info"
+HOST_PATTERN = re.compile(r"[a-z0-9-]{1,63}")
+HOST_ALLOWED = "1 to 63 of a-z, 0-9 and -"
+KEY_PATTERN = re.compile(r"[!-~]{8,256}")
+KEY_ALLOWED = "8 to 256 printable ASCII characters without spaces"
+REGION_DEFAULT = "default"
+
+
+@attrs.frozen
+class Settings:
+    """Where one daemon listens and whom it knows from the start.
+
+    Attributes:
+        host: Name of the host.
+        service: Service of the host's upstream.
+        failure_domain: Failure domain of the host.
+        region: Region of the failure domain.
+        callers: Listening address for callers.
+        upstream_side: Listening address for the host's own upstream.
+        peers: Listening address for other daemons.
+        operators: Listening address for operators.
+        upstream: Address of the host's upstream.
+        platform: Addresses of the configuration service.
+        seeds: Peers to ask when the platform is down.
+        fleet_key: Key that daemons show to each other.
+        operator_key: Key that operators show.
+        log_level: Lowest level that is logged.
+    """
+
+    host: str
+    service: str
+    failure_domain: str
+    region: str
+    callers: Address
+    upstream_side: Address
+    peers: Address
+    operators: Address
+    upstream: Address
+    platform: tuple[Address, ...]
+    seeds: tuple[Address, ...]
+    fleet_key: str = attrs.field(repr=False)
+    operator_key: str = attrs.field(repr=False)
+    log_level: str
+
+
+def read_settings(path: str | os.PathLike[str]) -> Result[Settings, SettingsError]:
+    """Read and check a settings file.
+
+    Args:
+        path: Path of the file, JSON with comments.
+    """
+    source = os.fspath(path)
+    try:
+        with pathlib.Path(path).open("rb") as file:
+            text = file.read(TEXT_BYTES_MAX + 1).decode()
+    except OSError as exc:
+        return Err(SettingsError(source, "file", str(exc.strerror), "a readable file"))
+    except UnicodeDecodeError as exc:
+        return Err(SettingsError(source, f"byte {exc.start}", exc.reason, "UTF-8"))
+    return parse_settings(text, source)
+
+
+def parse_settings(text: str, source: str) -> Result[Settings, SettingsError]:
+    """Parse and check the text of a settings file.
+
+    Args:
+        text: JSON with comments.
+        source: Name of the file that the text came from.
+    """
+    try:
+        plain = parse_object(text, source, SettingsError)
+        return Ok(_read_members(Members(plain, source, SettingsError)))
+    except SettingsError as exc:
+        return Err(exc)
+
+
+def _read_members(root: Members) -> Settings:
+    root.only(
+        (
+            "host",
+            "service",
+            "failure_domain",
+            "region",
+            "addresses",
+            "upstream",
+            "platform",
+            "seeds",
+            "fleet_key",
+            "operator_key",
+            "log_level",
+        )
+    )
+    addresses = root.members("addresses")
+    ports = ("callers", "upstream_side", "peers", "operators")
+    addresses.only(ports)
+    return Settings(
+        host=root.text("host", HOST_PATTERN, HOST_ALLOWED),
+        service=root.name("service"),
+        failure_domain=root.name("failure_domain"),
+        region=root.name("region", REGION_DEFAULT),
+        **{port: addresses.address(port, lowest_port=0) for port in ports},
+        upstream=root.address("upstream"),
+        platform=root.addresses("platform"),
+        seeds=root.addresses("seeds", []),
+        fleet_key=root.secret("fleet_key", KEY_PATTERN, KEY_ALLOWED),
+        operator_key=root.secret("operator_key", KEY_PATTERN, KEY_ALLOWED),
+        log_level=root.choice("log_level", LOG_LEVELS, LOG_LEVEL_DEFAULT),
+    )
