--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/limits.py
@@ -0,0 +1,259 @@
+"""Concurrency limits for one upstream."""
+
+from __future__ import annotations
+
+import abc
+import math
+
+import attrs
+
+from ..registry import Registry
+
+__all__ = [
+    "LIMITS",
+    "AimdLimit",
+    "ConcurrencyLimit",
+    "FixedLimit",
+    "GradientLimit",
+    "make_limit",
+]
+
+COLD_START_FRACTION = 0.125
+MINIMUM_WINDOW_ANSWERS = 8
+BUSY_FRACTION = 0.5
+
+AIMD_BACKOFF = 0.9
+
+LATENCY_TOLERANCE = 1.5
+LOWEST_GRADIENT = 0.5
+BASELINE_WEIGHT = 0.05
+BASELINE_DECAY = 0.95
+BASELINE_EXCESS = 2.0
+LIMIT_WEIGHT = 0.5
+LATENCY_FLOOR_FRACTION = 0.5
+DROP_WEIGHT = 0.5
+
+
+@attrs.define
+class ConcurrencyLimit(abc.ABC):
+    """Most requests in flight at an upstream, learned from its answers.
+
+    Attributes:
+        minimum: Lowest limit.
+        maximum: Highest limit.
+        slots: Requests that the upstream runs side by side by its document.
+    """
+
+    minimum: int
+    maximum: int
+    slots: int
+
+    @property
+    @abc.abstractmethod
+    def limit(self) -> int:
+        """Requests allowed in flight."""
+
+    @abc.abstractmethod
+    def on_answer(self, latency_s: float, n_in_flight: int, is_dropped: bool) -> None:
+        """Learn from one answer.
+
+        Args:
+            latency_s: Seconds from the start at the upstream to the answer.
+            n_in_flight: Requests in flight, the answered one included.
+            is_dropped: Whether the upstream failed, timed out or shed it.
+        """
+
+    def _clamp(self, limit: float) -> float:
+        return min(max(limit, self.minimum), self.maximum)
+
+    def _cold_limit(self) -> float:
+        return self._clamp(self.slots * COLD_START_FRACTION)
+
+
+LIMITS: Registry[type[ConcurrencyLimit]] = Registry("limit")
+
+
+def make_limit(kind: str, minimum: int, maximum: int, slots: int) -> ConcurrencyLimit:
+    """Build a limit of a registered kind.
+
+    Args:
+        kind: Name in ``LIMITS``: ``fixed``, ``gradient`` or ``aimd``.
+        minimum: Lowest limit, at least 1.
+        maximum: Highest limit; not below ``minimum``.
+        slots: Requests that the upstream runs side by side.
+
+    Raises:
+        RegistryError: The kind is unknown.
+        ValueError: The bounds contradict each other.
+    """
+    if not 1 <= minimum <= maximum:
+        raise ValueError(f"limit bounds {minimum}..{maximum} are not 1 <= min <= max")
+    return LIMITS.get(kind)(minimum, maximum, slots)
+
+
+@LIMITS.register("fixed")
+@attrs.define
+class FixedLimit(ConcurrencyLimit):
+    """Limit that stays at the maximum."""
+
+    @property
+    def limit(self) -> int:
+        """Requests allowed in flight."""
+        return self.maximum
+
+    def on_answer(self, latency_s: float, n_in_flight: int, is_dropped: bool) -> None:
+        """Ignore the answer."""
+
+
+@attrs.define
+class _Window:
+    """Answers of about one round trip."""
+
+    size: int = MINIMUM_WINDOW_ANSWERS
+    n_answers: int = 0
+    n_dropped: int = 0
+    n_busiest: int = 0
+    _latency_sum_s: float = 0.0
+
+    @property
+    def is_full(self) -> bool:
+        return self.n_answers >= self.size
+
+    @property
+    def drop_fraction(self) -> float:
+        return self.n_dropped / self.n_answers
+
+    @property
+    def latency_s(self) -> float | None:
+        n_served = self.n_answers - self.n_dropped
+        return self._latency_sum_s / n_served if n_served else None
+
+    def add(self, latency_s: float, n_in_flight: int, is_dropped: bool) -> None:
+        if self.n_answers == 0:
+            self.size = max(MINIMUM_WINDOW_ANSWERS, n_in_flight)
+        self.n_answers += 1
+        self.n_busiest = max(self.n_busiest, n_in_flight)
+        if is_dropped:
+            self.n_dropped += 1
+        else:
+            self._latency_sum_s += latency_s
+
+
+@LIMITS.register("aimd")
+@attrs.define
+class AimdLimit(ConcurrencyLimit):
+    """Limit that grows by one a round trip and shrinks by a tenth on drops.
+
+    Doubles per round trip until the first drop.
+
+    Source: additive increase, multiplicative decrease after Chiu and Jain (1989),
+    slow start after Jacobson (1988), as in ``AIMDLimit`` of Netflix
+    concurrency-limits.
+    """
+
+    _limit: float = attrs.field(init=False)
+    _is_slow_start: bool = attrs.field(init=False, default=True)
+    _n_until_backoff: int = attrs.field(init=False, default=0)
+
+    def __attrs_post_init__(self) -> None:
+        self._limit = self._cold_limit()
+
+    @property
+    def limit(self) -> int:
+        """Requests allowed in flight."""
+        return int(self._limit)
+
+    def on_answer(self, latency_s: float, n_in_flight: int, is_dropped: bool) -> None:
+        """Grow on an answer of a busy upstream, shrink once a round trip on drops."""
+        self._n_until_backoff = max(0, self._n_until_backoff - 1)
+        if is_dropped:
+            self._back_off(n_in_flight)
+        elif n_in_flight >= self._limit * BUSY_FRACTION:
+            self._grow()
+
+    def _back_off(self, n_in_flight: int) -> None:
+        if self._n_until_backoff:
+            return
+        self._is_slow_start = False
+        self._n_until_backoff = n_in_flight
+        self._limit = self._clamp(self._limit * AIMD_BACKOFF)
+
+    def _grow(self) -> None:
+        step = 1.0 if self._is_slow_start else 1.0 / self._limit
+        self._limit = self._clamp(self._limit + step)
+
+
+@LIMITS.register("gradient")
+@attrs.define
+class GradientLimit(ConcurrencyLimit):
+    """Limit that follows the ratio of usual to current latency, and the drops.
+
+    Latency that rises for another cause than this limit, a slower mix of requests or
+    a slow further service, is no reason to run fewer requests. So the baseline drifts
+    towards the current latency, only a busy upstream is judged, and latency alone
+    takes the limit no lower than half the slots. Below that only drops count, in
+    proportion to their share, so that single failures cost next to nothing.
+
+    Sources: ``Gradient2Limit`` of Netflix concurrency-limits for the gradient and its
+    drifting baseline; DCTCP (Alizadeh and others, 2010) for the decrease in
+    proportion to the marked share; slow start after Jacobson (1988).
+    """
+
+    _limit: float = attrs.field(init=False)
+    _is_slow_start: bool = attrs.field(init=False, default=True)
+    _baseline_s: float | None = attrs.field(init=False, default=None)
+    _window: _Window = attrs.field(init=False, factory=_Window)
+
+    def __attrs_post_init__(self) -> None:
+        self._limit = self._cold_limit()
+
+    @property
+    def limit(self) -> int:
+        """Requests allowed in flight."""
+        return int(self._limit)
+
+    def on_answer(self, latency_s: float, n_in_flight: int, is_dropped: bool) -> None:
+        """Collect one answer and adjust the limit after each round trip."""
+        self._window.add(latency_s, n_in_flight, is_dropped)
+        is_busy = n_in_flight >= self._limit * BUSY_FRACTION
+        if self._is_slow_start and is_busy and not is_dropped:
+            self._limit = self._clamp(self._limit + 1.0)
+        if self._window.is_full:
+            window, self._window = self._window, _Window()
+            self._adjust(window)
+
+    def _adjust(self, window: _Window) -> None:
+        gradient = self._gradient(window.latency_s)
+        if window.n_dropped or gradient < 1.0:
+            self._is_slow_start = False
+        if window.n_dropped:
+            self._shrink_by_drops(window.drop_fraction)
+        if window.n_busiest >= self._limit * BUSY_FRACTION:
+            self._follow(gradient, window.drop_fraction)
+
+    def _gradient(self, latency_s: float | None) -> float:
+        if latency_s is None:
+            return 1.0
+        baseline_s = self._drift_baseline(latency_s)
+        ratio = LATENCY_TOLERANCE * baseline_s / max(latency_s, 1e-9)
+        return min(1.0, max(LOWEST_GRADIENT, ratio))
+
+    def _drift_baseline(self, latency_s: float) -> float:
+        if self._baseline_s is None:
+            self._baseline_s = latency_s
+        baseline_s = self._baseline_s
+        if baseline_s > latency_s * BASELINE_EXCESS:
+            baseline_s *= BASELINE_DECAY
+        self._baseline_s = baseline_s + (latency_s - baseline_s) * BASELINE_WEIGHT
+        return self._baseline_s
+
+    def _shrink_by_drops(self, drop_fraction: float) -> None:
+        self._limit = self._clamp(self._limit * (1.0 - drop_fraction * DROP_WEIGHT))
+
+    def _follow(self, gradient: float, drop_fraction: float) -> None:
+        if drop_fraction >= DROP_WEIGHT or self._is_slow_start:
+            return
+        target = self._limit * gradient + math.sqrt(self._limit)
+        floor = min(self._limit, self.slots * LATENCY_FLOOR_FRACTION)
+        target = max(target, floor)
+        self._limit = self._clamp(self._limit + (target - self._limit) * LIMIT_WEIGHT)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/retry_after.py
@@ -0,0 +1,42 @@
+"""When a refused caller may come back."""
+
+from __future__ import annotations
+
+import random
+
+__all__ = ["LONGEST_RETRY_AFTER_S", "SHORTEST_RETRY_AFTER_S", "spread_retry_after_s"]
+
+SHORTEST_RETRY_AFTER_S = 0.1
+LONGEST_RETRY_AFTER_S = 30.0
+JITTER = 0.5
+
+
+def spread_retry_after_s(
+    n_backlog: float, rate_per_s: float | None, randomness: random.Random
+) -> float:
+    """Return a jittered time that grows with the excess over capacity.
+
+    The middle of the spread is the time that the upstream needs for all that wait
+    and all that were refused of late, so that those who come back fit in.
+
+    Args:
+        n_backlog: Requests waiting and requests refused of late.
+        rate_per_s: Answers per second of the upstream, or None where unknown.
+        randomness: Source of the jitter.
+
+    Returns:
+        Seconds, from ``SHORTEST_RETRY_AFTER_S`` to ``LONGEST_RETRY_AFTER_S``.
+    """
+    middle_s = _time_to_serve_s(n_backlog, rate_per_s)
+    highest_s = LONGEST_RETRY_AFTER_S / (1.0 + JITTER)
+    lowest_s = SHORTEST_RETRY_AFTER_S / (1.0 - JITTER)
+    middle_s = min(max(middle_s, lowest_s), highest_s)
+    return middle_s * randomness.uniform(1.0 - JITTER, 1.0 + JITTER)
+
+
+def _time_to_serve_s(n_backlog: float, rate_per_s: float | None) -> float:
+    if rate_per_s is None:
+        return 1.0
+    if rate_per_s <= 0.0:
+        return LONGEST_RETRY_AFTER_S
+    return n_backlog / rate_per_s
