--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/keys.py
@@ -0,0 +1,168 @@
+"""Keys of actions: minting for a home, finding it and fencing there."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok, Result
+
+from ..errors import ConnectionClosedError
+from ..protocol.frames import Fence, Hello
+from ..protocol.idempotency_key import IdempotencyKey, mint_key, parse_key
+from ..protocol.websocket_network import WebSocketNetwork
+from ..state.ledger import Ledger
+from ..state.members import Member
+from ..state.policies import EjectionPolicy
+from ..verdict import Reason, Refusal, Verdict
+from .placement import Placement
+
+__all__ = ["KeyRing"]
+
+FENCE_TIMEOUT_S = 0.5
+
+
+@attrs.frozen
+class _Uptime:
+    """Uptime of a peer when it was last told.
+
+    Attributes:
+        incarnation: Incarnation of the peer.
+        uptime_ms: Uptime that it told.
+        heard_s: Monotonic time at which it was heard.
+    """
+
+    incarnation: int
+    uptime_ms: int
+    heard_s: float
+
+    @property
+    def now_ms(self) -> int:
+        """Lower estimate of the peer's uptime now."""
+        return self.uptime_ms + int((time.monotonic() - self.heard_s) * 1000)
+
+
+class KeyRing:
+    """What this daemon knows of the homes that keys name."""
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        ledger: Ledger,
+        network: WebSocketNetwork,
+        placement: Placement,
+        member: Callable[[str], Member | None],
+        ejection: Callable[[], EjectionPolicy | None],
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._ledger = ledger
+        self._network = network
+        self._placement = placement
+        self._member = member
+        self._ejection = ejection
+        self._uptimes: dict[str, _Uptime] = {}
+
+    def note_uptime(self, peer: Hello, uptime_ms: int) -> None:
+        """Take note of how long a peer has been up."""
+        self._uptimes[peer.host] = _Uptime(
+            peer.incarnation, uptime_ms, time.monotonic()
+        )
+
+    async def mint(self, service: str, n_keys: int, cancels: str = "") -> list[str]:
+        """Return new keys with a home that can run them, or none.
+
+        Args:
+            service: Service that is to run the actions.
+            n_keys: Number of keys.
+            cancels: Key of an action to be cancelled; the new key gets the same
+                home while that home lives.
+        """
+        home = self._home_to_follow(cancels)
+        if home is not None:
+            minted = await self._mint_at(home, n_keys)
+            if minted:
+                return minted
+        tried: list[str] = []
+        ejection = self._ejection()
+        while ejection is not None:
+            choice = self._placement.choose(service, tried, ejection, True)
+            if choice is None:
+                return []
+            tried.append(choice.member.host)
+            minted = await self._mint_at(choice.member, n_keys)
+            if minted:
+                return minted
+        return []
+
+    def home_of(self, key: str) -> Result[Member, Refusal]:
+        """Return the host that alone may run a key.
+
+        Returns:
+            The member, or a refusal: ``MAY_HAVE_RUN`` where the home is not known
+            or was replaced.
+        """
+        parsed = parse_key(key)
+        if isinstance(parsed, Err):
+            return parsed
+        found = parsed.ok_value
+        member = self._member(found.host)
+        if member is None or self._is_replaced(found):
+            detail = f"the home of the key, {found.host}, is gone or was replaced"
+            return Err(Refusal(Verdict.MAY_HAVE_RUN, Reason.KEY_HOME_GONE, detail))
+        return Ok(member)
+
+    async def fence(self, key: str) -> Verdict:
+        """Ask the home of a key to fence it; what cannot be known may have run."""
+        home = self.home_of(key)
+        if isinstance(home, Err):
+            return Verdict.MAY_HAVE_RUN
+        host = home.ok_value.host
+        if host == self._host:
+            return self._ledger.fence(key)
+        session = self._network.session(host)
+        if session is None:
+            return Verdict.MAY_HAVE_RUN
+        try:
+            async with asyncio.timeout(FENCE_TIMEOUT_S):
+                return await session.fence(key)
+        except (TimeoutError, ConnectionClosedError):
+            return Verdict.MAY_HAVE_RUN
+
+    def fence_here(self, frame: Fence) -> Verdict:
+        """Fence a key for a peer."""
+        return self._ledger.fence(frame.key)
+
+    def _is_replaced(self, key: IdempotencyKey) -> bool:
+        """Return whether the host of a key runs in another incarnation."""
+        if key.host == self._host:
+            return key.incarnation != self._incarnation
+        hello = self._network.hello(key.host)
+        return hello is not None and hello.incarnation != key.incarnation
+
+    def _home_to_follow(self, cancels: str) -> Member | None:
+        if not cancels:
+            return None
+        home = self.home_of(cancels)
+        return home.ok_value if isinstance(home, Ok) else None
+
+    async def _mint_at(self, home: Member, n_keys: int) -> list[str]:
+        """Return keys whose home is a reachable host, or none."""
+        if home.host == self._host:
+            return [self._ledger.mint() for _ in range(n_keys)]
+        hello = self._network.hello(home.host)
+        if hello is None:
+            connected = await self._network.connect(home.peers_address)
+            if isinstance(connected, Err):
+                return []
+            hello = connected.ok_value
+        uptime = self._uptimes.get(home.host)
+        if uptime is None or uptime.incarnation != hello.incarnation:
+            return []
+        minted_ms = uptime.now_ms
+        return [
+            mint_key(home.host, hello.incarnation, minted_ms) for _ in range(n_keys)
+        ]
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/placement.py
@@ -0,0 +1,257 @@
+"""Choice of the host that is to run an attempt."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from ..protocol.frames import Answer
+from ..state.audit import AuditKind, AuditTrail
+from ..state.members import Member
+from ..state.policies import EjectionPolicy
+from ..verdict import Reason, Verdict
+
+__all__ = ["Choice", "HostRecord", "Placement"]
+
+EJECT_AFTER_FAILURES = 5
+EJECTION_DOUBLINGS_MAX = 5
+LATENCY_WEIGHT = 0.2
+SPILL_LOAD_MAX = 0.8
+UNAVAILABLE_S = 0.5
+FULL_LOAD = 1.0
+RETURN_S = 3.0
+
+
+@attrs.define
+class HostRecord:
+    """What this daemon has seen of one host.
+
+    Attributes:
+        n_mine: Attempts of this daemon in flight there.
+        n_reported: Requests in flight there by its last answer.
+        n_queued: Requests waiting there by its last answer.
+        limit: Concurrency limit there by its last answer, 0 if unknown.
+        n_mine_at_report: Value of ``n_mine`` when the last answer came.
+        latency_s: Moving average of answers' latency in seconds.
+        n_failures: Failures in a row.
+        n_ejections: Ejections in a row.
+        ejected_until_s: Monotonic time of the end of an ejection.
+        unavailable_until_s: Monotonic time until which it takes no work.
+        returned_s: Monotonic time of the last return from an ejection.
+    """
+
+    n_mine: int = 0
+    n_reported: int = 0
+    n_queued: int = 0
+    limit: int = 0
+    n_mine_at_report: int = 0
+    latency_s: float = 0.0
+    n_failures: int = 0
+    n_ejections: int = 0
+    ejected_until_s: float = 0.0
+    unavailable_until_s: float = 0.0
+    returned_s: float = float("-inf")
+
+    @property
+    def load(self) -> float:
+        """Requests at the host over its limit; 0 for an unknown limit."""
+        if not self.limit:
+            return 0.01 * self.n_mine
+        n_new = max(0, self.n_mine - self.n_mine_at_report)
+        return (self.n_reported + self.n_queued + n_new) / self.limit
+
+    def cost(self, now_s: float) -> float:
+        """Figure to compare hosts by: load, weighted by latency.
+
+        A host back from an ejection looks loaded at first, so that it does not
+        draw all work at once.
+        """
+        ramp = max(0.0, 1.0 - (now_s - self.returned_s) / RETURN_S)
+        return (self.load + ramp + 0.05) * (self.latency_s + 0.001)
+
+
+@attrs.frozen
+class Choice:
+    """A host for one attempt.
+
+    Attributes:
+        member: The host.
+        is_spill_over: Whether it is in another failure domain for want of
+            capacity in the own one.
+    """
+
+    member: Member
+    is_spill_over: bool
+
+
+class Placement:
+    """Choice among the hosts of a service by own observations.
+
+    The own failure domain comes first. Within it, the better of two random hosts
+    is taken (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing).
+    """
+
+    def __init__(
+        self,
+        host: str,
+        failure_domain: str,
+        members_of: Callable[[str], list[Member]],
+        audit: AuditTrail,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._host = host
+        self._failure_domain = failure_domain
+        self._members_of = members_of
+        self._audit = audit
+        self._rng = rng
+        self._clock = clock
+        self._records: dict[str, HostRecord] = {}
+
+    @property
+    def records(self) -> dict[str, HostRecord]:
+        """Observations by host."""
+        return self._records
+
+    def record(self, host: str) -> HostRecord:
+        """Return the observations of a host."""
+        found = self._records.get(host)
+        if found is None:
+            found = self._records[host] = HostRecord()
+        return found
+
+    def choose(
+        self,
+        service: str,
+        excluded: Iterable[str],
+        ejection: EjectionPolicy,
+        may_spill_over: bool,
+    ) -> Choice | None:
+        """Return the host for the next attempt, or None if there is none.
+
+        Args:
+            service: Service that is to run the attempt.
+            excluded: Hosts that this request has tried.
+            ejection: Bounds of ejection.
+            may_spill_over: Whether another failure domain may take the overflow.
+        """
+        members = self._members_of(service)
+        tried = set(excluded)
+        usable = self._without_ejected(members, ejection)
+        near = [m for m in usable if m.failure_domain == self._failure_domain]
+        has_near = any(m.failure_domain == self._failure_domain for m in members)
+        open_near = [m for m in near if m.host not in tried]
+        best = self._better_of_two(open_near)
+        if best is not None and self.record(best.host).load < FULL_LOAD:
+            return Choice(best, False)
+        if may_spill_over or not has_near:
+            far = self._far_choice(usable, tried, has_near)
+            if far is not None:
+                return far
+        return None if best is None else Choice(best, False)
+
+    def begin(self, host: str) -> None:
+        """Count an attempt as sent."""
+        self.record(host).n_mine += 1
+
+    def end(self, host: str, answer: Answer | None, latency_s: float) -> None:
+        """Count an attempt as ended.
+
+        Args:
+            host: Where it was sent.
+            answer: The answer, or None if none came.
+            latency_s: Seconds from sending to the end.
+        """
+        record = self.record(host)
+        record.n_mine -= 1
+        if answer is not None:
+            record.n_mine_at_report = record.n_mine
+            record.n_reported = answer.n_in_flight
+            record.n_queued = answer.n_queued
+            record.limit = answer.limit
+        if answer is not None and answer.verdict == Verdict.RAN:
+            self._note_success(record, latency_s)
+        elif answer is not None and answer.reason == Reason.LEAVING:
+            record.unavailable_until_s = self._clock() + UNAVAILABLE_S
+        elif answer is None or not answer.is_load:
+            record.n_failures += 1
+
+    def eject_if_failing(
+        self, host: str, service: str, ejection: EjectionPolicy
+    ) -> None:
+        """Eject a host after failures in a row, within the policy's cap."""
+        record = self.record(host)
+        if record.n_failures < EJECT_AFTER_FAILURES:
+            return
+        now_s = self._clock()
+        if record.ejected_until_s > now_s or not self._may_eject(service, ejection):
+            return
+        doublings = min(record.n_ejections, EJECTION_DOUBLINGS_MAX)
+        duration_s = ejection.base_s * 2**doublings
+        record.n_ejections += 1
+        record.n_failures = 0
+        record.ejected_until_s = now_s + duration_s
+        record.returned_s = record.ejected_until_s
+        self._audit.record(
+            AuditKind.EJECTION,
+            host,
+            f"ejected for {duration_s:.1f} s",
+            f"{EJECT_AFTER_FAILURES} failures in a row seen by {self._host}",
+        )
+
+    def _note_success(self, record: HostRecord, latency_s: float) -> None:
+        record.n_failures = 0
+        if self._clock() > record.returned_s + RETURN_S:
+            record.n_ejections = 0
+        if not record.latency_s:
+            record.latency_s = latency_s
+        record.latency_s += LATENCY_WEIGHT * (latency_s - record.latency_s)
+
+    def _is_out(self, host: str) -> bool:
+        record = self._records.get(host)
+        if record is None:
+            return False
+        now_s = self._clock()
+        return max(record.ejected_until_s, record.unavailable_until_s) > now_s
+
+    def _without_ejected(
+        self, members: list[Member], ejection: EjectionPolicy
+    ) -> list[Member]:
+        """Return the members that are not ejected, all of them if none is left."""
+        kept = [m for m in members if not self._is_out(m.host)]
+        return kept or members
+
+    def _may_eject(self, service: str, ejection: EjectionPolicy) -> bool:
+        """Return whether one more ejection stays within the cap.
+
+        When most of a service looks bad, the evidence is wrong or the whole
+        service is slow.
+        """
+        members = self._members_of(service)
+        n_out = sum(self._is_out(m.host) for m in members)
+        return n_out + 1 <= ejection.maximum_fraction * len(members)
+
+    def _better_of_two(self, members: list[Member]) -> Member | None:
+        if not members:
+            return None
+        if len(members) > 2:
+            members = self._rng.sample(members, 2)
+        now_s = self._clock()
+        return min(members, key=lambda m: self.record(m.host).cost(now_s))
+
+    def _far_choice(
+        self, usable: list[Member], tried: set[str], has_near: bool
+    ) -> Choice | None:
+        """Return a host of another failure domain with capacity to spare."""
+        far = [
+            m
+            for m in usable
+            if m.failure_domain != self._failure_domain and m.host not in tried
+        ]
+        if has_near:
+            far = [m for m in far if self.record(m.host).load < SPILL_LOAD_MAX]
+        best = self._better_of_two(far)
+        return None if best is None else Choice(best, has_near)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/protocol/websocket_network.py
@@ -0,0 +1,171 @@
+"""Links to peers over WebSocket connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from ..errors import ConnectionClosedError
+from ..state.settings import Address
+from ..transport import websocket
+from .frames import FRAME_BYTES_MAX, Frame, Hello, encode
+from .peer_network import ControlHandler, LinkHandler, PeerNetwork
+from .peer_session import PeerSession, SessionHandlers, read_hello
+
+__all__ = ["WebSocketNetwork"]
+
+
+class WebSocketNetwork(PeerNetwork):
+    """Sessions with peers by host name; one task for each connection.
+
+    A session that this daemon opened is preferred over one that the peer opened.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        fleet_key: str,
+        make_hello: Callable[[], Hello],
+        on_call: Callable,
+        on_fence: Callable,
+    ) -> None:
+        self._address = address
+        self._fleet_key = fleet_key
+        self._make_hello = make_hello
+        self._handlers = SessionHandlers(on_call, on_fence, self._on_control)
+        self._on_control_frame: ControlHandler | None = None
+        self._on_link: LinkHandler | None = None
+        self._outward: dict[str, PeerSession] = {}
+        self._inward: dict[str, PeerSession] = {}
+        self._dialling: dict[str, asyncio.Task] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._server: websocket.Server | None = None
+
+    @property
+    def hosts(self) -> list[str]:
+        """Names of the hosts with an open link."""
+        return list(self._outward.keys() | self._inward.keys())
+
+    def set_handlers(self, on_control: ControlHandler, on_link: LinkHandler) -> None:
+        """Set who hears of control frames and of links going up or down."""
+        self._on_control_frame = on_control
+        self._on_link = on_link
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        self._server = await websocket.listen(
+            self._address, self._fleet_key, FRAME_BYTES_MAX, self._welcome
+        )
+
+    async def stop(self) -> None:
+        """Close all links and stop listening."""
+        if self._server is not None:
+            self._server.close()
+        for session in [*self._outward.values(), *self._inward.values()]:
+            await session.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def session(self, host: str) -> PeerSession | None:
+        """Return the open session with a host, or None."""
+        session = self._outward.get(host) or self._inward.get(host)
+        if session is not None and session.is_open:
+            return session
+        return None
+
+    def hello(self, host: str) -> Hello | None:
+        """Return the first frame of the peer on the open link, or None."""
+        session = self.session(host)
+        return None if session is None else session.peer
+
+    async def send(self, host: str, frame: Frame) -> bool:
+        """Send a control frame; return whether there was a link to send it on."""
+        session = self.session(host)
+        if session is None:
+            return False
+        try:
+            await session.send(frame)
+        except ConnectionClosedError:
+            return False
+        return True
+
+    def disconnect(self, host: str) -> None:
+        """Close the link to a host, if there is one."""
+        for sessions in (self._outward, self._inward):
+            session = sessions.pop(host, None)
+            if session is not None:
+                self._spawn(session.close())
+
+    async def connect(
+        self, peers_address: str
+    ) -> Result[Hello, ConnectionClosedError]:
+        """Open a link to ``ip:port``, or reuse the open one."""
+        for session in self._outward.values():
+            if session.peer.peers == peers_address and session.is_open:
+                return Ok(session.peer)
+        task = self._dialling.get(peers_address)
+        if task is None:
+            task = self._spawn(self._dial(peers_address))
+            self._dialling[peers_address] = task
+            task.add_done_callback(lambda _: self._dialling.pop(peers_address, None))
+        return await asyncio.shield(task)
+
+    async def _dial(self, peers_address: str) -> Result[Hello, ConnectionClosedError]:
+        """Open a connection, exchange first frames and start its task."""
+        address = Address.parse(peers_address)
+        dialled = await websocket.dial(address, self._fleet_key, FRAME_BYTES_MAX)
+        if isinstance(dialled, Err):
+            return dialled
+        connection = dialled.ok_value
+        try:
+            await websocket.send(connection, encode(self._make_hello()))
+            peer = await read_hello(connection)
+        except ConnectionClosedError as error:
+            await connection.close()
+            return Err(error)
+        session = PeerSession(connection, peer, self._handlers)
+        self._outward[peer.host] = session
+        self._spawn(self._run(session, self._outward))
+        return Ok(peer)
+
+    async def _welcome(self, connection: websocket.Connection) -> None:
+        """Serve a connection that a peer opened."""
+        try:
+            peer = await read_hello(connection)
+            await websocket.send(connection, encode(self._make_hello()))
+        except ConnectionClosedError:
+            await connection.close()
+            return
+        session = PeerSession(connection, peer, self._handlers)
+        await self._run(session, self._inward)
+
+    async def _run(
+        self, session: PeerSession, sessions: dict[str, PeerSession]
+    ) -> None:
+        """Keep a session in the table for as long as its connection lives."""
+        host = session.peer.host
+        sessions[host] = session
+        self._tell_link(session.peer, True)
+        try:
+            await session.run()
+        finally:
+            if sessions.get(host) is session:
+                del sessions[host]
+            if self.session(host) is None:
+                self._tell_link(session.peer, False)
+
+    def _tell_link(self, peer: Hello, is_up: bool) -> None:
+        if self._on_link is not None:
+            self._on_link(peer, is_up)
+
+    async def _on_control(self, peer: Hello, frame: Frame) -> None:
+        if self._on_control_frame is not None:
+            await self._on_control_frame(peer.host, frame)
+
+    def _spawn(self, coroutine) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
