--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/attempt_counter.py
@@ -0,0 +1,67 @@
+"""Bound on the deliveries of one action within a sliding window."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+__all__ = ["ACTIONS_MAX", "ActionCounter"]
+
+ACTIONS_MAX = 65536
+
+
+class ActionCounter:
+    """Counts deliveries of each action to this daemon's upstream.
+
+    A full counter refuses actions that it has not seen: to forget one would lift
+    its bound. At 155 calls a second and a window of 60 s it holds 9,300 actions.
+
+    Args:
+        window_s: Length of the sliding window in seconds.
+        clock: Monotonic clock in seconds.
+        actions_max: Actions remembered at once.
+    """
+
+    def __init__(
+        self,
+        window_s: float,
+        clock: Callable[[], float],
+        actions_max: int = ACTIONS_MAX,
+    ) -> None:
+        self._window_s = window_s
+        self._clock = clock
+        self._actions_max = actions_max
+        self._deliveries: OrderedDict[str, tuple[float, ...]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._deliveries)
+
+    def count_delivery(self, action: str, maximum: int) -> bool:
+        """Count one delivery, unless it is one too many.
+
+        Args:
+            action: Idempotency key or trace id.
+            maximum: Deliveries allowed within the window.
+
+        Returns:
+            Whether the delivery may go ahead; a refused one is not counted.
+        """
+        now = self._clock()
+        self._forget_old(now)
+        since = now - self._window_s
+        times = tuple(t for t in self._deliveries.get(action, ()) if t > since)
+        if len(times) >= maximum:
+            return False
+        if action not in self._deliveries and len(self) >= self._actions_max:
+            return False
+        self._deliveries[action] = (*times, now)
+        self._deliveries.move_to_end(action)
+        return True
+
+    def _forget_old(self, now: float) -> None:
+        """Drop actions whose last delivery has left the window."""
+        while self._deliveries:
+            action, times = next(iter(self._deliveries.items()))
+            if times[-1] > now - self._window_s:
+                return
+            del self._deliveries[action]
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -0,0 +1,289 @@
+"""Requests that crash the upstreams which run them, held back for a while."""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import secrets
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+
+from ..verdict import Reason, Refusal, Verdict
+
+__all__ = ["Quarantine", "SuspectEntry", "fingerprint"]
+
+FINGERPRINT_BYTES = 16
+CRASH_ID_BYTES = 8
+EVENTS_MAX = 4096
+EXPORTED_MAX = 32
+MERGED_MAX = 256
+
+# How many quarantines long a crash is remembered.
+MEMORY_FACTOR = 10
+
+
+def fingerprint(method: str, service: str, target: str, body: bytes) -> bytes:
+    """Return the digest under which equal requests are the same suspect."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (method.encode(), service.encode(), target.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+@attrs.define
+class _Event:
+    """One request in flight at one crash.
+
+    Attributes:
+        at_s: Time of the crash on this daemon's clock in seconds.
+        is_alone: Whether no other request was in flight.
+        is_cleared: Whether the request completed well since.
+        n_exports: How often the event was told to peers in its present state.
+    """
+
+    at_s: float
+    is_alone: bool
+    is_cleared: bool = False
+    n_exports: int = 0
+
+
+@attrs.frozen
+class SuspectEntry:
+    """Operators' view of one suspect.
+
+    Attributes:
+        fingerprint: Digest of the request, in hexadecimal.
+        n_crashes: Crashes that count against it.
+        age_s: Seconds since the last of them.
+        is_quarantined: Whether it is refused now.
+    """
+
+    fingerprint: str
+    n_crashes: int
+    age_s: float
+    is_quarantined: bool
+
+
+class Quarantine:
+    """Crash evidence of this daemon and, as hearsay, of its peers.
+
+    Every request in flight at a crash becomes a suspect. A suspect runs at an
+    upstream with no other suspect at its side, and is cleared if it completes. At
+    ``crashes_max`` crashes it is refused until ``duration_s`` after the last one.
+    Once that has passed it stays a suspect, one crash short of the next refusal.
+    ``docs/design/poison.md`` states the bound that follows.
+
+    Crashes merge as a set of identities, so hearing of one twice counts once.
+
+    Args:
+        clock: Monotonic clock in seconds.
+        crashes_max: Crashes that put a request into quarantine.
+        duration_s: Length of a quarantine in seconds.
+    """
+
+    def __init__(
+        self, clock: Callable[[], float], crashes_max: int, duration_s: float
+    ) -> None:
+        self._clock = clock
+        self._crashes_max = max(1, crashes_max)
+        self._duration_s = duration_s
+        self._events: OrderedDict[tuple[bytes, int], _Event] = OrderedDict()
+        self._crash_ids: dict[bytes, set[int]] = {}
+        self._running: set[bytes] = set()
+
+    def __len__(self) -> int:
+        return len(self._events)
+
+    def set_policy(self, crashes_max: int, duration_s: float) -> None:
+        """Take over the values of a new document."""
+        self._crashes_max = max(1, crashes_max)
+        self._duration_s = duration_s
+
+    def note_crash(self, in_flight: Iterable[bytes]) -> None:
+        """Count a crash of this daemon's upstream against all then in flight."""
+        suspects = set(in_flight)
+        crash_id = int.from_bytes(secrets.token_bytes(CRASH_ID_BYTES), "big")
+        is_alone = len(suspects) == 1
+        for suspect in suspects:
+            self._add(suspect, crash_id, _Event(self._clock(), is_alone))
+
+    def note_success(self, request: bytes) -> None:
+        """Clear a suspect that ran and completed well.
+
+        A quarantine stands, and so does a crash with no other request in flight.
+        """
+        if self._is_quarantined(request):
+            return
+        for crash_id in self._crash_ids.get(request, ()):
+            event = self._events[request, crash_id]
+            if not event.is_alone and not event.is_cleared:
+                event.is_cleared = True
+                event.n_exports = 0
+
+    def check(self, request: bytes) -> Refusal | None:
+        """Return the refusal of a request in quarantine, or None."""
+        if not self._is_quarantined(request):
+            return None
+        return Refusal(
+            verdict=Verdict.NOT_RUN,
+            reason=Reason.QUARANTINED,
+            detail="upstreams crashed each time that this request ran",
+            retry_after_s=self._duration_s - self._last_age_s(request),
+        )
+
+    def must_run_alone(self, request: bytes) -> bool:
+        """Return whether no other suspect may run beside the request."""
+        return bool(self._counted(request))
+
+    def try_start(self, request: bytes) -> bool:
+        """Reserve the upstream's one place for suspects, if the request needs it.
+
+        Returns:
+            Whether the request may be delivered now; call ``end`` after it.
+        """
+        if not self.must_run_alone(request):
+            return True
+        if self._running:
+            return False
+        self._running.add(request)
+        return True
+
+    def end(self, request: bytes) -> None:
+        """Give back the place for suspects, if the request had it."""
+        self._running.discard(request)
+
+    def export(self) -> list[Any]:
+        """Return the events told least so far, for one heartbeat.
+
+        Returns:
+            Rows of fingerprint, crash identity, age in milliseconds, whether the
+            request was alone in flight, and whether it was cleared since.
+        """
+        self._forget_old()
+        chosen = heapq.nsmallest(
+            EXPORTED_MAX, self._events.items(), key=lambda item: item[1].n_exports
+        )
+        rows = []
+        for (request, crash_id), event in chosen:
+            event.n_exports += 1
+            age_ms = int((self._clock() - event.at_s) * 1000)
+            rows.append([request, crash_id, age_ms, event.is_alone, event.is_cleared])
+        return rows
+
+    def merge(self, rows: list[Any]) -> None:
+        """Take in what a peer exported; rows of another form are ignored."""
+        for row in rows[:MERGED_MAX]:
+            if _is_row(row):
+                self._merge_row(*row)
+
+    def entries(self) -> list[SuspectEntry]:
+        """Return the suspects, those with most crashes first."""
+        self._forget_old()
+        found = [self._entry(request) for request in self._crash_ids]
+        suspects = [entry for entry in found if entry.n_crashes]
+        return sorted(suspects, key=lambda entry: -entry.n_crashes)
+
+    def _entry(self, request: bytes) -> SuspectEntry:
+        """Return the operators' view of one request."""
+        return SuspectEntry(
+            fingerprint=request.hex(),
+            n_crashes=len(self._counted(request)),
+            age_s=self._last_age_s(request),
+            is_quarantined=self._is_quarantined(request),
+        )
+
+    def _merge_row(
+        self,
+        request: bytes,
+        crash_id: int,
+        age_ms: int,
+        is_alone: bool,
+        is_cleared: bool,
+    ) -> None:
+        """Take in one event, or the news that a known one was cleared."""
+        known = self._events.get((request, crash_id))
+        if known is None:
+            at_s = self._clock() - age_ms / 1000
+            self._add(request, crash_id, _Event(at_s, is_alone, is_cleared))
+        elif is_cleared and not known.is_cleared and not known.is_alone:
+            known.is_cleared = True
+            known.n_exports = 0
+
+    def _add(self, request: bytes, crash_id: int, event: _Event) -> None:
+        """File an event and forget the oldest where there are too many."""
+        self._forget_old()
+        if self._clock() - event.at_s >= self._memory_s:
+            return
+        while len(self._events) >= EVENTS_MAX:
+            self._forget(next(iter(self._events)))
+        self._events[request, crash_id] = event
+        self._crash_ids.setdefault(request, set()).add(crash_id)
+
+    @property
+    def _memory_s(self) -> float:
+        """Seconds for which a crash is remembered."""
+        return self._duration_s * MEMORY_FACTOR
+
+    def _counted(self, request: bytes) -> list[_Event]:
+        """Return the crashes that count against a request."""
+        since_s = self._clock() - self._memory_s
+        events = (
+            self._events[request, crash_id]
+            for crash_id in self._crash_ids.get(request, ())
+        )
+        return [event for event in events if _counts(event, since_s)]
+
+    def _is_quarantined(self, request: bytes) -> bool:
+        """Return whether a request is refused now."""
+        if len(self._counted(request)) < self._crashes_max:
+            return False
+        return self._last_age_s(request) < self._duration_s
+
+    def _last_age_s(self, request: bytes) -> float:
+        """Return the seconds since the last crash that counts."""
+        times = [event.at_s for event in self._counted(request)]
+        return self._clock() - max(times, default=0.0)
+
+    def _forget_old(self) -> None:
+        """Forget events past memory, in the order in which they were filed."""
+        since_s = self._clock() - self._memory_s
+        while self._events:
+            key, event = next(iter(self._events.items()))
+            if event.at_s > since_s:
+                return
+            self._forget(key)
+
+    def _forget(self, key: tuple[bytes, int]) -> None:
+        """Drop one event."""
+        del self._events[key]
+        request, crash_id = key
+        crash_ids = self._crash_ids[request]
+        crash_ids.discard(crash_id)
+        if not crash_ids:
+            del self._crash_ids[request]
+
+
+def _counts(event: _Event, since_s: float) -> bool:
+    """Return whether an event still counts against its request."""
+    return event.at_s > since_s and not event.is_cleared
+
+
+def _is_row(row: Any) -> bool:
+    """Return whether a value has the form of an exported event."""
+    if type(row) is not list or len(row) != 5:
+        return False
+    request, crash_id, age_ms, is_alone, is_cleared = row
+    return (
+        type(request) is bytes
+        and len(request) == FINGERPRINT_BYTES
+        and type(crash_id) is int
+        and 0 <= crash_id < 2 ** (8 * CRASH_ID_BYTES)
+        and type(age_ms) is int
+        and age_ms >= 0
+        and type(is_alone) is bool
+        and type(is_cleared) is bool
+    )
