lab: stand-ins for platform and upstreams, callers and an oracle

Cause: the daemon needs something to read documents from, something to call and something that calls it, with a record of what really ran. Ruled out: aiohttp's own re-send of idempotent methods. With it left on, test_dropped_delete_runs_once fails with 2 runs of one DELETE; off, 1 run. Before: nothing. Conclusion: kept. Executions are recorded before the work starts, in a file that survives an abrupt end of the process.

--- /dev/null
+++ b/packages/savoryroute_lab/savoryroute_lab/caller.py
@@ -0,0 +1,356 @@
+"""Callers: single actions with re-sends, and open-loop load."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import itertools
+import json
+import os
+import random
+import time
+from collections.abc import Callable, Mapping, Sequence
+
+import aiohttp
+import attrs
+
+from savoryroute.verdict import Verdict
+
+from .answers import verify_answer
+from .calls import Plan
+from .http import (
+    IDEMPOTENCY_KEY,
+    LAB_REQUEST,
+    client_session,
+    format_timeout,
+    new_traceparent,
+)
+from .tally import Attempt, LogicalRequest
+
+__all__ = ["Caller", "Load", "LoadClass", "Resend", "Send"]
+
+VERDICT_HEADER = "Savoryroute-Verdict"
+KEY_REQUIRED_STATUS = 428
+SHED_STATUS = 503
+KEYS_PER_MINT = 8
+POLITE_PAUSE_S = 0.2
+POLITE_JITTER = 0.25
+IDS_PREFIX_BYTES = 4
+
+
+class Resend(enum.StrEnum):
+    """What a caller does where it got no whole answer."""
+
+    NEVER = "never"
+    HARD = "hard"
+    POLITE = "polite"
+
+
+@attrs.frozen
+class Send:
+    """One kind of action.
+
+    Attributes:
+        class_name: Class that the tally counts it under.
+        service: Service called.
+        path: Path; ``{n}`` is replaced by a running number.
+        method: HTTP method.
+        idempotent: Whether the action may run more than once.
+        plan: Chain below the upstream, and faults asked for.
+        timeout_s: Time for one attempt.
+        resend: What the caller does without a whole answer.
+        maximum_sends: Most attempts, those for a first key included.
+        body: Body sent.
+        headers: Further headers, such as ``Savoryroute-Cancels``.
+    """
+
+    class_name: str
+    service: str
+    path: str
+    method: str = "GET"
+    idempotent: bool = True
+    plan: Plan = Plan()
+    timeout_s: float = 2.0
+    resend: Resend = Resend.NEVER
+    maximum_sends: int = 6
+    body: bytes = b""
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class LoadClass:
+    """Kinds of action that arrive at one rate, each as likely as the next."""
+
+    rate_per_s: float
+    sends: tuple[Send, ...]
+
+
+class Caller:
+    """Client that counts every attempt and verifies every answer.
+
+    Args:
+        entries: Addresses to send to by service; all are as good.
+        seed: Seed of the choice of entries and of pauses.
+        has_daemons: Whether the entries are daemons, not upstreams.
+        mints_ahead: Whether keys are minted before the first send.
+    """
+
+    def __init__(
+        self,
+        entries: Mapping[str, Sequence[str]],
+        seed: int = 0,
+        has_daemons: bool = True,
+        mints_ahead: bool = False,
+    ) -> None:
+        self._entries = {name: list(found) for name, found in entries.items()}
+        self._random = random.Random(seed)
+        self._has_daemons = has_daemons
+        self._mints_ahead = mints_ahead
+        self._keys: dict[str, list[str]] = {}
+        self._numbers = itertools.count()
+        self._prefix = os.urandom(IDS_PREFIX_BYTES).hex()
+        self._session: aiohttp.ClientSession | None = None
+        self.requests: list[LogicalRequest] = []
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def send(self, send: Send, key: str = "") -> LogicalRequest:
+        """Carry one action through all of its attempts.
+
+        Args:
+            send: Kind of action.
+            key: Idempotency key to start with; empty to get one.
+        """
+        request = self._new_request(send)
+        self.requests.append(request)
+        key = key or await self._first_key(send)
+        entries = self._order_of_entries(send.service)
+        for number in range(send.maximum_sends):
+            entry = entries[number % len(entries)]
+            attempt = await self._attempt(send, request, entry, key)
+            request.attempts.append(attempt)
+            request.ended_s = time.monotonic()
+            if not self._goes_on(send, attempt):
+                break
+            key = attempt.next_key or key
+            if attempt.status != KEY_REQUIRED_STATUS:
+                await self._pause(send, attempt)
+        return request
+
+    async def mint(self, service: str, n_keys: int = KEYS_PER_MINT) -> list[str]:
+        """Return keys minted by any daemon, or none where none answers."""
+        entry = self._random.choice(self._entries[service])
+        url = f"http://{entry}/-/keys/{service}?n={n_keys}"
+        try:
+            async with self._client().post(url) as response:
+                if response.status != 200:
+                    return []
+                return list((await response.json())["keys"])
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return []
+
+    def _new_request(self, send: Send) -> LogicalRequest:
+        number = next(self._numbers)
+        return LogicalRequest(
+            class_name=send.class_name,
+            service=send.service,
+            method=send.method,
+            path=send.path.format(n=number),
+            idempotent=send.idempotent,
+            request_id=f"{self._prefix}-{number}",
+            trace_id=os.urandom(16).hex(),
+            started_s=time.monotonic(),
+        )
+
+    async def _first_key(self, send: Send) -> str:
+        if send.idempotent:
+            return ""
+        if not self._has_daemons:
+            return f"lab.{os.urandom(8).hex()}"
+        if not self._mints_ahead:
+            return ""
+        keys = self._keys.setdefault(send.service, [])
+        if not keys:
+            keys.extend(await self.mint(send.service))
+        return keys.pop() if keys else ""
+
+    def _order_of_entries(self, service: str) -> list[str]:
+        entries = list(self._entries[service])
+        self._random.shuffle(entries)
+        return entries
+
+    def _goes_on(self, send: Send, attempt: Attempt) -> bool:
+        if attempt.status == KEY_REQUIRED_STATUS:
+            return bool(attempt.next_key)
+        if send.resend is Resend.NEVER or attempt.verdict is Verdict.RAN:
+            return False
+        if not send.idempotent and attempt.verdict is Verdict.NOT_RUN:
+            return bool(attempt.next_key) or not self._has_daemons
+        return True
+
+    async def _pause(self, send: Send, attempt: Attempt) -> None:
+        if send.resend is not Resend.POLITE:
+            return
+        pause_s = attempt.retry_after_s or POLITE_PAUSE_S
+        await asyncio.sleep(pause_s * (1 + POLITE_JITTER * self._random.random()))
+
+    async def _attempt(
+        self, send: Send, request: LogicalRequest, entry: str, key: str
+    ) -> Attempt:
+        sent_s = time.monotonic()
+        headers = self._headers(send, request, key)
+        try:
+            async with self._client().request(
+                send.method,
+                self._url(send, request, entry),
+                headers=headers,
+                data=send.body or None,
+                timeout=aiohttp.ClientTimeout(total=send.timeout_s),
+            ) as response:
+                body = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            # No byte of the request left the caller.
+            return self._failed(entry, key, sent_s, error, Verdict.NOT_RUN)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return self._failed(entry, key, sent_s, error, None)
+        verdict = self._verdict(response)
+        is_reusable = not self._has_daemons and verdict is Verdict.NOT_RUN
+        attempt = Attempt(
+            entry=entry,
+            key="" if is_reusable else key,
+            sent_s=sent_s,
+            latency_s=time.monotonic() - sent_s,
+            status=response.status,
+            verdict=verdict,
+        )
+        return _read_answer(attempt, response, body, request.request_id)
+
+    def _failed(
+        self,
+        entry: str,
+        key: str,
+        sent_s: float,
+        error: Exception,
+        verdict: Verdict | None,
+    ) -> Attempt:
+        return Attempt(
+            entry=entry,
+            key="" if verdict is Verdict.NOT_RUN else key,
+            sent_s=sent_s,
+            latency_s=time.monotonic() - sent_s,
+            verdict=verdict,
+            reason=type(error).__name__,
+            next_key=key if verdict is Verdict.NOT_RUN else "",
+        )
+
+    def _headers(self, send: Send, request: LogicalRequest, key: str) -> dict[str, str]:
+        headers = {
+            "grpc-timeout": format_timeout(send.timeout_s),
+            "traceparent": new_traceparent(request.trace_id),
+            LAB_REQUEST: request.request_id,
+            **send.headers,
+        }
+        if key:
+            headers[IDEMPOTENCY_KEY] = key
+        return headers
+
+    def _url(self, send: Send, request: LogicalRequest, entry: str) -> str:
+        base = f"http://{entry}"
+        if self._has_daemons:
+            base += f"/{send.service}"
+        return base + request.path + send.plan.query()
+
+    def _verdict(self, response: aiohttp.ClientResponse) -> Verdict | None:
+        stated = response.headers.get(VERDICT_HEADER)
+        if stated is not None:
+            return Verdict(stated)
+        if self._has_daemons:
+            return None
+        return Verdict.NOT_RUN if response.status == SHED_STATUS else Verdict.RAN
+
+    def _client(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = client_session(connector=aiohttp.TCPConnector(limit=0))
+        return self._session
+
+
+class Load:
+    """Open-loop arrivals: actions start by the clock, whatever became of others.
+
+    Args:
+        caller: Caller that carries the actions.
+        classes: What arrives, and how often.
+        seed: Seed of arrival times and of the choice of actions.
+    """
+
+    def __init__(
+        self, caller: Caller, classes: Sequence[LoadClass], seed: int = 0
+    ) -> None:
+        self._caller = caller
+        self._classes = list(classes)
+        self._seed = seed
+        self._tasks: set[asyncio.Task[LogicalRequest]] = set()
+
+    async def run(
+        self, duration_s: float, factor: Callable[[float], float] = lambda _: 1.0
+    ) -> None:
+        """Send for a time, then wait until every action has ended.
+
+        Args:
+            duration_s: Time during which actions arrive.
+            factor: Factor on all rates by time since the start in seconds.
+        """
+        arrivals = [
+            self._arrive(load_class, number, duration_s, factor)
+            for number, load_class in enumerate(self._classes)
+        ]
+        await asyncio.gather(*arrivals)
+        await asyncio.gather(*self._tasks)
+
+    async def _arrive(
+        self,
+        load_class: LoadClass,
+        number: int,
+        duration_s: float,
+        factor: Callable[[float], float],
+    ) -> None:
+        source = random.Random(self._seed * 1000 + number)
+        start_s = time.monotonic()
+        due_s = 0.0
+        while True:
+            rate_per_s = load_class.rate_per_s * factor(due_s)
+            due_s += source.expovariate(rate_per_s)
+            if due_s >= duration_s:
+                return
+            await asyncio.sleep(start_s + due_s - time.monotonic())
+            self._start(source.choice(load_class.sends))
+
+    def _start(self, send: Send) -> None:
+        task = asyncio.create_task(self._caller.send(send))
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task[LogicalRequest]) -> None:
+        if not task.cancelled() and task.exception() is None:
+            self._tasks.discard(task)
+
+
+def _read_answer(
+    attempt: Attempt, response: aiohttp.ClientResponse, body: bytes, request_id: str
+) -> Attempt:
+    if attempt.verdict is Verdict.RAN:
+        is_verified = verify_answer(body, request_id).is_ok()
+        return attrs.evolve(attempt, has_verified_body=is_verified)
+    if response.content_type != "application/problem+json":
+        return attempt
+    problem = json.loads(body)
+    return attrs.evolve(
+        attempt,
+        reason=problem.get("reason", ""),
+        retry_after_s=problem.get("retry_after_s"),
+        next_key=problem.get("idempotency_key", ""),
+    )
--- /dev/null
+++ b/packages/savoryroute_lab/savoryroute_lab/children.py
@@ -0,0 +1,128 @@
+"""Calls from a stand-in upstream to further services."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+
+import aiohttp
+import attrs
+from result import Err, Ok, Result
+
+from .answers import verify_answer
+from .calls import Plan, Step
+from .http import IDEMPOTENCY_KEY, LAB_REQUEST, client_session, format_timeout
+
+__all__ = ["ChildFailure", "Children"]
+
+KEY_REQUIRED_STATUS = 428
+PROPAGATED_HEADERS = ("traceparent", "tracestate")
+
+
+@attrs.frozen
+class ChildFailure:
+    """Why a call to a further service brought no whole answer.
+
+    Attributes:
+        detail: One sentence for a person.
+        retry_after: Value of ``Retry-After``, or an empty string.
+    """
+
+    detail: str
+    retry_after: str = ""
+
+
+class Children:
+    """Client of one upstream for further services.
+
+    Args:
+        upstream_side: Address of the host's own daemon; empty for none.
+        direct: Addresses by service, used where there is no daemon.
+    """
+
+    def __init__(self, upstream_side: str, direct: Mapping[str, str]) -> None:
+        self._upstream_side = upstream_side
+        self._direct = dict(direct)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def call(
+        self, plan: Plan, headers: Mapping[str, str], timeout_s: float | None
+    ) -> list[ChildFailure]:
+        """Make the calls of a plan at once and return what failed.
+
+        Args:
+            plan: Plan of the request being worked on.
+            headers: Headers of that request.
+            timeout_s: Seconds left for it, or None.
+        """
+        calls = [
+            self._call_step(plan, step, headers, f".{number}", timeout_s)
+            for number, step in enumerate(plan.children)
+        ]
+        results = await asyncio.gather(*calls)
+        return [result.err_value for result in results if result.is_err()]
+
+    async def _call_step(
+        self,
+        plan: Plan,
+        step: Step,
+        headers: Mapping[str, str],
+        suffix: str,
+        timeout_s: float | None,
+    ) -> Result[None, ChildFailure]:
+        url = self._base(step.service) + step.path + plan.child_query(step)
+        request_id = headers.get(LAB_REQUEST, "") + suffix
+        sent = {name: headers[name] for name in PROPAGATED_HEADERS if name in headers}
+        sent[LAB_REQUEST] = request_id
+        if timeout_s is not None:
+            sent["grpc-timeout"] = format_timeout(timeout_s)
+        result = await self._exchange(step.method, url, sent, timeout_s)
+        if isinstance(result, _KeyRequired):
+            sent[IDEMPOTENCY_KEY] = result.key
+            result = await self._exchange(step.method, url, sent, timeout_s)
+        if isinstance(result, _KeyRequired):
+            return Err(ChildFailure("a key was refused as missing"))
+        return result
+
+    async def _exchange(
+        self, method: str, url: str, headers: dict[str, str], timeout_s: float | None
+    ) -> Result[None, ChildFailure] | _KeyRequired:
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._client().request(
+                method, url, headers=headers, timeout=timeout
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(ChildFailure(f"{url}: {type(error).__name__}"))
+        if response.status == KEY_REQUIRED_STATUS:
+            return _KeyRequired(response.headers.get(IDEMPOTENCY_KEY, ""))
+        if response.status != 200:
+            retry_after = response.headers.get("Retry-After", "")
+            return Err(ChildFailure(f"{url}: status {response.status}", retry_after))
+        verified = verify_answer(body, headers[LAB_REQUEST])
+        if verified.is_err():
+            return Err(ChildFailure(f"{url}: {verified.err_value}"))
+        return Ok(None)
+
+    def _base(self, service: str) -> str:
+        if self._upstream_side:
+            return f"http://{self._upstream_side}/{service}"
+        return f"http://{self._direct[service]}"
+
+    def _client(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0)
+            self._session = client_session(connector=connector)
+        return self._session
+
+
+@attrs.frozen
+class _KeyRequired:
+    key: str
--- /dev/null
+++ b/packages/savoryroute_lab/savoryroute_lab/oracle.py
@@ -0,0 +1,81 @@
+"""Comparison of what callers were told with what upstreams did."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+from savoryroute.verdict import Verdict
+
+from .records import Execution
+from .tally import LogicalRequest, Outcome
+
+__all__ = ["Findings", "judge"]
+
+
+@attrs.define
+class Findings:
+    """Broken promises, as ids of logical requests.
+
+    Attributes:
+        wrong: A body that is not whole or not the caller's own came as whole.
+        ran_twice: A non-idempotent action started more than once.
+        not_run_but_ran: The caller was told "not run" of what ran.
+        executions: Executions of non-idempotent actions by class.
+        most_executions: Most executions that one action caused on all hops.
+    """
+
+    wrong: list[str] = attrs.field(factory=list)
+    ran_twice: list[str] = attrs.field(factory=list)
+    not_run_but_ran: list[str] = attrs.field(factory=list)
+    executions: Counter[str] = attrs.field(factory=Counter)
+    most_executions: int = 0
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether no promise was broken."""
+        return not (self.wrong or self.ran_twice or self.not_run_but_ran)
+
+
+def judge(
+    requests: Iterable[LogicalRequest], executions: Iterable[Execution]
+) -> Findings:
+    """Compare requests with executions.
+
+    An execution belongs to a request by ``x-lab-request``; ids of calls further
+    down extend that of the request.
+    """
+    executions = list(executions)
+    own = Counter(execution.request_id for execution in executions)
+    roots = Counter(execution.request_id.split(".")[0] for execution in executions)
+    keys = {execution.key for execution in executions if execution.key}
+    findings = Findings(most_executions=max(roots.values(), default=0))
+    for request in requests:
+        n_executions = own[request.request_id]
+        if request.outcome is Outcome.WRONG:
+            findings.wrong.append(request.request_id)
+        if _was_misled(request, n_executions, keys):
+            findings.not_run_but_ran.append(request.request_id)
+        if request.idempotent:
+            continue
+        findings.executions[request.class_name] += n_executions
+        if n_executions > 1:
+            findings.ran_twice.append(request.request_id)
+    findings.ran_twice += _children_run_twice(executions)
+    return findings
+
+
+def _was_misled(request: LogicalRequest, n_executions: int, keys: set[str]) -> bool:
+    if request.outcome is Outcome.REFUSED and n_executions:
+        return True
+    refused = (a for a in request.attempts if a.verdict is Verdict.NOT_RUN)
+    return any(attempt.key in keys for attempt in refused if attempt.key)
+
+
+def _children_run_twice(executions: list[Execution]) -> list[str]:
+    """Return the calls further down whose key was run more than once."""
+    below = (e for e in executions if e.key and "." in e.request_id)
+    starts = Counter((e.key, e.request_id) for e in below)
+    return [request_id for (_, request_id), count in starts.items() if count > 1]
--- /dev/null
+++ b/packages/savoryroute_lab/savoryroute_lab/upstream.py
@@ -0,0 +1,410 @@
+"""Stand-in of an upstream.
+
+Usage:
+  upstream --port=N --control-port=N --settings=JSON [--record=PATH]
+           [--upstream-side=ADDRESS] [--direct=SERVICE=ADDRESS]...
+
+Options:
+  --settings=JSON                 Members of UpstreamSettings.
+  --record=PATH                   File that every execution is written to.
+  --upstream-side=ADDRESS         Address of the host's daemon for its upstream.
+  --direct=SERVICE=ADDRESS        Address of a further service without a daemon.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import hashlib
+import os
+import pathlib
+import random
+import sys
+import time
+from collections import deque
+from collections.abc import Mapping
+from weakref import WeakSet
+
+import attrs
+import docopt
+import json5
+import uvloop
+from aiohttp import web
+
+from .answers import Answer, encode_answer
+from .calls import Mark, Plan, parse_plan
+from .children import ChildFailure, Children
+from .http import (
+    IDEMPOTENCY_KEY,
+    LAB_REQUEST,
+    Listener,
+    parse_timeout_s,
+    trace_id_of,
+    wait_for_signal,
+)
+from .records import Execution, ExecutionRecord, ExecutionState
+from .slots import Slots
+
+__all__ = ["LoadReport", "Upstream", "UpstreamSettings", "main"]
+
+SHED_STATUS = 503
+CHILD_FAILED_STATUS = 502
+CRASH_EXIT_CODE = 70
+CRASH_MARKER = b"lab-crash"
+STREAM_CHUNKS = 4
+STREAM_PAUSE_S = 0.005
+
+
+class LoadReport(enum.StrEnum):
+    """How honest the load reports are."""
+
+    NONE = "none"
+    TRUE = "true"
+    LAGGING = "lagging"
+    LYING = "lying"
+
+
+@attrs.define
+class UpstreamSettings:
+    """Behaviour of an upstream; every member may change at run time.
+
+    Attributes:
+        service: Service that the upstream belongs to.
+        host: Host that it runs on.
+        slots: Most requests at work at a time.
+        queue_length: Most requests waiting for a slot; None for no bound.
+        connections: Most connections open; None for no bound.
+        connection_cost_s: Extra time of the first request of a connection.
+        work_s: Time of the work itself.
+        work_jitter: Share of ``work_s`` by which it varies to both sides.
+        slow_factor: Factor on the work.
+        cold_start_s: Time after a start for which the work takes longer.
+        cold_factor: Factor on the work during a cold start.
+        leaving: Whether health says that the upstream is leaving.
+        sheds: Whether every request is shed.
+        load_report: How honest the load reports are.
+        lying_utilization: What a lying report says.
+        report_lag_s: Age of a lagging report.
+        payload_bytes: Size of an answer's payload.
+        restart_s: Time until a crashed in-process upstream is back.
+        exits_on_crash: Whether a crash ends the process.
+    """
+
+    service: str
+    host: str
+    slots: int = 50
+    queue_length: int | None = None
+    connections: int | None = None
+    connection_cost_s: float = 0.0
+    work_s: float = 0.005
+    work_jitter: float = 0.2
+    slow_factor: float = 1.0
+    cold_start_s: float = 0.0
+    cold_factor: float = 5.0
+    leaving: bool = False
+    sheds: bool = False
+    load_report: LoadReport = attrs.field(default=LoadReport.TRUE, converter=LoadReport)
+    lying_utilization: float = 0.0
+    report_lag_s: float = 5.0
+    payload_bytes: int = 512
+    restart_s: float = 0.5
+    exits_on_crash: bool = False
+
+
+class Upstream:
+    """Upstream on one port, with a second port for settings and executions."""
+
+    def __init__(
+        self,
+        settings: UpstreamSettings,
+        record: ExecutionRecord | None = None,
+        upstream_side: str = "",
+        direct: Mapping[str, str] | None = None,
+    ) -> None:
+        self._settings = settings
+        self._record = record or ExecutionRecord()
+        self._children = Children(upstream_side, direct or {})
+        self._slots = Slots(settings.slots, settings.queue_length)
+        self._listener = Listener(self._work_app(), settings.connections)
+        self._control = Listener(self._control_app())
+        self._seen_connections: WeakSet[asyncio.BaseTransport] = WeakSet()
+        self._utilization: deque[tuple[float, float]] = deque(maxlen=4096)
+        self._started_s = 0.0
+        self._n_crashes = 0
+        self._restart: asyncio.Task[None] | None = None
+        self._random = random.Random(settings.host)
+
+    @property
+    def settings(self) -> UpstreamSettings:
+        """Current behaviour."""
+        return self._settings
+
+    @property
+    def address(self) -> str:
+        """Address for requests."""
+        return self._listener.address
+
+    @property
+    def control_address(self) -> str:
+        """Address of the control port."""
+        return self._control.address
+
+    @property
+    def executions(self) -> list[Execution]:
+        """Executions started so far."""
+        return self._record.executions
+
+    @property
+    def n_crashes(self) -> int:
+        """Crashes so far, where a crash does not end the process."""
+        return self._n_crashes
+
+    async def start(self, port: int = 0, control_port: int = 0) -> None:
+        """Start to listen on both ports."""
+        self._started_s = time.monotonic()
+        await self._listener.open(port)
+        await self._control.open(control_port)
+
+    async def stop(self) -> None:
+        """Let requests in flight end and stop both ports."""
+        if self._restart is not None:
+            self._restart.cancel()
+        await self._listener.close()
+        await self._control.close()
+        await self._children.close()
+        self._record.close()
+
+    def set(self, changes: Mapping[str, object]) -> None:
+        """Change members of the settings.
+
+        Raises:
+            TypeError: A member is unknown.
+        """
+        self._settings = attrs.evolve(self._settings, **changes)
+        self._slots.n_slots = self._settings.slots
+        self._slots.queue_length = self._settings.queue_length
+        self._listener.connections = self._settings.connections
+
+    def crash(self) -> None:
+        """End the process, or vanish and come back after ``restart_s``."""
+        if self._settings.exits_on_crash:
+            os._exit(CRASH_EXIT_CODE)
+        self._n_crashes += 1
+        self._listener.vanish()
+        if self._restart is None or self._restart.done():
+            self._restart = asyncio.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        await asyncio.sleep(self._settings.restart_s)
+        self._started_s = time.monotonic()
+        await self._listener.open()
+
+    def _work_app(self) -> web.Application:
+        app = web.Application(client_max_size=64 << 20)
+        app.router.add_get("/health", self._health)
+        app.router.add_route("*", "/{path:.*}", self._handle)
+        return app
+
+    def _control_app(self) -> web.Application:
+        app = web.Application()
+        app.router.add_get("/lab/executions", self._control_executions)
+        app.router.add_get("/lab/settings", self._control_settings)
+        app.router.add_post("/lab/set", self._control_set)
+        app.router.add_post("/lab/crash", self._control_crash)
+        return app
+
+    async def _health(self, request: web.Request) -> web.Response:
+        status = "leaving" if self._settings.leaving else "ok"
+        return web.json_response({"status": status}, headers=self._report())
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        arrived_s = time.monotonic()
+        body = await request.read()
+        if self._settings.sheds:
+            return self._shed("shedding load")
+        if not await self._slots.acquire():
+            return self._shed("no slot and the queue is full")
+        try:
+            self._note_utilization()
+            left_s = self._time_left_s(request, arrived_s)
+            if left_s is not None and left_s <= 0:
+                return self._shed("the deadline has passed")
+            return await self._run(request, body, left_s)
+        finally:
+            self._slots.release()
+            self._note_utilization()
+
+    async def _run(
+        self, request: web.Request, body: bytes, left_s: float | None
+    ) -> web.StreamResponse:
+        execution = self._new_execution(request)
+        self._record.add(execution)
+        try:
+            plan = parse_plan(request.query)
+            mark = self._mark_for(plan, body)
+            if mark is Mark.CRASH:
+                self.crash()
+            await asyncio.sleep(self._work_time_s(request))
+            failures = await self._children.call(plan, request.headers, left_s)
+        except asyncio.CancelledError:
+            self._record.end(execution, ExecutionState.CANCELLED)
+            raise
+        self._record.end(execution, ExecutionState.FINISHED)
+        if failures:
+            return self._child_failed(failures)
+        return await self._answer(request, mark)
+
+    def _mark_for(self, plan: Plan, body: bytes) -> Mark:
+        if CRASH_MARKER in body:
+            return Mark.CRASH
+        return plan.mark_for(self._settings.service)
+
+    def _new_execution(self, request: web.Request) -> Execution:
+        headers = request.headers
+        return Execution(
+            number=self._record.next_number,
+            service=self._settings.service,
+            host=self._settings.host,
+            method=request.method,
+            path=request.path,
+            key=headers.get(IDEMPOTENCY_KEY, ""),
+            trace_id=trace_id_of(headers.get("traceparent", "")),
+            request_id=headers.get(LAB_REQUEST, ""),
+        )
+
+    def _time_left_s(self, request: web.Request, arrived_s: float) -> float | None:
+        timeout_s = parse_timeout_s(request.headers.get("grpc-timeout"))
+        if timeout_s is None:
+            return None
+        return timeout_s - (time.monotonic() - arrived_s)
+
+    def _work_time_s(self, request: web.Request) -> float:
+        settings = self._settings
+        spread = 1 + settings.work_jitter * self._random.uniform(-1, 1)
+        work_s = settings.work_s * settings.slow_factor * spread
+        if time.monotonic() - self._started_s < settings.cold_start_s:
+            work_s *= settings.cold_factor
+        if request.transport not in self._seen_connections:
+            self._seen_connections.add(request.transport)
+            work_s += settings.connection_cost_s
+        return work_s
+
+    async def _answer(self, request: web.Request, mark: Mark) -> web.StreamResponse:
+        body = self._body(request)
+        if mark is Mark.DROP:
+            return await self._cut(request, b"", len(body))
+        if mark is Mark.TRUNCATE:
+            return await self._cut(request, body[: len(body) // 2], len(body))
+        if mark is Mark.TRUNCATE_CHUNKED:
+            return await self._cut(request, body[: len(body) // 2], None)
+        if mark is Mark.STREAM:
+            return await self._stream(request, body)
+        return web.Response(body=body, headers=self._report())
+
+    def _body(self, request: web.Request) -> bytes:
+        request_id = request.headers.get(LAB_REQUEST, "")
+        seed = hashlib.shake_128(request_id.encode())
+        answer = Answer(
+            request_id=request_id,
+            service=self._settings.service,
+            host=self._settings.host,
+            payload=seed.digest(self._settings.payload_bytes),
+        )
+        return encode_answer(answer)
+
+    async def _cut(
+        self, request: web.Request, part: bytes, length: int | None
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self._report())
+        if part:
+            response.content_length = length
+            await response.prepare(request)
+            await response.write(part)
+            await asyncio.sleep(STREAM_PAUSE_S)
+        if request.transport is not None:
+            request.transport.abort()
+        return response
+
+    async def _stream(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        response = web.StreamResponse(headers=self._report())
+        await response.prepare(request)
+        size = -(-len(body) // STREAM_CHUNKS)
+        for start in range(0, len(body), size):
+            await response.write(body[start : start + size])
+            await asyncio.sleep(STREAM_PAUSE_S)
+        await response.write_eof()
+        return response
+
+    def _shed(self, detail: str) -> web.Response:
+        return web.Response(status=SHED_STATUS, text=detail, headers=self._report())
+
+    def _child_failed(self, failures: list[ChildFailure]) -> web.Response:
+        headers = self._report()
+        for failure in failures:
+            if failure.retry_after:
+                headers["Retry-After"] = failure.retry_after
+        text = "; ".join(failure.detail for failure in failures)
+        return web.Response(status=CHILD_FAILED_STATUS, text=text, headers=headers)
+
+    def _note_utilization(self) -> None:
+        share = self._slots.n_in_flight / max(1, self._slots.n_slots)
+        self._utilization.append((time.monotonic(), share))
+
+    def _report(self) -> dict[str, str]:
+        if self._settings.load_report is LoadReport.NONE:
+            return {}
+        value = f"TEXT cpu_utilization={self._reported_utilization():.3f}"
+        return {"endpoint-load-metrics": value}
+
+    def _reported_utilization(self) -> float:
+        if self._settings.load_report is LoadReport.LYING:
+            return self._settings.lying_utilization
+        lag_s = 0.0
+        if self._settings.load_report is LoadReport.LAGGING:
+            lag_s = self._settings.report_lag_s
+        newest_s = time.monotonic() - lag_s
+        for noted_s, share in reversed(self._utilization):
+            if noted_s <= newest_s:
+                return share
+        return 0.0
+
+    async def _control_executions(self, request: web.Request) -> web.Response:
+        return web.json_response([attrs.asdict(e) for e in self.executions])
+
+    async def _control_settings(self, request: web.Request) -> web.Response:
+        return web.json_response(attrs.asdict(self._settings))
+
+    async def _control_set(self, request: web.Request) -> web.Response:
+        try:
+            self.set(await request.json())
+        except (TypeError, ValueError) as error:
+            return web.Response(status=400, text=str(error))
+        return web.json_response(attrs.asdict(self._settings))
+
+    async def _control_crash(self, request: web.Request) -> web.Response:
+        self.crash()
+        return web.json_response({})
+
+
+async def _serve(upstream: Upstream, port: int, control_port: int) -> None:
+    await upstream.start(port, control_port)
+    await wait_for_signal()
+    upstream.set({"leaving": True})
+    await upstream.stop()
+
+
+def main() -> int:
+    """Run the stand-in until it is told to end."""
+    options = docopt.docopt(__doc__)
+    settings = UpstreamSettings(**json5.loads(options["--settings"]))
+    settings.exits_on_crash = True
+    path = options["--record"]
+    record = ExecutionRecord(pathlib.Path(path) if path else None)
+    direct = dict(entry.split("=", 1) for entry in options["--direct"])
+    upstream = Upstream(settings, record, options["--upstream-side"] or "", direct)
+    uvloop.run(_serve(upstream, int(options["--port"]), int(options["--control-port"])))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/savoryroute_lab/test_upstream.py
@@ -0,0 +1,152 @@
+"""Tests of the stand-in upstream."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+import aiohttp
+
+from savoryroute_lab.answers import verify_answer
+from savoryroute_lab.calls import Mark, Plan, Step, parse_plan
+from savoryroute_lab.http import LAB_REQUEST, client_session
+from savoryroute_lab.records import ExecutionRecord, ExecutionState, read_executions
+from savoryroute_lab.upstream import Upstream, UpstreamSettings
+
+
+class UpstreamCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.session = client_session()
+        self.addAsyncCleanup(self.session.close)
+
+    async def start(self, service="crews", record=None, direct=None, **settings):
+        members = {"work_s": 0.001, **settings}
+        wanted = UpstreamSettings(service, f"{service}-1", **members)
+        upstream = Upstream(wanted, record, direct=direct)
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        return upstream
+
+    async def get(self, upstream, plan=None, method="GET", body=None, **headers):
+        url = f"http://{upstream.address}/x{(plan or Plan()).query()}"
+        headers = {LAB_REQUEST: "r1", **headers}
+        async with self.session.request(
+            method, url, headers=headers, data=body
+        ) as response:
+            return response, await response.read()
+
+
+class AnswerTests(UpstreamCase):
+    async def test_whole_answer_is_verified_and_recorded(self):
+        upstream = await self.start()
+        response, body = await self.get(upstream)
+        self.assertTrue(verify_answer(body, "r1").is_ok())
+        self.assertTrue(verify_answer(body, "r2").is_err())
+        self.assertTrue(verify_answer(body[:-1], "r1").is_err())
+        self.assertIn("cpu_utilization", response.headers["endpoint-load-metrics"])
+        (execution,) = upstream.executions
+        self.assertEqual(execution.request_id, "r1")
+        self.assertEqual(execution.state, ExecutionState.FINISHED)
+
+    async def test_streamed_answer_is_whole(self):
+        upstream = await self.start()
+        _, body = await self.get(upstream, Plan(mark=Mark.STREAM))
+        self.assertTrue(verify_answer(body, "r1").is_ok())
+
+    async def test_truncated_answers_fail_at_the_client(self):
+        upstream = await self.start()
+        for mark in (Mark.TRUNCATE, Mark.TRUNCATE_CHUNKED):
+            with self.assertRaises(aiohttp.ClientError):
+                await self.get(upstream, Plan(mark=mark))
+
+    async def test_dropped_delete_runs_once(self):
+        upstream = await self.start()
+        await self.get(upstream)
+        with self.assertRaises(aiohttp.ClientError):
+            await self.get(upstream, Plan(mark=Mark.DROP), method="DELETE")
+        deletes = [e for e in upstream.executions if e.method == "DELETE"]
+        self.assertEqual(len(deletes), 1)
+
+
+class LimitTests(UpstreamCase):
+    async def test_full_queue_sheds_without_running(self):
+        upstream = await self.start(slots=1, queue_length=1, work_s=0.1)
+        answers = await asyncio.gather(*(self.get(upstream) for _ in range(5)))
+        statuses = sorted(response.status for response, _ in answers)
+        self.assertEqual(statuses, [200, 200, 503, 503, 503])
+        self.assertEqual(len(upstream.executions), 2)
+
+    async def test_expired_deadline_is_dropped(self):
+        upstream = await self.start()
+        response, _ = await self.get(upstream, **{"grpc-timeout": "0m"})
+        self.assertEqual(response.status, 503)
+        self.assertEqual(upstream.executions, [])
+
+    async def test_connection_limit(self):
+        upstream = await self.start(connections=1, work_s=0.2)
+        first = asyncio.create_task(self.get(upstream))
+        await asyncio.sleep(0.05)
+        with self.assertRaises(aiohttp.ClientError):
+            await self.get(upstream)
+        self.assertEqual((await first)[0].status, 200)
+
+    async def test_closed_connection_cancels(self):
+        upstream = await self.start(work_s=30.0)
+        call = asyncio.create_task(self.get(upstream))
+        while not upstream.executions:
+            await asyncio.sleep(0.01)
+        call.cancel()
+        while upstream.executions[0].state is ExecutionState.STARTED:
+            await asyncio.sleep(0.01)
+        self.assertEqual(upstream.executions[0].state, ExecutionState.CANCELLED)
+
+    async def test_settings_change_at_run_time(self):
+        upstream = await self.start()
+        url = f"http://{upstream.control_address}/lab/set"
+        async with self.session.post(url, json={"sheds": True}) as response:
+            self.assertEqual(response.status, 200)
+        self.assertEqual((await self.get(upstream))[0].status, 503)
+        async with self.session.post(url, json={"unknown": 1}) as response:
+            self.assertEqual(response.status, 400)
+
+
+class CrashTests(UpstreamCase):
+    async def test_crash_leaves_a_record_and_comes_back(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "executions"
+            upstream = await self.start(record=ExecutionRecord(path), restart_s=0.1)
+            with self.assertRaises(aiohttp.ClientError):
+                await self.get(upstream, method="POST", body=b"lab-crash")
+            self.assertEqual(upstream.n_crashes, 1)
+            await asyncio.sleep(0.3)
+            self.assertEqual((await self.get(upstream))[0].status, 200)
+            states = [execution.state for execution in read_executions(path)]
+        self.assertEqual(states, [ExecutionState.CANCELLED, ExecutionState.FINISHED])
+
+
+class ChainTests(UpstreamCase):
+    def test_plan_travels(self):
+        plan = Plan((Step("a", "/x", "POST"), Step("b", "/y")), (), Mark.DROP, "b")
+        query = dict(p.split("=") for p in plan.query()[1:].split("&"))
+        self.assertEqual(parse_plan(query), plan)
+        self.assertEqual(plan.mark_for("a"), Mark.NONE)
+        child = plan.child_query(plan.chain[0])
+        self.assertEqual(child, "?chain=b:/y&mark=drop&mark_at=b")
+
+    async def test_nested_chain_and_fan_out(self):
+        crews = await self.start("crews")
+        direct = {"crews": crews.address}
+        catalogue = await self.start("catalogue", direct=direct)
+        direct = {"crews": crews.address, "catalogue": catalogue.address}
+        planner = await self.start("planner", direct=direct)
+        chain = (Step("catalogue", "/items/1"), Step("crews", "/slots"))
+        response, _ = await self.get(planner, Plan(chain, fan=(Step("crews", "/f"),)))
+        self.assertEqual(response.status, 200)
+        found = sorted((e.path, e.request_id) for e in crews.executions)
+        self.assertEqual(found, [("/f", "r1.1"), ("/slots", "r1.0.0")])
+
+    async def test_failed_child_is_not_shed(self):
+        crews = await self.start("crews", sheds=True)
+        planner = await self.start("planner", direct={"crews": crews.address})
+        response, _ = await self.get(planner, Plan((Step("crews", "/slots"),)))
+        self.assertEqual(response.status, 502)
