--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/crash_watch.py
@@ -0,0 +1,29 @@
+"""Grouping of requests that were lost in one crash of the upstream."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..state.quarantine import Quarantine
+
+__all__ = ["CrashWatch"]
+
+GROUP_S = 0.03
+
+
+class CrashWatch:
+    """Collector of lost requests: those lost together are one crash."""
+
+    def __init__(self, quarantine: Quarantine) -> None:
+        self._quarantine = quarantine
+        self._lost: set[bytes] = set()
+
+    def note_lost(self, fingerprint: bytes) -> None:
+        """Add a request whose connection to the upstream was lost."""
+        if not self._lost:
+            asyncio.get_running_loop().call_later(GROUP_S, self._close_group)
+        self._lost.add(fingerprint)
+
+    def _close_group(self) -> None:
+        lost, self._lost = self._lost, set()
+        self._quarantine.note_crash(lost)
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -12,6 +12,7 @@
 from ..protocol.frames import Answer, Call, Fence
 from ..protocol.request import Response
 from ..protocol.upstream_http import UpstreamClient, UpstreamRequest
+from ..state.attempt_counter import ActionCounter
 from ..state.decisions import DecisionLog
 from ..state.document import Document
 from ..state.ledger import Ledger
@@ -28,7 +29,7 @@
 from ..state.quarantine import Quarantine, fingerprint
 from ..verdict import Reason, Refusal, Verdict
 from .admission import AdmissionGate, Permit
-from .attempt_counter import ActionCounter
+from .crash_watch import CrashWatch
 from .hops import Hop, HopTable
 from .pause import PauseDetector
 from .pressure import HIGHEST_LEVEL
@@ -36,6 +37,9 @@
 __all__ = ["Inbound"]
 
 CRASH_REASONS = frozenset({Reason.CONNECTION_LOST, Reason.BAD_ANSWER})
+SUSPECT_POLL_S = 0.02
+SUSPECT_RETRY_AFTER_S = 1.0
+WAKE_UP_S = 0.25
 
 
 @attrs.define
@@ -93,7 +97,10 @@
         self._is_leaving = False
         self._n_open = 0
         self._running: set[asyncio.Task] = set()
-        self._alone = asyncio.Lock()
+        self._crashes = CrashWatch(quarantine)
+        self._pause_ended_s = float("-inf")
+        self._pause_s = 0.0
+        pause.add_callback(self._note_pause)
 
     @property
     def n_open(self) -> int:
@@ -122,8 +129,7 @@
             self._n_open -= 1
 
     async def _run(self, call: Call) -> Answer:
-        late_s = self._pause.check()
-        deadline_s = time.monotonic() + call.time_left_ms / 1000 - late_s
+        deadline_s = time.monotonic() + call.time_left_ms / 1000 - self._late_s()
         content = fingerprint(call.method, self._service, call.target, call.body)
         delivery = _Delivery(call, deadline_s, content)
         if call.key:
@@ -132,6 +138,18 @@
             result = await self._deliver(delivery)
         return self._answer(delivery, result)
 
+    def _note_pause(self, gap_s: float) -> None:
+        """Take note that this process did not run for a while."""
+        self._pause_ended_s = time.monotonic()
+        self._pause_s = gap_s
+
+    def _late_s(self) -> float:
+        """Return how long a call read now may have waited while paused."""
+        self._pause.check()
+        if time.monotonic() - self._pause_ended_s > WAKE_UP_S:
+            return 0.0
+        return self._pause_s
+
     async def _run_keyed(self, delivery: _Delivery) -> Result[Response, Refusal]:
         """Run a call at most once under its key."""
         call = delivery.call
@@ -180,10 +198,21 @@
         refusal = self._check(delivery, document)
         if refusal is not None:
             return Err(refusal)
-        if self._quarantine.must_run_alone(delivery.fingerprint):
-            async with self._alone:
-                return await self._admit(delivery, document)
-        return await self._admit(delivery, document)
+        if not await self._wait_for_place(delivery):
+            detail = "another suspect of crashing the upstream is in flight"
+            return Err(_not_run(Reason.OVERLOAD, detail, SUSPECT_RETRY_AFTER_S))
+        try:
+            return await self._admit(delivery, document)
+        finally:
+            self._quarantine.end(delivery.fingerprint)
+
+    async def _wait_for_place(self, delivery: _Delivery) -> bool:
+        """Wait until a suspect of crashing the upstream may run; others may."""
+        while not self._quarantine.try_start(delivery.fingerprint):
+            if delivery.time_left_s <= SUSPECT_POLL_S:
+                return False
+            await asyncio.sleep(SUSPECT_POLL_S)
+        return True
 
     def _check(
         self, delivery: _Delivery, document: Document | None
@@ -269,7 +298,7 @@
         if isinstance(result, Ok):
             self._quarantine.note_success(delivery.fingerprint)
         elif result.err_value.reason in CRASH_REASONS:
-            self._quarantine.note_crash([delivery.fingerprint])
+            self._crashes.note_lost(delivery.fingerprint)
 
     def _answer(
         self, delivery: _Delivery, result: Result[Response, Refusal]
--- a/packages/savoryroute/savoryroute/coordination/outbound.py
+++ b/packages/savoryroute/savoryroute/coordination/outbound.py
@@ -32,7 +32,6 @@
 __all__ = ["Outbound"]
 
 RETRY_DELAY_S = 0.02
-CRASH_REASONS = frozenset({Reason.CONNECTION_LOST, Reason.BAD_ANSWER})
 
 
 @attrs.define
@@ -53,6 +52,7 @@
         fingerprint: Digest of the request's content.
         hop: Hop that it belongs to, or None at the first hop.
         tried: Hosts that refused or failed it.
+        n_lost: Attempts that ended with the loss of a connection.
     """
 
     request: Request
@@ -68,6 +68,7 @@
     fingerprint: bytes
     hop: Hop | None
     tried: list[str] = attrs.field(factory=list)
+    n_lost: int = 0
 
     @property
     def time_left_s(self) -> float:
@@ -379,8 +380,8 @@
         )
         if refusal.is_load and action.hop is not None:
             action.hop.refusal = refusal
-        if refusal.reason in CRASH_REASONS:
-            self._quarantine.note_crash([action.fingerprint])
+        if refusal.reason is Reason.CONNECTION_LOST:
+            action.n_lost += 1
         self._placement.eject_if_failing(
             host, action.request.service, action.document.ejection
         )
@@ -401,6 +402,8 @@
             return False
         if refusal.reason is Reason.NO_UPSTREAM:
             return False
+        if action.n_lost >= action.document.quarantine.crashes:
+            return False
         if not self._budget(action).try_retry():
             self._decisions.note(action.id, "not retried", "the budget is spent")
             return False
--- a/packages/savoryroute/savoryroute/protocol/websocket_network.py
+++ b/packages/savoryroute/savoryroute/protocol/websocket_network.py
@@ -127,6 +127,7 @@
             return Err(error)
         session = PeerSession(connection, peer, self._handlers)
         self._outward[peer.host] = session
+        self._tell_link(peer, True)
         self._spawn(self._run(session, self._outward))
         return Ok(peer)
 
@@ -139,6 +140,8 @@
             await connection.close()
             return
         session = PeerSession(connection, peer, self._handlers)
+        self._inward[peer.host] = session
+        self._tell_link(peer, True)
         await self._run(session, self._inward)
 
     async def _run(
@@ -146,8 +149,6 @@
     ) -> None:
         """Keep a session in the table for as long as its connection lives."""
         host = session.peer.host
-        sessions[host] = session
-        self._tell_link(session.peer, True)
         try:
             await session.run()
         finally:
