--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/pause.py
@@ -0,0 +1,90 @@
+"""Detection of a process that was paused and woke with an old view."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Callable
+
+__all__ = ["PauseDetector"]
+
+TICK_INTERVAL_S = 0.1
+PAUSE_MIN_S = 0.5
+
+
+class PauseDetector:
+    """Notices that the process did not run for a while.
+
+    A task ticks every ``TICK_INTERVAL_S``. A gap of more than ``PAUSE_MIN_S``
+    between two ticks is a pause (SIGSTOP, a stalled host, a blocked event loop).
+    The task itself may run late after a pause, so everything that decides on an
+    old view calls ``check`` first, which costs one clock read.
+    """
+
+    def __init__(
+        self,
+        on_pause: Callable[[float], None] | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._on_pause = [on_pause] if on_pause else []
+        self._clock = clock
+        self._last_tick_s = clock()
+        self._is_view_old = False
+        self._n_pauses = 0
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def is_view_old(self) -> bool:
+        """Whether a pause was noticed and the view was not yet refreshed."""
+        return self._is_view_old
+
+    @property
+    def n_pauses(self) -> int:
+        """Pauses noticed so far."""
+        return self._n_pauses
+
+    def add_callback(self, on_pause: Callable[[float], None]) -> None:
+        """Have ``on_pause`` called with the seconds of each pause."""
+        self._on_pause.append(on_pause)
+
+    def check(self) -> bool:
+        """Return whether the view may be acted upon; notices a pause at once."""
+        now = self._clock()
+        gap_s = now - self._last_tick_s
+        if gap_s > PAUSE_MIN_S:
+            self._note_pause(now, gap_s)
+        return not self._is_view_old
+
+    def mark_refreshed(self) -> None:
+        """Note that the view was refreshed after the latest pause."""
+        self._is_view_old = False
+
+    async def start(self) -> None:
+        """Start to tick."""
+        self._last_tick_s = self._clock()
+        self._task = asyncio.create_task(self._tick())
+
+    async def stop(self) -> None:
+        """Stop to tick."""
+        task, self._task = self._task, None
+        if task is None:
+            return
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    async def _tick(self) -> None:
+        """Check and note the time, for ever."""
+        while True:
+            self.check()
+            self._last_tick_s = self._clock()
+            await asyncio.sleep(TICK_INTERVAL_S)
+
+    def _note_pause(self, now: float, gap_s: float) -> None:
+        """Mark the view as old and tell who asked."""
+        self._last_tick_s = now
+        self._is_view_old = True
+        self._n_pauses += 1
+        for on_pause in self._on_pause:
+            on_pause(gap_s)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/members.py
@@ -0,0 +1,591 @@
+"""Members of the fleet as one daemon sees them.
+
+Order of evidence about one host:
+
+1. Incarnations are random numbers and have no order of their own. The one that
+   started last is the present one. Its start is estimated on the local clock as
+   the time of the evidence minus the uptime it states, and the lowest estimate is
+   kept, since delays only make an estimate later. An incarnation once superseded
+   never comes back. A Hello on a link beats what is known from hearsay only.
+2. Within one incarnation the host's own uptime counts the evidence. A suspicion
+   states the uptime last heard; a later uptime refutes it.
+3. LEAVING is final for its incarnation. Only GONE follows it.
+4. The platform's list has no incarnations and lags. It adds hosts, and it speaks
+   for hosts of which nothing else is known. Its ``leaving`` is believed of an
+   incarnation that is older than the lag of the list.
+"""
+
+from __future__ import annotations
+
+import enum
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from ..errors import FrameError
+from ..protocol.frames import Hello
+from .host_list import HostList, ListedHost
+
+__all__ = [
+    "Evidence",
+    "Member",
+    "MemberStatus",
+    "MemberTable",
+    "News",
+    "Rumour",
+]
+
+LIST_LAG_S = 60.0
+N_SUPERSEDED = 8
+TEXT_MAX = 256
+NUMBER_MAX = 2**63 - 1
+
+
+class MemberStatus(enum.StrEnum):
+    """What is believed of a member."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    UNREACHABLE = "unreachable"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+class Evidence(enum.StrEnum):
+    """Where a change of the table came from."""
+
+    LIST = "list"
+    HELLO = "hello"
+    HEARTBEAT = "heartbeat"
+    GOODBYE = "goodbye"
+    SILENCE = "silence"
+    RUMOUR = "rumour"
+    DOMAIN_CUT = "domain_cut"
+    DOMAIN_BACK = "domain_back"
+
+
+class News(enum.Enum):
+    """What a rumour was to the one who heard it."""
+
+    NEW = enum.auto()
+    KNOWN = enum.auto()
+    REFUTED = enum.auto()
+
+
+@attrs.frozen
+class Member:
+    """One host of the fleet.
+
+    Attributes:
+        host: Name of the host.
+        service: Service of its upstream.
+        failure_domain: Its failure domain.
+        region: Its region.
+        peers_address: ``ip:port`` at which its daemon takes peers.
+        incarnation: Incarnation of its daemon, 0 while unknown.
+        status: What is believed of it.
+    """
+
+    host: str
+    service: str
+    failure_domain: str
+    region: str
+    peers_address: str
+    incarnation: int
+    status: MemberStatus
+
+
+@attrs.frozen
+class Rumour:
+    """What one daemon tells another of a third.
+
+    Attributes:
+        member: The member, its status included.
+        uptime_ms: Uptime of the member's daemon at the latest evidence.
+    """
+
+    member: Member
+    uptime_ms: int
+
+    def pack(self) -> list[Any]:
+        """Return the form that travels in a heartbeat."""
+        member = self.member
+        return [
+            member.host,
+            member.service,
+            member.failure_domain,
+            member.region,
+            member.peers_address,
+            member.incarnation,
+            member.status.value,
+            self.uptime_ms,
+        ]
+
+    @classmethod
+    def unpack(cls, values: Any) -> Result[Rumour, FrameError]:
+        """Check values received from a peer and build the rumour."""
+        if type(values) is not list or len(values) != 8:
+            return Err(FrameError("a rumour has 8 fields"))
+        texts, incarnation, status, uptime_ms = values[:5], *values[5:]
+        for text in texts:
+            if type(text) is not str or not 0 < len(text) <= TEXT_MAX:
+                return Err(FrameError("a rumour's text is missing or too long"))
+        for number in (incarnation, uptime_ms):
+            if type(number) is not int or not 0 <= number <= NUMBER_MAX:
+                return Err(FrameError("a rumour's number is out of range"))
+        if status not in _SPREAD_STATUSES:
+            return Err(FrameError(f"a rumour of status {status!r:.20}"))
+        member = Member(*texts, incarnation, MemberStatus(status))
+        return Ok(cls(member, uptime_ms))
+
+
+_SPREAD_STATUSES = ("alive", "suspect", "leaving")
+_USABLE = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+_FINAL = (MemberStatus.LEAVING, MemberStatus.GONE)
+
+ChangeHandler = Callable[[str, Member | None, Member, Evidence], None]
+
+
+@attrs.define
+class _Entry:
+    """A member with the evidence for it; times are on the local clock."""
+
+    member: Member
+    is_direct: bool = False
+    is_listed: bool = False
+    is_listed_leaving: bool = False
+    is_leaving_by_list: bool = False
+    has_left: bool = False
+    uptime_ms: int = 0
+    started_at_s: float = 0.0
+    known_at_s: float = 0.0
+    heard_at_s: float | None = None
+    suspected_at_s: float | None = None
+    silent_uptime_ms: int | None = None
+    superseded: deque[int] = attrs.Factory(lambda: deque(maxlen=N_SUPERSEDED))
+
+
+class MemberTable:
+    """All members, merged from the list, from direct evidence and from hearsay."""
+
+    def __init__(
+        self,
+        host: str,
+        on_change: ChangeHandler | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._host = host
+        self._on_change = on_change
+        self._clock = clock
+        self._entries: dict[str, _Entry] = {}
+        self._by_service: dict[str, dict[str, None]] = {}
+        self._by_domain: dict[str, dict[str, None]] = {}
+
+    @property
+    def members(self) -> list[Member]:
+        """All members, those gone included."""
+        return [entry.member for entry in self._entries.values()]
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def get(self, host: str) -> Member | None:
+        """Return the member of that name, or None."""
+        entry = self._entries.get(host)
+        return entry.member if entry else None
+
+    def of_service(self, service: str) -> list[Member]:
+        """Return the members that may take new work, suspects last."""
+        found = [self._entries[host].member for host in self._by_service.get(service, ())]
+        alive = [item for item in found if item.status is MemberStatus.ALIVE]
+        suspects = [item for item in found if item.status is MemberStatus.SUSPECT]
+        return alive + suspects
+
+    def in_domain(self, failure_domain: str) -> list[Member]:
+        """Return the members of a failure domain that are alive or suspect."""
+        hosts = self._by_domain.get(failure_domain, ())
+        found = [self._entries[host].member for host in hosts]
+        return [item for item in found if item.status in _USABLE]
+
+    def all_in_domain(self, failure_domain: str) -> list[Member]:
+        """Return all members of a failure domain, whatever their status."""
+        hosts = self._by_domain.get(failure_domain, ())
+        return [self._entries[host].member for host in hosts]
+
+    def usable(self) -> list[Member]:
+        """Return all members that are alive or suspect."""
+        return [item for item in self.members if item.status in _USABLE]
+
+    def is_listed(self, host: str) -> bool:
+        """Return whether the platform's list has the host as live."""
+        entry = self._entries.get(host)
+        return bool(entry and entry.is_listed and not entry.is_listed_leaving)
+
+    def uptime_ms(self, host: str) -> int | None:
+        """Return the estimated present uptime of a host's daemon, or None."""
+        entry = self._entries.get(host)
+        if entry is None or not entry.member.incarnation:
+            return None
+        return round((self._clock() - entry.started_at_s) * 1000)
+
+    def heard_at_s(self, host: str) -> float | None:
+        """Return the local time of the latest direct evidence, or None."""
+        entry = self._entries.get(host)
+        return entry.heard_at_s if entry else None
+
+    def suspected_at_s(self, host: str) -> float | None:
+        """Return the local time since which a host is suspected, or None."""
+        entry = self._entries.get(host)
+        return entry.suspected_at_s if entry else None
+
+    def suspects(self) -> list[Member]:
+        """Return all suspected members."""
+        found = self.members
+        return [item for item in found if item.status is MemberStatus.SUSPECT]
+
+    def rumour_of(self, host: str) -> Rumour | None:
+        """Return what this daemon would tell of a host, or None."""
+        entry = self._entries.get(host)
+        if entry is None or not entry.member.incarnation:
+            return None
+        if entry.member.status.value not in _SPREAD_STATUSES:
+            return None
+        return Rumour(entry.member, entry.uptime_ms)
+
+    def merge_list(self, host_list: HostList) -> None:
+        """Merge the platform's list."""
+        for listed in host_list.hosts.values():
+            self._merge_listed(listed)
+        for host, entry in list(self._entries.items()):
+            if host not in host_list.hosts:
+                self._unlist(entry)
+
+    def note_hello(self, hello: Hello) -> bool:
+        """Note the first frame of a link; return whether it is news to others."""
+        member = Member(
+            hello.host,
+            hello.service,
+            hello.failure_domain,
+            hello.region,
+            hello.peers,
+            hello.incarnation,
+            MemberStatus.ALIVE,
+        )
+        entry = self._entries.get(hello.host)
+        if entry is None:
+            self._add(member, hello.uptime_ms, Evidence.HELLO)
+            self._mark_heard(self._entries[hello.host], hello.uptime_ms)
+            return True
+        if entry.member.incarnation == hello.incarnation:
+            return self._revive(entry, hello.uptime_ms, Evidence.HELLO)
+        if hello.incarnation in entry.superseded:
+            return False
+        started_at_s = self._clock() - hello.uptime_ms / 1000
+        if entry.is_direct and started_at_s < entry.started_at_s:
+            return False
+        self._supersede(entry, member, hello.uptime_ms, Evidence.HELLO)
+        self._mark_heard(entry, hello.uptime_ms)
+        return True
+
+    def note_heartbeat(self, host: str, uptime_ms: int) -> bool:
+        """Note a sign of life; return whether it is news to others."""
+        entry = self._entries.get(host)
+        if entry is None:
+            return False
+        return self._revive(entry, uptime_ms, Evidence.HEARTBEAT)
+
+    def note_goodbye(self, host: str, incarnation: int) -> bool:
+        """Note that a host leaves; return whether it is news to others."""
+        entry = self._entries.get(host)
+        if entry is None or entry.member.incarnation not in (0, incarnation):
+            return False
+        if entry.has_left:
+            return False
+        entry.has_left = True
+        entry.member = attrs.evolve(entry.member, incarnation=incarnation)
+        self._set_status(entry, MemberStatus.LEAVING, Evidence.GOODBYE)
+        return True
+
+    def suspect(self, host: str) -> bool:
+        """Suspect a host that was silent here; return whether it is news."""
+        entry = self._entries.get(host)
+        if entry is None:
+            return False
+        entry.heard_at_s = None
+        entry.silent_uptime_ms = entry.uptime_ms
+        if entry.member.status is not MemberStatus.ALIVE:
+            return False
+        self._set_status(entry, MemberStatus.SUSPECT, Evidence.SILENCE)
+        return True
+
+    def expire(self, host: str, is_domain_cut: bool) -> None:
+        """End the suspicion of a host that was not refuted.
+
+        Args:
+            host: The host that stayed silent.
+            is_domain_cut: Whether nobody of its failure domain can be reached.
+        """
+        entry = self._entries.get(host)
+        if entry is None or entry.member.status in _FINAL:
+            return
+        if is_domain_cut and self.is_listed(host):
+            self._set_status(entry, MemberStatus.UNREACHABLE, Evidence.DOMAIN_CUT)
+        else:
+            self._set_status(entry, MemberStatus.GONE, Evidence.SILENCE)
+
+    def mark_domain_cut(self, failure_domain: str) -> None:
+        """Take all members of a failure domain for cut off."""
+        for host in self._by_domain.get(failure_domain, ()):
+            entry = self._entries[host]
+            if entry.member.status in _USABLE and host != self._host:
+                self._set_status(entry, MemberStatus.UNREACHABLE, Evidence.DOMAIN_CUT)
+
+    def mark_domain_back(self, failure_domain: str) -> None:
+        """Take members for alive that were only cut off with their domain."""
+        for host in self._by_domain.get(failure_domain, ()):
+            entry = self._entries[host]
+            is_cut = entry.member.status is MemberStatus.UNREACHABLE
+            if is_cut and entry.silent_uptime_ms is None:
+                self._set_status(entry, MemberStatus.ALIVE, Evidence.DOMAIN_BACK)
+
+    def hear(self, rumour: Rumour) -> News:
+        """Merge a rumour.
+
+        Returns:
+            ``NEW`` when it is to be passed on, ``REFUTED`` when this daemon knows
+            better and should tell its own view, else ``KNOWN``.
+        """
+        told = rumour.member
+        if told.host == self._host or not told.incarnation:
+            return News.KNOWN
+        entry = self._entries.get(told.host)
+        if entry is None:
+            return self._hear_of_unknown(rumour)
+        if told.incarnation != entry.member.incarnation:
+            return self._hear_of_other_incarnation(entry, rumour)
+        return self._hear_of_same_incarnation(entry, rumour)
+
+    def forgive_silence(self) -> None:
+        """Forget all silence, after this process itself was paused."""
+        now = self._clock()
+        for entry in self._entries.values():
+            if entry.heard_at_s is not None:
+                entry.heard_at_s = now
+            if entry.suspected_at_s is not None:
+                entry.suspected_at_s = now
+
+    def _hear_of_unknown(self, rumour: Rumour) -> News:
+        """Add a host that only a rumour tells of."""
+        if rumour.member.status is MemberStatus.SUSPECT:
+            return News.KNOWN
+        self._add(rumour.member, rumour.uptime_ms, Evidence.RUMOUR)
+        self._entries[rumour.member.host].has_left = (
+            rumour.member.status is MemberStatus.LEAVING
+        )
+        return News.NEW
+
+    def _hear_of_other_incarnation(self, entry: _Entry, rumour: Rumour) -> News:
+        """Believe in another incarnation if it started later."""
+        told = rumour.member
+        if told.status is MemberStatus.SUSPECT or told.incarnation in entry.superseded:
+            return News.KNOWN
+        started_at_s = self._clock() - rumour.uptime_ms / 1000
+        if entry.member.incarnation and started_at_s <= entry.started_at_s:
+            return News.KNOWN
+        self._supersede(entry, told, rumour.uptime_ms, Evidence.RUMOUR)
+        entry.has_left = told.status is MemberStatus.LEAVING
+        return News.NEW
+
+    def _hear_of_same_incarnation(self, entry: _Entry, rumour: Rumour) -> News:
+        """Merge a rumour of the incarnation that is known."""
+        told = rumour.member.status
+        if told is MemberStatus.LEAVING:
+            return self._hear_of_leaving(entry)
+        if entry.has_left:
+            return News.REFUTED
+        if told is MemberStatus.SUSPECT:
+            return self._hear_suspicion(entry, rumour.uptime_ms)
+        if rumour.uptime_ms <= entry.uptime_ms:
+            return News.KNOWN
+        self._note_uptime(entry, rumour.uptime_ms)
+        if entry.member.status is MemberStatus.ALIVE:
+            return News.KNOWN
+        if entry.member.status is MemberStatus.LEAVING:
+            return News.KNOWN
+        self._hear_refutation(entry)
+        return News.NEW
+
+    def _hear_of_leaving(self, entry: _Entry) -> News:
+        """Merge a rumour that a host leaves."""
+        if entry.has_left:
+            return News.KNOWN
+        entry.has_left = True
+        self._set_status(entry, MemberStatus.LEAVING, Evidence.RUMOUR)
+        return News.NEW
+
+    def _hear_suspicion(self, entry: _Entry, uptime_ms: int) -> News:
+        """Merge a suspicion that states the uptime last heard."""
+        if uptime_ms < entry.uptime_ms:
+            is_alive = entry.member.status is MemberStatus.ALIVE
+            return News.REFUTED if is_alive else News.KNOWN
+        self._note_uptime(entry, uptime_ms)
+        if entry.member.status is not MemberStatus.ALIVE:
+            return News.KNOWN
+        self._set_status(entry, MemberStatus.SUSPECT, Evidence.RUMOUR)
+        return News.NEW
+
+    def _hear_refutation(self, entry: _Entry) -> None:
+        """Merge a sign of life heard from others.
+
+        A host that lives, but was silent here, is cut off from this daemon.
+        """
+        if entry.silent_uptime_ms is None:
+            self._set_status(entry, MemberStatus.ALIVE, Evidence.RUMOUR)
+        else:
+            self._set_status(entry, MemberStatus.UNREACHABLE, Evidence.RUMOUR)
+
+    def _merge_listed(self, listed: ListedHost) -> None:
+        """Merge one entry of the list."""
+        entry = self._entries.get(listed.host)
+        if entry is None:
+            status = MemberStatus.LEAVING if listed.is_leaving else MemberStatus.ALIVE
+            member = _listed_member(listed, status)
+            self._add(member, 0, Evidence.LIST)
+            entry = self._entries[listed.host]
+            entry.is_leaving_by_list = listed.is_leaving
+        elif not entry.member.incarnation:
+            self._merge_listed_only(entry, listed)
+        elif listed.is_leaving:
+            self._believe_listed_leaving(entry)
+        elif entry.is_leaving_by_list and not entry.has_left:
+            entry.is_leaving_by_list = False
+            self._set_status(entry, MemberStatus.ALIVE, Evidence.LIST)
+        entry.is_listed = True
+        entry.is_listed_leaving = listed.is_leaving
+
+    def _merge_listed_only(self, entry: _Entry, listed: ListedHost) -> None:
+        """Merge the list for a host of which nothing else is known."""
+        status = MemberStatus.LEAVING if listed.is_leaving else entry.member.status
+        if entry.is_leaving_by_list and not listed.is_leaving:
+            status = MemberStatus.ALIVE
+        if entry.member.status is MemberStatus.GONE and not entry.is_listed:
+            status = MemberStatus.ALIVE
+        entry.is_leaving_by_list = listed.is_leaving
+        self._replace(entry, _listed_member(listed, status), Evidence.LIST)
+
+    def _believe_listed_leaving(self, entry: _Entry) -> None:
+        """Believe the list's ``leaving`` unless it is of a former incarnation."""
+        is_young = self._clock() - entry.started_at_s < LIST_LAG_S
+        is_news = not entry.is_listed_leaving
+        if is_news and not is_young and entry.member.status not in _FINAL:
+            entry.is_leaving_by_list = True
+            self._set_status(entry, MemberStatus.LEAVING, Evidence.LIST)
+
+    def _unlist(self, entry: _Entry) -> None:
+        """Merge that the list no longer has a host."""
+        was_listed, entry.is_listed = entry.is_listed, False
+        entry.is_listed_leaving = False
+        if was_listed and entry.heard_at_s is None:
+            if entry.member.status is not MemberStatus.GONE:
+                self._set_status(entry, MemberStatus.GONE, Evidence.LIST)
+
+    def _revive(self, entry: _Entry, uptime_ms: int, evidence: Evidence) -> bool:
+        """Note direct evidence of life in the known incarnation."""
+        self._mark_heard(entry, uptime_ms)
+        if entry.has_left or entry.member.status in (
+            MemberStatus.ALIVE,
+            MemberStatus.LEAVING,
+        ):
+            return False
+        self._set_status(entry, MemberStatus.ALIVE, evidence)
+        return True
+
+    def _mark_heard(self, entry: _Entry, uptime_ms: int) -> None:
+        """Note the time and uptime of direct evidence."""
+        entry.is_direct = True
+        entry.heard_at_s = self._clock()
+        entry.silent_uptime_ms = None
+        self._note_uptime(entry, uptime_ms)
+
+    def _note_uptime(self, entry: _Entry, uptime_ms: int) -> None:
+        """Keep the latest uptime and the earliest estimate of the start."""
+        entry.uptime_ms = max(entry.uptime_ms, uptime_ms)
+        started_at_s = self._clock() - uptime_ms / 1000
+        entry.started_at_s = min(entry.started_at_s, started_at_s)
+
+    def _supersede(
+        self, entry: _Entry, member: Member, uptime_ms: int, evidence: Evidence
+    ) -> None:
+        """Replace the known incarnation by one that started later."""
+        if entry.member.incarnation:
+            entry.superseded.append(entry.member.incarnation)
+        entry.is_direct = False
+        entry.has_left = False
+        entry.is_leaving_by_list = False
+        entry.heard_at_s = None
+        entry.silent_uptime_ms = None
+        entry.uptime_ms = uptime_ms
+        entry.started_at_s = self._clock() - uptime_ms / 1000
+        entry.known_at_s = self._clock()
+        self._replace(entry, member, evidence)
+
+    def _add(self, member: Member, uptime_ms: int, evidence: Evidence) -> None:
+        """Add a host that was unknown."""
+        now = self._clock()
+        entry = _Entry(
+            member,
+            uptime_ms=uptime_ms,
+            started_at_s=now - uptime_ms / 1000,
+            known_at_s=now,
+        )
+        self._entries[member.host] = entry
+        self._index(member)
+        self._tell(None, member, evidence)
+
+    def _set_status(
+        self, entry: _Entry, status: MemberStatus, evidence: Evidence
+    ) -> None:
+        """Change the status of a member."""
+        self._replace(entry, attrs.evolve(entry.member, status=status), evidence)
+
+    def _replace(self, entry: _Entry, member: Member, evidence: Evidence) -> None:
+        """Put another member into an entry and tell of the change."""
+        old = entry.member
+        if member == old:
+            return
+        entry.member = member
+        is_suspect = member.status is MemberStatus.SUSPECT
+        entry.suspected_at_s = self._clock() if is_suspect else None
+        if member.service != old.service:
+            self._by_service[old.service].pop(old.host, None)
+        if member.failure_domain != old.failure_domain:
+            self._by_domain[old.failure_domain].pop(old.host, None)
+        self._index(member)
+        self._tell(old, member, evidence)
+
+    def _index(self, member: Member) -> None:
+        """File a member under its service and failure domain."""
+        self._by_service.setdefault(member.service, {})[member.host] = None
+        self._by_domain.setdefault(member.failure_domain, {})[member.host] = None
+
+    def _tell(self, old: Member | None, new: Member, evidence: Evidence) -> None:
+        """Call the handler of changes."""
+        if self._on_change is not None:
+            self._on_change(new.host, old, new, evidence)
+
+
+def _listed_member(listed: ListedHost, status: MemberStatus) -> Member:
+    """Return a listed host as a member of unknown incarnation."""
+    return Member(
+        listed.host,
+        listed.service,
+        listed.failure_domain,
+        listed.region,
+        listed.peers_address,
+        0,
+        status,
+    )
