path: a request is served from end to end by separate processes

Cause: the pieces of the path had no process around them. Ruled out: a second parser of addresses beside that of the settings. Before: no request could pass. Membership still polls the platform; the overlay follows.

--- a/packages/savoryroute/savoryroute/coordination/delivery.py
+++ b/packages/savoryroute/savoryroute/coordination/delivery.py
@@ -34,9 +34,7 @@
         self._network = network
         self._run_here = run_here
 
-    async def send(
-        self, member: Member, call: Call
-    ) -> Result[Answer, Refusal]:
+    async def send(self, member: Member, call: Call) -> Result[Answer, Refusal]:
         """Send one attempt and wait for its answer.
 
         Returns:
@@ -70,9 +68,7 @@
     """Return the result that an answer carries."""
     refusal = _refusal_of(answer)
     if answer.verdict == Verdict.RAN:
-        response = Response(
-            answer.status, tuple(answer.headers), answer.body, refusal
-        )
+        response = Response(answer.status, tuple(answer.headers), answer.body, refusal)
         return Ok(response)
     return Err(refusal)
 
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -214,9 +214,7 @@
             await asyncio.sleep(SUSPECT_POLL_S)
         return True
 
-    def _check(
-        self, delivery: _Delivery, document: Document | None
-    ) -> Refusal | None:
+    def _check(self, delivery: _Delivery, document: Document | None) -> Refusal | None:
         """Return why a call must not run, or None."""
         call = delivery.call
         if document is None or self._service not in document.services:
@@ -300,9 +298,7 @@
         elif result.err_value.reason in CRASH_REASONS:
             self._crashes.note_lost(delivery.fingerprint)
 
-    def _answer(
-        self, delivery: _Delivery, result: Result[Response, Refusal]
-    ) -> Answer:
+    def _answer(self, delivery: _Delivery, result: Result[Response, Refusal]) -> Answer:
         """Return the frame for a result."""
         call = delivery.call
         hop = delivery.hop
--- a/packages/savoryroute/savoryroute/coordination/keys.py
+++ b/packages/savoryroute/savoryroute/coordination/keys.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 
-import attrs
 from result import Err, Ok, Result
 
 from ..errors import ConnectionClosedError
-from ..protocol.frames import Fence, Hello
+from ..protocol.frames import Fence
 from ..protocol.idempotency_key import IdempotencyKey, mint_key, parse_key
 from ..protocol.websocket_network import WebSocketNetwork
 from ..state.ledger import Ledger
-from ..state.members import Member
+from ..state.members import Member, MemberTable
 from ..state.policies import EjectionPolicy
 from ..verdict import Reason, Refusal, Verdict
 from .placement import Placement
@@ -24,26 +22,6 @@
 FENCE_TIMEOUT_S = 0.5
 
 
-@attrs.frozen
-class _Uptime:
-    """Uptime of a peer when it was last told.
-
-    Attributes:
-        incarnation: Incarnation of the peer.
-        uptime_ms: Uptime that it told.
-        heard_s: Monotonic time at which it was heard.
-    """
-
-    incarnation: int
-    uptime_ms: int
-    heard_s: float
-
-    @property
-    def now_ms(self) -> int:
-        """Lower estimate of the peer's uptime now."""
-        return self.uptime_ms + int((time.monotonic() - self.heard_s) * 1000)
-
-
 class KeyRing:
     """What this daemon knows of the homes that keys name."""
 
@@ -54,7 +32,7 @@
         ledger: Ledger,
         network: WebSocketNetwork,
         placement: Placement,
-        member: Callable[[str], Member | None],
+        table: MemberTable,
         ejection: Callable[[], EjectionPolicy | None],
     ) -> None:
         self._host = host
@@ -62,15 +40,8 @@
         self._ledger = ledger
         self._network = network
         self._placement = placement
-        self._member = member
+        self._table = table
         self._ejection = ejection
-        self._uptimes: dict[str, _Uptime] = {}
-
-    def note_uptime(self, peer: Hello, uptime_ms: int) -> None:
-        """Take note of how long a peer has been up."""
-        self._uptimes[peer.host] = _Uptime(
-            peer.incarnation, uptime_ms, time.monotonic()
-        )
 
     async def mint(self, service: str, n_keys: int, cancels: str = "") -> list[str]:
         """Return new keys with a home that can run them, or none.
@@ -109,7 +80,7 @@
         if isinstance(parsed, Err):
             return parsed
         found = parsed.ok_value
-        member = self._member(found.host)
+        member = self._table.get(found.host)
         if member is None or self._is_replaced(found):
             detail = f"the home of the key, {found.host}, is gone or was replaced"
             return Err(Refusal(Verdict.MAY_HAVE_RUN, Reason.KEY_HOME_GONE, detail))
@@ -159,10 +130,10 @@
             if isinstance(connected, Err):
                 return []
             hello = connected.ok_value
-        uptime = self._uptimes.get(home.host)
-        if uptime is None or uptime.incarnation != hello.incarnation:
+        known = self._table.get(home.host)
+        minted_ms = self._table.uptime_ms(home.host)
+        if known is None or known.incarnation != hello.incarnation or not minted_ms:
             return []
-        minted_ms = uptime.now_ms
         return [
             mint_key(home.host, hello.incarnation, minted_ms) for _ in range(n_keys)
         ]
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -0,0 +1,303 @@
+"""One daemon: its parts, wired together, started and stopped in order."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import secrets
+import time
+
+from ..protocol.callers_http import CallersServer
+from ..protocol.frames import Hello
+from ..protocol.operators_http import OperatorsServer
+from ..protocol.upstream_http import UpstreamClient, UpstreamHealth
+from ..protocol.websocket_network import WebSocketNetwork
+from ..state.attempt_counter import ActionCounter
+from ..state.audit import AuditKind, AuditTrail
+from ..state.decisions import DecisionLog
+from ..state.document import Document
+from ..state.ledger import Ledger
+from ..state.members import Evidence, Member, MemberTable
+from ..state.quarantine import Quarantine
+from ..state.settings import Settings
+from ..transport.platform_client import HttpPlatform
+from .admission import AdmissionGate
+from .delivery import Delivery
+from .hops import HopTable
+from .inbound import Inbound
+from .keys import KeyRing
+from .limits import make_limit
+from .outbound import Outbound
+from .pause import PauseDetector
+from .placement import Placement
+from .pressure import PressureMap
+from .upstream_watch import UpstreamWatch
+
+__all__ = ["Node"]
+
+ACTION_WINDOW_S = 60.0
+BODY_BYTES_DEFAULT = 1024 * 1024
+DRAIN_LISTEN_S = 3.0
+DRAIN_MAX_S = 60.0
+DRAIN_POLL_S = 0.05
+INCARNATION_BITS = 62
+SLOTS_DEFAULT = 16
+QUEUE_DEFAULT = 32
+CRASHES_DEFAULT = 2
+QUARANTINE_DEFAULT_S = 60.0
+
+_logger = logging.getLogger(__name__)
+
+
+class Node:
+    """One daemon beside one upstream."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._incarnation = secrets.randbits(INCARNATION_BITS) + 1
+        self._started_s = time.monotonic()
+        self._rng = random.Random(self._incarnation)
+        self._document: Document | None = None
+        self._revision = 0
+        self._audit = AuditTrail()
+        self._decisions = DecisionLog()
+        self._table = MemberTable(settings.host, self._on_member)
+        self._hops = HopTable()
+        self._pause = PauseDetector()
+        self._ledger = Ledger(settings.host, self._incarnation, self._uptime_s)
+        self._quarantine = Quarantine(
+            time.monotonic, CRASHES_DEFAULT, QUARANTINE_DEFAULT_S
+        )
+        self._gate = AdmissionGate(
+            make_limit("fixed", 1, SLOTS_DEFAULT, SLOTS_DEFAULT), QUEUE_DEFAULT
+        )
+        self._client = UpstreamClient(settings.upstream, 0)
+        self._inbound = Inbound(
+            settings.service,
+            self._gate,
+            self._client,
+            self._ledger,
+            self._quarantine,
+            ActionCounter(ACTION_WINDOW_S, time.monotonic),
+            self._hops,
+            self._pause,
+            self._decisions,
+            self._get_document,
+        )
+        self._network = WebSocketNetwork(
+            settings.peers,
+            settings.fleet_key,
+            self._make_hello,
+            self._inbound.run,
+            self._inbound.fence,
+        )
+        self._placement = Placement(
+            settings.host,
+            settings.failure_domain,
+            self._table.of_service,
+            self._audit,
+            self._rng,
+        )
+        self._keys = KeyRing(
+            settings.host,
+            self._incarnation,
+            self._ledger,
+            self._network,
+            self._placement,
+            self._table,
+            self._get_ejection,
+        )
+        self._outbound = Outbound(
+            self._get_document,
+            Delivery(settings.host, self._network, self._inbound.run),
+            self._placement,
+            PressureMap(),
+            self._hops,
+            self._keys,
+            self._quarantine,
+            self._pause,
+            self._decisions,
+            self._rng,
+        )
+        self._callers = CallersServer(
+            settings.callers,
+            self._outbound.from_caller,
+            self._keys.mint,
+            self._body_limit,
+        )
+        self._upstream_side = CallersServer(
+            settings.upstream_side,
+            self._outbound.from_upstream,
+            self._keys.mint,
+            self._body_limit,
+            is_upstream_side=True,
+        )
+        self._operators = OperatorsServer(
+            settings.operators,
+            settings.operator_key,
+            self._status,
+            self._not_ready,
+            self._audit,
+            self._decisions,
+            lambda: None,
+        )
+        self._watch = UpstreamWatch(
+            self._client, self._audit, settings.host, self._on_health
+        )
+        self._platform = HttpPlatform(
+            [str(address) for address in settings.platform], settings.host
+        )
+        self._tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Open all ports and start all tasks."""
+        self._network.set_handlers(self._on_control, self._on_link)
+        self._table.note_hello(self._make_hello())
+        await self._client.start()
+        await self._pause.start()
+        await self._network.start()
+        await self._operators.start()
+        await self._callers.start()
+        await self._upstream_side.start()
+        self._tasks.append(asyncio.create_task(self._watch.run()))
+        self._tasks.append(asyncio.create_task(self._poll()))
+
+    async def stop(self) -> None:
+        """Leave gracefully: no new work, all work in flight finished, then stop."""
+        self._audit.record(
+            AuditKind.LEAVING, self._settings.host, "leaving", "planned stop"
+        )
+        self._inbound.is_leaving = True
+        self._gate.drain()
+        self._callers.announce_leaving()
+        await asyncio.sleep(DRAIN_LISTEN_S)
+        self._callers.stop_listening()
+        deadline_s = time.monotonic() + DRAIN_MAX_S
+        while self._n_open and time.monotonic() < deadline_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+        for task in self._tasks:
+            task.cancel()
+        await self._callers.stop(1.0)
+        await self._upstream_side.stop(1.0)
+        await self._network.stop()
+        await self._client.stop()
+        await self._platform.close()
+        await self._operators.stop()
+        await self._pause.stop()
+
+    @property
+    def _n_open(self) -> int:
+        return self._callers.n_open + self._upstream_side.n_open + self._inbound.n_open
+
+    def _uptime_s(self) -> float:
+        return time.monotonic() - self._started_s
+
+    def _make_hello(self) -> Hello:
+        settings = self._settings
+        return Hello(
+            host=settings.host,
+            incarnation=self._incarnation,
+            service=settings.service,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            peers=str(settings.peers),
+            uptime_ms=int(self._uptime_s() * 1000),
+        )
+
+    def _get_document(self) -> Document | None:
+        return self._document
+
+    def _get_ejection(self):
+        return None if self._document is None else self._document.ejection
+
+    def _body_limit(self, service: str) -> int:
+        document = self._document
+        if document is None or service not in document.services:
+            return BODY_BYTES_DEFAULT
+        return document.services[service].request_bytes
+
+    def _not_ready(self) -> str:
+        """Return why the daemon is not ready, or an empty string."""
+        if self._document is None:
+            return "no document: neither the platform nor a peer has given one"
+        if self._inbound.is_leaving:
+            return "leaving"
+        return ""
+
+    def _status(self) -> dict:
+        """Return what operators see of this daemon."""
+        return {
+            "host": self._settings.host,
+            "incarnation": self._incarnation,
+            "uptime_s": round(self._uptime_s(), 3),
+            "not_ready": self._not_ready(),
+            "revision": self._revision,
+            "version": self._document.version if self._document else None,
+            "n_in_flight": self._gate.n_in_flight,
+            "n_queued": self._gate.n_queued,
+            "limit": self._gate.limit,
+            "level": self._gate.level,
+            "members": {m.host: str(m.status) for m in self._table.members},
+        }
+
+    def _on_document(self, document: Document, revision: int) -> None:
+        """Take a document into force."""
+        self._document = document
+        self._revision = revision
+        self._audit.record(
+            AuditKind.DOCUMENT,
+            document.environment,
+            f"version {document.version} in force",
+            f"revision {revision} of the platform",
+        )
+        self._quarantine.set_policy(
+            document.quarantine.crashes, document.quarantine.duration_s
+        )
+        policy = document.services.get(self._settings.service)
+        if policy is not None:
+            limit = make_limit(
+                policy.limit.kind, policy.limit.minimum, policy.slots, policy.slots
+            )
+            self._gate.reconfigure(limit, policy.queue_length)
+
+    def _on_health(self, health: UpstreamHealth) -> None:
+        self._inbound.is_leaving = health.is_leaving
+
+    def _on_link(self, hello: Hello, is_up: bool) -> None:
+        if is_up:
+            self._table.note_hello(hello)
+
+    async def _on_control(self, host: str, frame) -> None:
+        pass
+
+    def _on_member(
+        self, host: str, old: Member | None, new: Member, evidence: Evidence
+    ) -> None:
+        self._audit.record(
+            AuditKind.MEMBER,
+            host,
+            f"{old.status if old else 'unknown'} to {new.status}",
+            evidence.value,
+        )
+
+    async def _poll(self) -> None:
+        from ..state.document import parse_document
+        from ..state.host_list import parse_host_list
+
+        while True:
+            read = await self._platform.read("documents/production")
+            if read.is_ok() and read.ok_value is not None:
+                value = read.ok_value
+                if value.revision > self._revision:
+                    parsed = parse_document(value.text, "documents/production")
+                    if parsed.is_ok():
+                        self._on_document(parsed.ok_value, value.revision)
+                    else:
+                        _logger.error("%s", parsed.err_value)
+            read = await self._platform.read("hosts")
+            if read.is_ok() and read.ok_value is not None:
+                hosts = parse_host_list(read.ok_value.text, "hosts")
+                if hosts.is_ok():
+                    self._table.merge_list(hosts.ok_value)
+            await asyncio.sleep(1.0)
--- a/packages/savoryroute/savoryroute/coordination/outbound.py
+++ b/packages/savoryroute/savoryroute/coordination/outbound.py
@@ -386,9 +386,7 @@
             host, action.request.service, action.document.ejection
         )
 
-    def _shall_retry(
-        self, action: _Action, refusal: Refusal, n_attempts: int
-    ) -> bool:
+    def _shall_retry(self, action: _Action, refusal: Refusal, n_attempts: int) -> bool:
         """Return whether one more attempt may be made, and pay for it."""
         policy = action.document.retries
         is_allowed = may_retry(
--- /dev/null
+++ b/packages/savoryroute/savoryroute/daemon.py
@@ -0,0 +1,78 @@
+"""The daemon's command line."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+
+import uvloop
+from docopt import docopt
+from result import Err
+
+from . import __version__
+from .coordination.node import Node
+from .state.settings import Settings, read_settings
+
+__all__ = ["main"]
+
+USAGE = """Overload control daemon beside one upstream.
+
+Usage:
+  savoryrouted SETTINGS
+  savoryrouted --check SETTINGS
+  savoryrouted (-h | --help)
+  savoryrouted --version
+
+Options:
+  --check    Check the settings file and exit.
+  -h --help  Show this text.
+  --version  Show the version.
+
+Exit codes: 0 stopped as planned, 1 settings refused, 2 usage, 3 a port is taken.
+"""
+
+EXIT_OK = 0
+EXIT_SETTINGS = 1
+EXIT_USAGE = 2
+EXIT_PORT = 3
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the daemon until it is told to stop; return the exit code."""
+    try:
+        arguments = docopt(USAGE, argv, version=__version__)
+    except SystemExit as exit_:
+        if exit_.code is None:
+            return EXIT_OK
+        print(exit_.code, file=sys.stderr)
+        return EXIT_USAGE
+    read = read_settings(arguments["SETTINGS"])
+    if isinstance(read, Err):
+        print(read.err_value, file=sys.stderr)
+        return EXIT_SETTINGS
+    if arguments["--check"]:
+        print("settings are in order")
+        return EXIT_OK
+    try:
+        uvloop.run(_run(read.ok_value))
+    except OSError as error:
+        print(f"cannot listen: {error}", file=sys.stderr)
+        return EXIT_PORT
+    return EXIT_OK
+
+
+async def _run(settings: Settings) -> None:
+    """Start the node, wait for a signal to stop, and leave."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    node = Node(settings)
+    await node.start()
+    await stopped.wait()
+    await node.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/savoryroute/savoryroute/protocol/callers_http.py
+++ b/packages/savoryroute/savoryroute/protocol/callers_http.py
@@ -137,9 +137,7 @@
         outcome = await self._handle(read.ok_value)
         return _to_http(outcome)
 
-    async def _read_request(
-        self, http: web.BaseRequest
-    ) -> Result[Request, Refusal]:
+    async def _read_request(self, http: web.BaseRequest) -> Result[Request, Refusal]:
         """Return the request with its whole body, or why it is refused."""
         service, _, rest = http.raw_path.lstrip("/").partition("/")
         service, query_mark, query = service.partition("?")
--- a/packages/savoryroute/savoryroute/protocol/peer_session.py
+++ b/packages/savoryroute/savoryroute/protocol/peer_session.py
@@ -13,7 +13,6 @@
 from ..transport import websocket
 from ..verdict import Reason, Verdict
 from .frames import (
-    FRAME_BYTES_MAX,
     Answer,
     Call,
     Cancel,
@@ -244,5 +243,3 @@
     if not isinstance(frame, Hello):
         raise ConnectionClosedError("the first frame is not a hello")
     return frame
-
-
--- a/packages/savoryroute/savoryroute/protocol/websocket_network.py
+++ b/packages/savoryroute/savoryroute/protocol/websocket_network.py
@@ -98,9 +98,7 @@
             if session is not None:
                 self._spawn(session.close())
 
-    async def connect(
-        self, peers_address: str
-    ) -> Result[Hello, ConnectionClosedError]:
+    async def connect(self, peers_address: str) -> Result[Hello, ConnectionClosedError]:
         """Open a link to ``ip:port``, or reuse the open one."""
         for session in self._outward.values():
             if session.peer.peers == peers_address and session.is_open:
@@ -115,6 +113,8 @@
     async def _dial(self, peers_address: str) -> Result[Hello, ConnectionClosedError]:
         """Open a connection, exchange first frames and start its task."""
         address = Address.parse(peers_address)
+        if address is None:
+            return Err(ConnectionClosedError(f"{peers_address!r:.60} is no address"))
         dialled = await websocket.dial(address, self._fleet_key, FRAME_BYTES_MAX)
         if isinstance(dialled, Err):
             return dialled
--- a/packages/savoryroute/savoryroute/state/members.py
+++ b/packages/savoryroute/savoryroute/state/members.py
@@ -200,7 +200,9 @@
 
     def of_service(self, service: str) -> list[Member]:
         """Return the members that may take new work, suspects last."""
-        found = [self._entries[host].member for host in self._by_service.get(service, ())]
+        found = [
+            self._entries[host].member for host in self._by_service.get(service, ())
+        ]
         alive = [item for item in found if item.status is MemberStatus.ALIVE]
         suspects = [item for item in found if item.status is MemberStatus.SUSPECT]
         return alive + suspects
--- a/packages/savoryroute/savoryroute/transport/platform_client.py
+++ b/packages/savoryroute/savoryroute/transport/platform_client.py
@@ -50,8 +50,8 @@
             reason why the platform did not answer.
         """
 
-    async def close(self) -> None:
-        """Release connections."""
+    async def close(self) -> None:  # noqa: B027
+        """Release connections; a reader without any has nothing to do."""
 
 
 class HttpPlatform(PlatformReader):
