tests: a fleet in one loop, and the promises seen from the outside

Cause: nothing checked whole daemons together. Ruled out: mocks of the daemon's parts, which hide wiring faults. Before: 0 tests of whole daemons. After: 10, of which one fails: crash evidence is not yet told to peers (10 crashes where 5 are allowed).

--- a/packages/savoryroute/savoryroute/coordination/node.py
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -38,6 +38,7 @@
 
 ACTION_WINDOW_S = 60.0
 BODY_BYTES_DEFAULT = 1024 * 1024
+CLOSE_TIMEOUT_S = 0.2
 DRAIN_LISTEN_S = 3.0
 DRAIN_MAX_S = 60.0
 DRAIN_POLL_S = 0.05
@@ -176,10 +177,14 @@
         deadline_s = time.monotonic() + DRAIN_MAX_S
         while self._n_open and time.monotonic() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """Stop at once, whatever is in flight."""
         for task in self._tasks:
             task.cancel()
-        await self._callers.stop(1.0)
-        await self._upstream_side.stop(1.0)
+        await self._callers.stop(CLOSE_TIMEOUT_S)
+        await self._upstream_side.stop(CLOSE_TIMEOUT_S)
         await self._network.stop()
         await self._client.stop()
         await self._platform.close()
--- /dev/null
+++ b/tests/savoryroute/coordination/test_node.py
@@ -0,0 +1,165 @@
+"""Tests of whole daemons: promises seen from the outside, under failures."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from tests.fleet import Fleet, document
+
+
+class AtMostOnceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_copies_through_all_daemons_run_once(self):
+        async with Fleet({"booking": 3}, document(["booking"])) as fleet:
+            fleet["a-booking-0"].upstream.set({"work_s": 0.1})
+            key = await fleet.key("a-booking-0", "booking")
+            calls = [
+                fleet.call(
+                    name,
+                    "POST",
+                    "/booking/pours",
+                    data=b"x",
+                    headers={"Idempotency-Key": key},
+                )
+                for name in list(fleet.hosts) * 4
+            ]
+            replies = await asyncio.gather(*calls)
+            self.assertEqual({r.verdict for r in replies}, {"ran"})
+            self.assertEqual(len({r.body for r in replies}), 1)
+            self.assertEqual(len(fleet.executions()), 1)
+
+    async def test_a_key_is_asked_for_and_works(self):
+        async with Fleet({"booking": 2}, document(["booking"])) as fleet:
+            asked = await fleet.call("a-booking-0", "POST", "/booking/pours", data=b"x")
+            self.assertEqual((asked.status, asked.verdict), (428, "not_run"))
+            key = asked.problem["idempotency_key"]
+            reply = await fleet.call(
+                "a-booking-1",
+                "POST",
+                "/booking/pours",
+                data=b"x",
+                headers={"Idempotency-Key": key},
+            )
+            self.assertEqual((reply.status, reply.verdict), (200, "ran"))
+            self.assertEqual(len(fleet.executions()), 1)
+
+    async def test_home_that_lost_its_memory_never_runs_the_key_again(self):
+        async with Fleet({"booking": 2}, document(["booking"])) as fleet:
+            key = await fleet.key("a-booking-0", "booking")
+            home = key.split(".")[1]
+            other = next(name for name in fleet.hosts if name != home)
+            headers = {"Idempotency-Key": key}
+            await fleet.call(other, "POST", "/booking/p", data=b"x", headers=headers)
+            await fleet.restart_node(home)
+            for name in fleet.hosts:
+                reply = await fleet.call(
+                    name, "POST", "/booking/p", data=b"x", headers=headers
+                )
+                self.assertEqual(reply.verdict, "may_have_run")
+            self.assertEqual(len(fleet.executions()), 1)
+
+    async def test_a_lost_answer_is_never_run_again(self):
+        for method in ("POST", "DELETE"):
+            with self.subTest(method):
+                async with Fleet({"booking": 1}, document(["booking"])) as fleet:
+                    key = await fleet.key("a-booking-0", "booking")
+                    warm = await fleet.call("a-booking-0", "GET", "/booking/x")
+                    self.assertEqual(warm.status, 200)
+                    reply = await fleet.call(
+                        "a-booking-0",
+                        method,
+                        "/booking/p?mark=drop",
+                        headers={"Idempotency-Key": key},
+                    )
+                    self.assertEqual(reply.verdict, "may_have_run")
+                    n_bookings = sum(e.key == key for e in fleet.executions())
+                    self.assertEqual(n_bookings, 1)
+
+
+class WholeAnswersTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_cut_answer_is_never_whole(self):
+        async with Fleet({"planner": 2}, document(["planner"])) as fleet:
+            reply = await fleet.call("a-planner-0", "GET", "/planner/x?mark=truncate")
+            self.assertEqual(reply.verdict, "may_have_run")
+            self.assertEqual(reply.problem["reason"], "bad_answer")
+
+    async def test_an_answer_above_the_limit_is_refused(self):
+        plain = document(["planner"], service={"answer_bytes": 1024})
+        async with Fleet({"planner": 1}, plain) as fleet:
+            fleet["a-planner-0"].upstream.set({"payload_bytes": 4096})
+            reply = await fleet.call("a-planner-0", "GET", "/planner/x")
+            self.assertEqual(reply.verdict, "may_have_run")
+            self.assertEqual(reply.problem["reason"], "bad_answer")
+
+    async def test_concurrent_answers_reach_their_own_callers(self):
+        async with Fleet(
+            {"planner": 2, "crews": 2}, document(["planner", "crews"])
+        ) as f:
+
+            async def one(number: int) -> bool:
+                mark = f"r{number}"
+                reply = await f.call(
+                    f"a-planner-{number % 2}",
+                    "GET",
+                    "/planner/x?chain=crews:/y",
+                    headers={"x-lab-request": mark},
+                )
+                if reply.status != 200:
+                    self.assertNotEqual(reply.verdict, "ran")
+                    return False
+                self.assertIn(f'"request": "{mark}"'.encode(), reply.body)
+                return True
+
+            found = await asyncio.gather(*(one(n) for n in range(60)))
+            self.assertGreater(sum(found), 0)
+
+
+class CancellationTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_caller_that_hangs_up_cancels_down_to_the_leaf(self):
+        async with Fleet(
+            {"planner": 1, "crews": 1}, document(["planner", "crews"])
+        ) as f:
+            f["a-crews-0"].upstream.set({"work_s": 2.0})
+            with self.assertRaises(asyncio.TimeoutError):
+                await f.call(
+                    "a-planner-0",
+                    "GET",
+                    "/planner/x?chain=crews:/y",
+                    timeout=aiohttp.ClientTimeout(total=0.3),
+                )
+            await asyncio.sleep(0.3)
+            states = {e.service: e.state for e in f.executions()}
+            self.assertEqual(states["crews"], "cancelled")
+
+
+class AttemptsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_failing_leaf_costs_a_bounded_number_of_attempts(self):
+        services = ["s1", "s2", "s3", "s4"]
+        plain = document(services)
+        plain["classes"]["read"]["allowance"] = 12
+        chain = "chain=s2:/x,s3:/x,s4:/x&mark=drop&mark_at=s4"
+        async with Fleet(dict.fromkeys(services, 3), plain) as fleet:
+            for number in range(3):
+                headers = {"traceparent": f"00-{'0' * 31}1-{number + 1:016x}-01"}
+                await fleet.call(
+                    f"a-s1-{number}", "GET", f"/s1/x?{chain}", headers=headers
+                )
+            self.assertLessEqual(len(fleet.executions()), 3 * 12)
+            per_upstream = max(
+                len(host.upstream.executions) for host in fleet.hosts.values()
+            )
+            self.assertLessEqual(per_upstream, 3)
+
+
+class PoisonTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_that_crashes_upstreams_is_held_back(self):
+        async with Fleet({"planner": 5}, document(["planner"])) as fleet:
+            for round_ in range(3):
+                for name in fleet.hosts:
+                    await fleet.call(name, "GET", "/planner/x?mark=crash")
+                await asyncio.sleep(0.3)
+            n_crashes = sum(h.upstream.n_crashes for h in fleet.hosts.values())
+            self.assertGreaterEqual(n_crashes, 1)
+            self.assertLessEqual(n_crashes, 5)
+            reply = await fleet.call("a-planner-0", "GET", "/planner/x?mark=crash")
+            self.assertEqual(reply.problem["reason"], "quarantined")
