--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/document_store.py
@@ -0,0 +1,252 @@
+"""The document in force under one key, and the steps that led to it."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import cbor2
+from result import Err, Ok, Result
+
+from ..errors import DocumentError
+from ..protocol.frames import DocumentFrame
+from ..state.difference import apply_difference, make_difference
+from ..state.document import document_from_plain, parse_document, plain_digest
+from ..state.host_list import host_list_from_plain, parse_host_list
+
+__all__ = ["CODECS", "HOSTS", "DocumentCodec", "DocumentStore", "Outcome"]
+
+HOSTS = "hosts"
+N_STEPS_MAX = 256
+STEP_BYTES_MAX = 1024 * 1024
+PAYLOAD_BYTES_MAX = 8 * 1024 * 1024
+PAYLOAD_DEPTH_MAX = 64
+
+
+@attrs.frozen
+class DocumentCodec:
+    """How one kind of document is parsed and checked.
+
+    Attributes:
+        environment: Name in frames: ``production``, ``trial`` or ``hosts``.
+        key: Key of the platform.
+        parse: Checks a text of the platform.
+        from_plain: Checks the plain form of a peer.
+    """
+
+    environment: str
+    key: str
+    parse: Callable[[str, str], Result[Any, DocumentError]]
+    from_plain: Callable[[Any, str], Result[Any, DocumentError]]
+
+
+def _environment_codec(environment: str) -> DocumentCodec:
+    """Return the codec of an environment; its document has to name it."""
+
+    def check(result: Result[Any, DocumentError], source: str) -> Result:
+        if result.is_ok() and result.ok_value.environment != environment:
+            found = result.ok_value.environment
+            return Err(DocumentError(source, "environment", found, environment))
+        return result
+
+    return DocumentCodec(
+        environment,
+        f"documents/{environment}",
+        lambda text, source: check(parse_document(text, source), source),
+        lambda plain, source: check(document_from_plain(plain, source), source),
+    )
+
+
+CODECS = (
+    _environment_codec("production"),
+    _environment_codec("trial"),
+    DocumentCodec(HOSTS, HOSTS, parse_host_list, host_list_from_plain),
+)
+
+
+class Outcome(enum.StrEnum):
+    """What became of an offered document."""
+
+    APPLIED = "applied"
+    OLD = "old"
+    CONFLICT = "conflict"
+    BASE_UNKNOWN = "base_unknown"
+    DIGEST_MISMATCH = "digest_mismatch"
+    INVALID = "invalid"
+
+
+class DocumentStore:
+    """Holds the highest valid revision seen; it never takes an older one.
+
+    Only the present document is kept whole. Older ones are served as the chain of
+    steps (differences) from them, which is bounded in number and bytes.
+    """
+
+    def __init__(self, codec: DocumentCodec) -> None:
+        self._codec = codec
+        self._revision = 0
+        self._digest = b""
+        self._plain: dict[str, Any] | None = None
+        self._document: Any = None
+        self._steps: deque[DocumentFrame] = deque()
+        self._step_bytes = 0
+        self._error: DocumentError | None = None
+
+    @property
+    def codec(self) -> DocumentCodec:
+        """Kind of the document."""
+        return self._codec
+
+    @property
+    def revision(self) -> int:
+        """Revision in force, 0 for none."""
+        return self._revision
+
+    @property
+    def digest(self) -> bytes:
+        """SHA-256 of the canonical CBOR of the document in force."""
+        return self._digest
+
+    @property
+    def plain(self) -> dict[str, Any] | None:
+        """Plain form of the document in force, not to be changed."""
+        return self._plain
+
+    @property
+    def document(self) -> Any:
+        """The checked document in force, or None."""
+        return self._document
+
+    @property
+    def error(self) -> DocumentError | None:
+        """Why the latest ``INVALID`` was refused."""
+        return self._error
+
+    @property
+    def latest_step(self) -> DocumentFrame | None:
+        """The step that led to the document in force, if it is kept."""
+        if self._steps and self._steps[-1].revision == self._revision:
+            return self._steps[-1]
+        return None
+
+    def offer_text(self, text: str, revision: int) -> Outcome:
+        """Offer a value of the platform."""
+        if revision <= self._revision:
+            return Outcome.OLD
+        parsed = self._codec.parse(text, f"{self._codec.key}@{revision}")
+        if parsed.is_err():
+            self._error = parsed.err_value
+            return Outcome.INVALID
+        document = parsed.ok_value
+        plain = document.to_plain()
+        self._put(document, plain, plain_digest(plain), revision, None)
+        return Outcome.APPLIED
+
+    def offer_frame(self, frame: DocumentFrame, source: str) -> Outcome:
+        """Offer a document or a difference received from a peer."""
+        if frame.revision <= self._revision:
+            is_same = frame.revision < self._revision or frame.digest == self._digest
+            return Outcome.OLD if is_same else Outcome.CONFLICT
+        if frame.base_revision not in (0, self._revision):
+            return Outcome.BASE_UNKNOWN
+        plain = self._plain_of(frame)
+        if plain.is_err():
+            self._error = plain.err_value
+            return Outcome.INVALID
+        if _digest_of(plain.ok_value) != frame.digest:
+            return Outcome.DIGEST_MISMATCH
+        checked = self._codec.from_plain(plain.ok_value, f"{source}@{frame.revision}")
+        if checked.is_err():
+            self._error = checked.err_value
+            return Outcome.INVALID
+        step = frame if frame.base_revision else None
+        self._put(checked.ok_value, plain.ok_value, frame.digest, frame.revision, step)
+        return Outcome.APPLIED
+
+    def frames_since(self, have_revision: int) -> list[DocumentFrame]:
+        """Return the frames that lead from a revision to the one in force.
+
+        A chain of differences where all of it is kept, else the whole. A frame
+        without payload says that there is nothing newer.
+        """
+        if have_revision >= self._revision:
+            return [self._nothing_newer()]
+        bases = [step.base_revision for step in self._steps]
+        if have_revision not in bases:
+            return [self.whole()]
+        return list(self._steps)[bases.index(have_revision) :]
+
+    def whole(self) -> DocumentFrame:
+        """Return the whole document in force as a frame."""
+        if self._plain is None:
+            return self._nothing_newer()
+        payload = cbor2.dumps(self._plain)
+        return self._frame(0, payload)
+
+    def _nothing_newer(self) -> DocumentFrame:
+        """Return the frame that only tells the revision in force."""
+        return self._frame(self._revision, b"")
+
+    def _frame(self, base_revision: int, payload: bytes) -> DocumentFrame:
+        """Return a frame to the revision in force."""
+        return DocumentFrame(
+            self._codec.environment,
+            self._revision,
+            base_revision,
+            self._digest,
+            payload,
+        )
+
+    def _plain_of(self, frame: DocumentFrame) -> Result[dict, DocumentError]:
+        """Return the plain document that a frame leads to."""
+        source = self._codec.key
+        if len(frame.payload) > PAYLOAD_BYTES_MAX:
+            found = f"{len(frame.payload)} bytes"
+            return Err(DocumentError(source, "", found, f"{PAYLOAD_BYTES_MAX} bytes"))
+        try:
+            payload = cbor2.loads(
+                frame.payload, max_depth=PAYLOAD_DEPTH_MAX, allow_indefinite=False
+            )
+        except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+            return Err(DocumentError(source, "", str(error)[:80], "CBOR"))
+        if frame.base_revision:
+            return apply_difference(self._plain, payload)
+        if type(payload) is not dict:
+            return Err(DocumentError(source, "", type(payload).__name__, "a map"))
+        return Ok(payload)
+
+    def _put(
+        self,
+        document: Any,
+        plain: dict[str, Any],
+        digest: bytes,
+        revision: int,
+        step: DocumentFrame | None,
+    ) -> None:
+        """Put a checked document in force."""
+        old_revision, old_plain = self._revision, self._plain
+        self._revision, self._digest = revision, digest
+        self._document, self._plain = document, plain
+        if step is None and old_plain is not None:
+            payload = cbor2.dumps(make_difference(old_plain, plain))
+            step = self._frame(old_revision, payload)
+        if step is not None:
+            self._keep(step)
+
+    def _keep(self, step: DocumentFrame) -> None:
+        """Keep a step within the bounds."""
+        self._steps.append(step)
+        self._step_bytes += len(step.payload)
+        while self._step_bytes > STEP_BYTES_MAX or len(self._steps) > N_STEPS_MAX:
+            self._step_bytes -= len(self._steps.popleft().payload)
+
+
+def _digest_of(plain: Any) -> bytes:
+    """Return the digest of a peer's plain document, empty if it has none."""
+    try:
+        return plain_digest(plain)
+    except (cbor2.CBOREncodeError, ValueError, RecursionError, TypeError):
+        return b""
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/membership.py
@@ -0,0 +1,489 @@
+"""Who is in the fleet: heartbeats to a few peers, rumours about the others.
+
+Each daemon heartbeats with a small overlay chosen by rendezvous hashing, so its
+cost does not depend on the fleet's size. What it learns there first hand spreads
+as rumours, each sent to a bounded number of peers (infection-style dissemination).
+
+Source: Das, Gupta and Motivala, "SWIM: Scalable weakly-consistent infection-style
+process group membership protocol", 2002. Unlike there, the suspected host refutes
+by its uptime, and a silent failure domain is probed before its hosts are given up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+
+from ..protocol.frames import Frame, Goodbye, Heartbeat, Hello
+from ..protocol.peer_network import PeerNetwork
+from ..state.members import Member, MemberStatus, MemberTable, News, Rumour
+from .overlay import Overlay
+from .rumours import RumourQueue
+
+__all__ = ["Membership"]
+
+HEARTBEAT_INTERVAL_S = 1.0
+HEARTBEAT_JITTER = 0.1
+FLUSH_GAP_S = 0.1
+REVISIONS_EVERY = 5
+SILENCE_S = 3.5
+SUSPICION_S = 4.0
+CONNECT_RETRY_S = 1.0
+CONNECT_LIMIT_S = 2.0
+LINK_LOST_JITTER_S = 0.3
+SWEEP_INTERVAL_S = 1.0
+PROBE_INTERVAL_S = 3.0
+DOMAIN_FRESH_S = 2.5
+DOMAIN_PROBES = 3
+DOMAIN_VERDICT_S = 5.0
+N_RUMOURS_MAX = 6
+N_SUSPECTS_MAX = 16
+N_HEARD_MAX = 64
+
+RevisionsHandler = Callable[[str, list[Any]], None]
+SuspectsHandler = Callable[[str, list[Any]], None]
+
+
+@attrs.define
+class _Peer:
+    """What is kept for one peer of the overlay."""
+
+    host: str
+    flush: asyncio.Event = attrs.Factory(asyncio.Event)
+    n_sent: int = 0
+    failing_since_s: float | None = None
+    linked_at_s: float = 0.0
+
+
+class Membership:
+    """Keeps a member table up to date by talking to a few peers.
+
+    Args:
+        make_hello: Returns this daemon's first frame, its uptime up to date.
+        table: Table to keep up to date.
+        network: Links to peers.
+        seeds: Addresses to connect to while the table is empty.
+        get_revisions: Returns the ``revisions`` of the next heartbeat.
+        get_suspects: Returns the ``suspects`` of the next heartbeat.
+        on_revisions: Called with host and ``revisions`` of each heartbeat that
+            has some.
+        on_suspects: Called with host and ``suspects`` likewise.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        make_hello: Callable[[], Hello],
+        table: MemberTable,
+        network: PeerNetwork,
+        *,
+        seeds: Sequence[str] = (),
+        get_revisions: Callable[[], list[Any]] = list,
+        get_suspects: Callable[[], list[Any]] = list,
+        on_revisions: RevisionsHandler = lambda host, revisions: None,
+        on_suspects: SuspectsHandler = lambda host, suspects: None,
+        rng: random.Random | None = None,
+    ) -> None:
+        own = make_hello()
+        self._make_hello = make_hello
+        self._host = own.host
+        self._incarnation = own.incarnation
+        self._failure_domain = own.failure_domain
+        self._table = table
+        self._network = network
+        self._seeds = [seed for seed in seeds if seed != own.peers]
+        self._get_revisions = get_revisions
+        self._get_suspects = get_suspects
+        self._on_revisions = on_revisions
+        self._on_suspects = on_suspects
+        self._rng = rng or random.Random()
+        self._overlay = Overlay(own.host, own.failure_domain)
+        self._rumours = RumourQueue(self._rng)
+        self._peers: dict[str, _Peer] = {}
+        self._callers_of_us: dict[str, float] = {}
+        self._domain_verdicts: dict[str, tuple[float, bool]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._expiring: set[str] = set()
+        self._is_leaving = False
+        self._is_running = False
+
+    @property
+    def peers(self) -> list[str]:
+        """Hosts of the overlay with an open link."""
+        open_hosts = set(self._network.hosts)
+        return [host for host in self._peers if host in open_hosts]
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this host has announced that it leaves."""
+        return self._is_leaving
+
+    async def start(self) -> None:
+        """Start all tasks."""
+        self._is_running = True
+        self._note_hello(self._make_hello())
+        self._spawn(self._keep_overlay())
+        self._spawn(self._sweep_suspects())
+        self._spawn(self._probe_lost())
+
+    async def stop(self) -> None:
+        """Stop all tasks."""
+        self._is_running = False
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        for task in tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    async def handle_control(self, host: str, frame: Frame) -> bool:
+        """Handle a control frame; return whether it was one of membership."""
+        if isinstance(frame, Heartbeat):
+            self._handle_heartbeat(host, frame)
+            return True
+        if isinstance(frame, Goodbye):
+            self._handle_goodbye(host, frame)
+            return True
+        return False
+
+    def note_link(self, hello: Hello, is_up: bool) -> None:
+        """Note that a link went up or down."""
+        if hello.host == self._host or not self._is_running:
+            return
+        if is_up:
+            self._note_hello(hello)
+        else:
+            self._spawn(self._follow_up_lost_link(hello))
+
+    async def announce_leaving(self) -> None:
+        """Tell all linked peers at once that this host takes no new work."""
+        self._is_leaving = True
+        self._table.note_goodbye(self._host, self._incarnation)
+        self._tell(self._host)
+        for host in self._network.hosts:
+            await self._network.send(host, Goodbye(self._host, self._incarnation))
+
+    def forgive_silence(self) -> None:
+        """Start to wait for heartbeats afresh, after a pause of this process."""
+        self._table.forgive_silence()
+        now = _now()
+        for peer in self._peers.values():
+            peer.linked_at_s = now
+            peer.failing_since_s = None
+        self.flush()
+
+    def flush(self) -> None:
+        """Send heartbeats to the overlay now instead of at the next interval."""
+        for peer in self._peers.values():
+            peer.n_sent = 0
+            peer.flush.set()
+
+    def _handle_heartbeat(self, host: str, frame: Heartbeat) -> None:
+        """Merge a heartbeat."""
+        if self._table.note_heartbeat(host, frame.uptime_ms):
+            self._tell(host)
+        member = self._table.get(host)
+        if member is not None:
+            self._note_domain_heard(member.failure_domain)
+        self._callers_of_us[host] = _now()
+        self._follow(host)
+        for values in frame.rumours[:N_HEARD_MAX]:
+            rumour = Rumour.unpack(values)
+            if rumour.is_ok():
+                self._hear(host, rumour.ok_value)
+        if frame.suspects:
+            self._on_suspects(host, frame.suspects[:N_SUSPECTS_MAX])
+        if frame.revisions:
+            self._on_revisions(host, frame.revisions)
+
+    def _handle_goodbye(self, host: str, frame: Goodbye) -> None:
+        """Merge a goodbye, which only counts for its sender."""
+        if frame.host == host and self._table.note_goodbye(host, frame.incarnation):
+            self._tell(host)
+
+    def _hear(self, source: str, rumour: Rumour) -> None:
+        """Merge a rumour, and pass it on or refute it."""
+        told = rumour.member
+        if told.host == self._host:
+            self._hear_of_self(rumour)
+            return
+        news = self._table.hear(rumour)
+        if news is News.NEW:
+            self._tell(told.host, source)
+        elif news is News.REFUTED:
+            self._tell(told.host)
+
+    def _hear_of_self(self, rumour: Rumour) -> None:
+        """Refute a suspicion of this host."""
+        told = rumour.member
+        is_suspicion = told.status is MemberStatus.SUSPECT
+        if is_suspicion and told.incarnation == self._incarnation:
+            self._table.note_heartbeat(self._host, self._make_hello().uptime_ms)
+            self._tell(self._host)
+
+    def _tell(self, host: str, source: str = "") -> None:
+        """Queue what is known of a host for the overlay, and send it soon."""
+        rumour = self._table.rumour_of(host)
+        if rumour is None:
+            return
+        self._rumours.put(rumour, len(self._table), source)
+        for peer in self._peers.values():
+            peer.flush.set()
+
+    def _note_hello(self, hello: Hello) -> None:
+        """Merge the first frame of a peer."""
+        if self._table.note_hello(_member_of(hello), hello.uptime_ms):
+            self._tell(hello.host)
+        self._note_domain_heard(hello.failure_domain)
+
+    def _note_domain_heard(self, failure_domain: str) -> None:
+        """End the verdict that a failure domain is cut off."""
+        verdict = self._domain_verdicts.pop(failure_domain, None)
+        if verdict is not None and verdict[1]:
+            self._table.mark_domain_back(failure_domain)
+
+    async def _keep_overlay(self) -> None:
+        """Follow the chosen peers, for ever."""
+        while True:
+            usable = self._table.usable()
+            chosen = self._overlay.choose(usable)
+            for host in chosen:
+                self._follow(host)
+            if not self.peers:
+                await self._connect_to_seeds()
+            await asyncio.sleep(self._jittered(SWEEP_INTERVAL_S))
+
+    async def _connect_to_seeds(self) -> None:
+        """Open links to the addresses in the settings."""
+        for seed in self._seeds:
+            hello = await self._connect(seed)
+            if hello is not None:
+                self._callers_of_us[hello.host] = _now()
+                self._follow(hello.host)
+
+    def _follow(self, host: str) -> None:
+        """Start to exchange heartbeats with a peer, unless that is so."""
+        if host in self._peers or host == self._host or not self._is_running:
+            return
+        peer = _Peer(host, linked_at_s=_now())
+        self._peers[host] = peer
+        self._spawn(self._exchange_heartbeats(peer))
+
+    def _is_followed(self, host: str) -> bool:
+        """Return whether a peer was chosen, or has chosen this host."""
+        if host in self._overlay.chosen:
+            return True
+        return _now() - self._callers_of_us.get(host, -SILENCE_S) < SILENCE_S
+
+    async def _exchange_heartbeats(self, peer: _Peer) -> None:
+        """Exchange heartbeats with one peer while it is followed."""
+        try:
+            while self._is_followed(peer.host):
+                await self._exchange_one(peer)
+        finally:
+            del self._peers[peer.host]
+            self._callers_of_us.pop(peer.host, None)
+
+    async def _exchange_one(self, peer: _Peer) -> None:
+        """Send one heartbeat and wait until the next is due."""
+        if not await self._ensure_link(peer):
+            self._note_failure(peer)
+            await asyncio.sleep(self._jittered(CONNECT_RETRY_S))
+            return
+        peer.flush.clear()
+        await self._network.send(peer.host, self._next_heartbeat(peer))
+        await asyncio.sleep(FLUSH_GAP_S)
+        interval_s = self._jittered(HEARTBEAT_INTERVAL_S) - FLUSH_GAP_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(interval_s):
+                await peer.flush.wait()
+        self._check_silence(peer)
+
+    async def _ensure_link(self, peer: _Peer) -> bool:
+        """Return whether there is a link, opened if need be."""
+        if self._network.hello(peer.host) is not None:
+            return True
+        member = self._table.get(peer.host)
+        if member is None:
+            return False
+        hello = await self._connect(member.peers_address)
+        if hello is None or hello.host != peer.host:
+            return False
+        peer.linked_at_s = _now()
+        peer.failing_since_s = None
+        peer.n_sent = 0
+        return True
+
+    async def _connect(self, peers_address: str) -> Hello | None:
+        """Open a link and merge its first frame."""
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                result = await self._network.connect(peers_address)
+        except TimeoutError:
+            return None
+        if result.is_err():
+            return None
+        hello = result.ok_value
+        if hello.host != self._host:
+            self._note_hello(hello)
+        return hello
+
+    def _next_heartbeat(self, peer: _Peer) -> Heartbeat:
+        """Return the next heartbeat for a peer."""
+        has_revisions = peer.n_sent % REVISIONS_EVERY == 0
+        peer.n_sent += 1
+        return Heartbeat(
+            uptime_ms=self._make_hello().uptime_ms,
+            rumours=self._rumours.take(peer.host, N_RUMOURS_MAX),
+            suspects=self._get_suspects()[:N_SUSPECTS_MAX],
+            revisions=self._get_revisions() if has_revisions else [],
+        )
+
+    def _check_silence(self, peer: _Peer) -> None:
+        """Suspect a linked peer that sent no heartbeat for long."""
+        heard_at_s = self._table.heard_at_s(peer.host) or 0.0
+        silent_s = _now() - max(heard_at_s, peer.linked_at_s)
+        if silent_s > SILENCE_S:
+            self._network.disconnect(peer.host)
+            self._note_failure(peer)
+
+    def _note_failure(self, peer: _Peer) -> None:
+        """Suspect a peer that cannot be reached."""
+        if peer.failing_since_s is None:
+            peer.failing_since_s = _now()
+        self._suspect(peer.host)
+
+    def _suspect(self, host: str) -> None:
+        """Suspect a host and tell others."""
+        if self._table.suspect(host):
+            self._tell(host)
+
+    async def _follow_up_lost_link(self, hello: Hello) -> None:
+        """Suspect a host whose link went down, if it cannot be reached again."""
+        await asyncio.sleep(self._rng.uniform(0, LINK_LOST_JITTER_S))
+        member = self._table.get(hello.host)
+        if member is None or member.incarnation != hello.incarnation:
+            return
+        if member.status is not MemberStatus.ALIVE:
+            return
+        if self._network.hello(hello.host) is not None:
+            return
+        if await self._connect(member.peers_address) is None:
+            self._suspect(hello.host)
+
+    async def _sweep_suspects(self) -> None:
+        """End suspicions which were not refuted in time, for ever."""
+        while True:
+            await asyncio.sleep(self._jittered(SWEEP_INTERVAL_S))
+            deadline_s = _now() - SUSPICION_S
+            for member in self._table.suspects():
+                since_s = self._table.suspected_at_s(member.host)
+                is_due = since_s is not None and since_s < deadline_s
+                if is_due and member.host not in self._expiring:
+                    self._expiring.add(member.host)
+                    self._spawn(self._expire(member))
+
+    async def _expire(self, member: Member) -> None:
+        """Give a suspected host up, as gone or as cut off."""
+        try:
+            is_cut = await self._is_domain_cut(member.failure_domain, member.host)
+            now = self._table.get(member.host)
+            if now is None or now.status is not MemberStatus.SUSPECT:
+                return
+            self._table.expire(member.host, is_cut)
+            if is_cut:
+                self._table.mark_domain_cut(member.failure_domain)
+        finally:
+            self._expiring.discard(member.host)
+
+    async def _is_domain_cut(self, failure_domain: str, host: str) -> bool:
+        """Return whether no host of a failure domain but this one answers."""
+        if failure_domain == self._failure_domain and not self._is_alone():
+            return False
+        verdict = self._domain_verdicts.get(failure_domain)
+        if verdict is not None and _now() - verdict[0] < DOMAIN_VERDICT_S:
+            return verdict[1]
+        is_cut = not await self._is_domain_heard(failure_domain, host)
+        self._domain_verdicts[failure_domain] = (_now(), is_cut)
+        return is_cut
+
+    def _is_alone(self) -> bool:
+        """Return whether no host of the own failure domain was heard lately."""
+        return not self._was_heard(self._failure_domain)
+
+    def _was_heard(self, failure_domain: str) -> bool:
+        """Return whether a host of a failure domain was heard lately."""
+        earliest_s = _now() - DOMAIN_FRESH_S
+        for member in self._table.all_in_domain(failure_domain):
+            heard_at_s = self._table.heard_at_s(member.host)
+            if member.host != self._host and (heard_at_s or 0.0) > earliest_s:
+                return True
+        return False
+
+    async def _is_domain_heard(self, failure_domain: str, host: str) -> bool:
+        """Return whether a host was heard lately, or answers a probe."""
+        if self._was_heard(failure_domain):
+            return True
+        others = [
+            member
+            for member in self._table.in_domain(failure_domain)
+            if member.host not in (host, self._host)
+        ]
+        probed = self._rng.sample(others, min(DOMAIN_PROBES, len(others)))
+        for member in probed:
+            if await self._connect(member.peers_address) is not None:
+                return True
+        return False
+
+    async def _probe_lost(self) -> None:
+        """Try one lost host of each failure domain from time to time, for ever."""
+        while True:
+            await asyncio.sleep(self._jittered(PROBE_INTERVAL_S))
+            for member in self._lost_by_domain():
+                await self._connect(member.peers_address)
+
+    def _lost_by_domain(self) -> list[Member]:
+        """Return a random lost host of each failure domain."""
+        lost: dict[str, list[Member]] = {}
+        for member in self._table.members:
+            is_lost = member.status in (MemberStatus.UNREACHABLE, MemberStatus.GONE)
+            if is_lost and self._table.is_listed(member.host):
+                lost.setdefault(member.failure_domain, []).append(member)
+        return [self._rng.choice(members) for members in lost.values()]
+
+    def _jittered(self, interval_s: float) -> float:
+        """Return an interval with jitter."""
+        factor = self._rng.uniform(1 - HEARTBEAT_JITTER, 1 + HEARTBEAT_JITTER)
+        return interval_s * factor
+
+    def _spawn(self, coroutine: Any) -> None:
+        """Run a coroutine as a task until ``stop``."""
+        if not self._is_running:
+            coroutine.close()
+            return
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _member_of(hello: Hello) -> Member:
+    """Return the sender of a first frame as a member."""
+    return Member(
+        hello.host,
+        hello.service,
+        hello.failure_domain,
+        hello.region,
+        hello.peers,
+        hello.incarnation,
+        MemberStatus.ALIVE,
+    )
+
+
+def _now() -> float:
+    """Return the time of the event loop."""
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/savoryroute/savoryroute/protocol/memory_network.py
@@ -0,0 +1,261 @@
+"""In-memory twin of the links between daemons, with faults on demand."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok, Result
+
+from ..errors import ConnectionClosedError
+from .frames import Frame, Hello, encode
+from .peer_network import ControlHandler, LinkHandler, PeerNetwork
+
+__all__ = ["MemoryNetwork", "Switchboard"]
+
+CONNECT_TIMEOUT_S = 1.0
+DELAY_S = 0.001
+HEADER_BYTES = 60
+"""Bytes of WebSocket, TCP and IP headers on each message."""
+
+
+@attrs.define
+class Traffic:
+    """Messages and bytes that one host has sent."""
+
+    n_messages: int = 0
+    n_bytes: int = 0
+    by_kind: Counter[str] = attrs.Factory(Counter)
+
+
+@attrs.define(eq=False)
+class _Link:
+    """One open connection between two networks."""
+
+    ends: tuple[MemoryNetwork, MemoryNetwork]
+    hellos: dict[str, Hello]
+    is_open: bool = True
+    last_due_s: dict[str, float] = attrs.Factory(dict)
+
+    def other(self, network: MemoryNetwork) -> MemoryNetwork:
+        """Return the network at the other end."""
+        return self.ends[1] if self.ends[0] is network else self.ends[0]
+
+
+class Switchboard:
+    """All in-memory networks, and the faults between them.
+
+    Attributes:
+        drop_fraction: Share of frames lost.
+        duplicate_fraction: Share of frames delivered twice.
+        delay_s: Least and most delay of a frame.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self._random = random.Random(seed)
+        self._networks: dict[str, MemoryNetwork] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self._context = contextvars.copy_context()
+        self.drop_fraction = 0.0
+        self.duplicate_fraction = 0.0
+        self.delay_s = (DELAY_S, DELAY_S)
+
+    @property
+    def context(self) -> contextvars.Context:
+        """Context of what belongs to no host, such as frames under way."""
+        return self._context
+
+    def join(self, network: MemoryNetwork) -> None:
+        """Take part, in place of whoever had the address."""
+        self._networks[network.own_hello.peers] = network
+
+    def leave(self, network: MemoryNetwork) -> None:
+        """End a process: its links close and its address refuses."""
+        address = network.own_hello.peers
+        if self._networks.get(address) is network:
+            del self._networks[address]
+        network.close_all()
+
+    def find(self, peers_address: str) -> MemoryNetwork | None:
+        """Return the network at an address, or None."""
+        return self._networks.get(peers_address)
+
+    def cut(self, one: str, other: str) -> None:
+        """Lose all between two hosts, without closing links."""
+        self._cuts.add(frozenset((one, other)))
+
+    def heal(self, one: str, other: str) -> None:
+        """End the cut between two hosts."""
+        self._cuts.discard(frozenset((one, other)))
+
+    def heal_all(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Return whether two hosts are cut off from each other."""
+        return bool(self._cuts) and frozenset((one, other)) in self._cuts
+
+    def copies(self) -> int:
+        """Draw how many times the next frame arrives."""
+        if self.drop_fraction and self._random.random() < self.drop_fraction:
+            return 0
+        if self.duplicate_fraction:
+            return 1 + (self._random.random() < self.duplicate_fraction)
+        return 1
+
+    def draw_delay_s(self) -> float:
+        """Draw the delay of the next frame."""
+        low, high = self.delay_s
+        return low if low == high else self._random.uniform(low, high)
+
+
+class MemoryNetwork(PeerNetwork):
+    """Links of one host through a switchboard."""
+
+    def __init__(
+        self, switchboard: Switchboard, make_hello: Callable[[], Hello]
+    ) -> None:
+        self._switchboard = switchboard
+        self._make_hello = make_hello
+        self._links: dict[str, _Link] = {}
+        self._on_control: ControlHandler | None = None
+        self._on_link: LinkHandler | None = None
+        self._inbox: asyncio.Queue[tuple[str, Frame]] = asyncio.Queue()
+        self._reader: asyncio.Task[None] | None = None
+        self._traffic = Traffic()
+        self._own_hello = make_hello()
+        self._context = contextvars.copy_context()
+        switchboard.join(self)
+
+    @property
+    def own_hello(self) -> Hello:
+        """First frame of this host, as of its start."""
+        return self._own_hello
+
+    @property
+    def traffic(self) -> Traffic:
+        """What this host has sent."""
+        return self._traffic
+
+    @property
+    def hosts(self) -> list[str]:
+        """Names of the hosts with an open link."""
+        return list(self._links)
+
+    async def connect(self, peers_address: str) -> Result[Hello, ConnectionClosedError]:
+        """Open a link to an address, or reuse the open one."""
+        for link in self._links.values():
+            other = link.other(self)
+            if other.own_hello.peers == peers_address:
+                return Ok(link.hellos[other.own_hello.host])
+        await asyncio.sleep(2 * self._switchboard.draw_delay_s())
+        other = self._switchboard.find(peers_address)
+        if other is None or other is self:
+            return Err(ConnectionClosedError("refused"))
+        if self._switchboard.is_cut(self._own_hello.host, other.own_hello.host):
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            return Err(ConnectionClosedError("timeout"))
+        open_link = self._links.get(other.own_hello.host)
+        if open_link is None:
+            open_link = self._open(other)
+        return Ok(open_link.hellos[other.own_hello.host])
+
+    async def send(self, host: str, frame: Frame) -> bool:
+        """Send a control frame; return whether there was a link to send it on."""
+        link = self._links.get(host)
+        if link is None:
+            return False
+        self._count(frame)
+        own = self._own_hello.host
+        for _ in range(self._switchboard.copies()):
+            if not self._switchboard.is_cut(own, host):
+                self._deliver(link, host, frame)
+        return True
+
+    def hello(self, host: str) -> Hello | None:
+        """Return the first frame of the peer on the open link, or None."""
+        link = self._links.get(host)
+        return link.hellos[host] if link else None
+
+    def disconnect(self, host: str) -> None:
+        """Close the link to a host, if there is one."""
+        link = self._links.get(host)
+        if link is not None:
+            self._close(link)
+
+    def set_handlers(self, on_control: ControlHandler, on_link: LinkHandler) -> None:
+        """Set who hears of control frames and of links going up or down."""
+        self._on_control = on_control
+        self._on_link = on_link
+
+    async def start(self) -> None:
+        """Start to hand over what arrives."""
+        self._reader = asyncio.create_task(self._read())
+
+    def close_all(self) -> None:
+        """Close all links and stop."""
+        for link in list(self._links.values()):
+            self._close(link)
+        if self._reader is not None:
+            self._reader.cancel()
+
+    def _open(self, other: MemoryNetwork) -> _Link:
+        """Open a link and tell both ends."""
+        mine, theirs = self._make_hello(), other._make_hello()
+        link = _Link((self, other), {mine.host: mine, theirs.host: theirs})
+        self._links[theirs.host] = link
+        other._links[mine.host] = link
+        self._tell_link(theirs, True)
+        other._tell_link(mine, True)
+        return link
+
+    def _close(self, link: _Link) -> None:
+        """Close a link; each end that can hear of it is told."""
+        if not link.is_open:
+            return
+        link.is_open = False
+        for end in link.ends:
+            host = link.other(end).own_hello.host
+            if end._links.get(host) is link:
+                del end._links[host]
+                end._tell_link(link.hellos[host], False)
+
+    def _tell_link(self, hello: Hello, is_up: bool) -> None:
+        """Tell of a link in a callback of its own."""
+        if self._on_link is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._on_link, hello, is_up, context=self._context)
+
+    def _deliver(self, link: _Link, host: str, frame: Frame) -> None:
+        """Have a frame arrive after its delay, in the order of the link."""
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + self._switchboard.draw_delay_s()
+        due_s = max(due_s, link.last_due_s.get(host, 0.0))
+        link.last_due_s[host] = due_s
+        context = self._switchboard.context
+        loop.call_at(due_s, self._arrive, link, host, frame, context=context)
+
+    def _arrive(self, link: _Link, host: str, frame: Frame) -> None:
+        """Put a frame into the inbox of the other end."""
+        own = self._own_hello.host
+        if link.is_open and not self._switchboard.is_cut(own, host):
+            link.other(self)._inbox.put_nowait((own, frame))
+
+    async def _read(self) -> None:
+        """Hand over frames one after the other, for ever."""
+        while True:
+            host, frame = await self._inbox.get()
+            if self._on_control is not None:
+                await self._on_control(host, frame)
+
+    def _count(self, frame: Frame) -> None:
+        """Count a frame as sent."""
+        self._traffic.n_messages += 1
+        n_bytes = len(encode(frame)) + HEADER_BYTES
+        self._traffic.n_bytes += n_bytes
+        self._traffic.by_kind[type(frame).__name__] += n_bytes
--- a/packages/savoryroute/savoryroute/state/members.py
+++ b/packages/savoryroute/savoryroute/state/members.py
@@ -8,7 +8,8 @@
    kept, since delays only make an estimate later. An incarnation once superseded
    never comes back. A Hello on a link beats what is known from hearsay only.
 2. Within one incarnation the host's own uptime counts the evidence. A suspicion
-   states the uptime last heard; a later uptime refutes it.
+   states the uptime last heard; an uptime later by more than a heartbeat
+   refutes it.
 3. LEAVING is final for its incarnation. Only GONE follows it.
 4. The platform's list has no incarnations and lags. It adds hosts, and it speaks
    for hosts of which nothing else is known. Its ``leaving`` is believed of an
@@ -27,7 +28,6 @@
 from result import Err, Ok, Result
 
 from ..errors import FrameError
-from ..protocol.frames import Hello
 from .host_list import HostList, ListedHost
 
 __all__ = [
@@ -40,6 +40,7 @@
 ]
 
 LIST_LAG_S = 60.0
+REFUTE_MARGIN_MS = 1500
 N_SUPERSEDED = 8
 TEXT_MAX = 256
 NUMBER_MAX = 2**63 - 1
@@ -200,7 +201,9 @@
 
     def of_service(self, service: str) -> list[Member]:
         """Return the members that may take new work, suspects last."""
-        found = [self._entries[host].member for host in self._by_service.get(service, ())]
+        found = [
+            self._entries[host].member for host in self._by_service.get(service, ())
+        ]
         alive = [item for item in found if item.status is MemberStatus.ALIVE]
         suspects = [item for item in found if item.status is MemberStatus.SUSPECT]
         return alive + suspects
@@ -264,31 +267,22 @@
             if host not in host_list.hosts:
                 self._unlist(entry)
 
-    def note_hello(self, hello: Hello) -> bool:
-        """Note the first frame of a link; return whether it is news to others."""
-        member = Member(
-            hello.host,
-            hello.service,
-            hello.failure_domain,
-            hello.region,
-            hello.peers,
-            hello.incarnation,
-            MemberStatus.ALIVE,
-        )
-        entry = self._entries.get(hello.host)
+    def note_hello(self, member: Member, uptime_ms: int) -> bool:
+        """Note what a member says of itself; return whether it is news to others."""
+        entry = self._entries.get(member.host)
         if entry is None:
-            self._add(member, hello.uptime_ms, Evidence.HELLO)
-            self._mark_heard(self._entries[hello.host], hello.uptime_ms)
+            self._add(member, uptime_ms, Evidence.HELLO)
+            self._mark_heard(self._entries[member.host], uptime_ms)
             return True
-        if entry.member.incarnation == hello.incarnation:
-            return self._revive(entry, hello.uptime_ms, Evidence.HELLO)
-        if hello.incarnation in entry.superseded:
+        if entry.member.incarnation == member.incarnation:
+            return self._revive(entry, uptime_ms, Evidence.HELLO)
+        if member.incarnation in entry.superseded:
             return False
-        started_at_s = self._clock() - hello.uptime_ms / 1000
+        started_at_s = self._clock() - uptime_ms / 1000
         if entry.is_direct and started_at_s < entry.started_at_s:
             return False
-        self._supersede(entry, member, hello.uptime_ms, Evidence.HELLO)
-        self._mark_heard(entry, hello.uptime_ms)
+        self._supersede(entry, member, uptime_ms, Evidence.HELLO)
+        self._mark_heard(entry, uptime_ms)
         return True
 
     def note_heartbeat(self, host: str, uptime_ms: int) -> bool:
@@ -412,9 +406,7 @@
         if rumour.uptime_ms <= entry.uptime_ms:
             return News.KNOWN
         self._note_uptime(entry, rumour.uptime_ms)
-        if entry.member.status is MemberStatus.ALIVE:
-            return News.KNOWN
-        if entry.member.status is MemberStatus.LEAVING:
+        if entry.member.status in (MemberStatus.ALIVE, MemberStatus.LEAVING):
             return News.KNOWN
         self._hear_refutation(entry)
         return News.NEW
@@ -431,9 +423,10 @@
         """Merge a suspicion that states the uptime last heard."""
         if uptime_ms < entry.uptime_ms:
             is_alive = entry.member.status is MemberStatus.ALIVE
-            return News.REFUTED if is_alive else News.KNOWN
+            is_refuted = uptime_ms + REFUTE_MARGIN_MS < entry.uptime_ms
+            return News.REFUTED if is_alive and is_refuted else News.KNOWN
         self._note_uptime(entry, uptime_ms)
-        if entry.member.status is not MemberStatus.ALIVE:
+        if entry.member.status not in (MemberStatus.ALIVE, MemberStatus.UNREACHABLE):
             return News.KNOWN
         self._set_status(entry, MemberStatus.SUSPECT, Evidence.RUMOUR)
         return News.NEW
--- a/packages/savoryroute/savoryroute/transport/platform_client.py
+++ b/packages/savoryroute/savoryroute/transport/platform_client.py
@@ -50,6 +50,7 @@
             reason why the platform did not answer.
         """
 
+    @abc.abstractmethod
     async def close(self) -> None:
         """Release connections."""
 
@@ -239,6 +240,9 @@
         except TimeoutError:
             return Ok(None)
 
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
     async def _next(
         self, key: str, after_revision: int
     ) -> Result[PlatformValue | None, PlatformError]:
--- /dev/null
+++ b/packages/savoryroute_lab/savoryroute_lab/memory_fleet.py
@@ -0,0 +1,265 @@
+"""A fleet of in-memory daemons in virtual time, as far as control goes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import json
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+from savoryroute.coordination.control import Control
+from savoryroute.coordination.pause import PauseDetector
+from savoryroute.protocol.frames import Hello
+from savoryroute.protocol.memory_network import MemoryNetwork, Switchboard
+from savoryroute.state.members import Evidence, Member, MemberTable
+from savoryroute.transport.platform_client import MemoryPlatform
+
+from .virtual_loop import PROCESS, VirtualLoop
+
+__all__ = ["Change", "InForce", "MemoryFleet", "Node", "document_text"]
+
+N_SEEDS = 2
+
+
+@attrs.frozen
+class Change:
+    """One change of a member table."""
+
+    time_s: float
+    observer: str
+    old: Member | None
+    new: Member
+    evidence: Evidence
+
+
+@attrs.frozen
+class InForce:
+    """A document that came into force at a node."""
+
+    time_s: float
+    environment: str
+    revision: int
+
+
+@attrs.define(eq=False)
+class Node:
+    """One daemon of the fleet."""
+
+    host: str
+    failure_domain: str
+    index: int
+    incarnation: int
+    started_at_s: float
+    table: MemberTable
+    network: MemoryNetwork
+    control: Control
+    context: contextvars.Context
+    in_force: list[InForce] = attrs.Factory(list)
+    audit: list[tuple[str, str, str]] = attrs.Factory(list)
+
+
+class MemoryFleet:
+    """Daemons of several failure domains at one platform.
+
+    Args:
+        n_domains: Failure domains.
+        n_hosts: Hosts in each.
+        seed: Seed of all that is random.
+        n_services: Services that the hosts are spread over.
+    """
+
+    def __init__(
+        self, n_domains: int, n_hosts: int, seed: int, n_services: int = 2
+    ) -> None:
+        self._seed = seed
+        self._rng = random.Random(seed)
+        self._n_services = n_services
+        self.switchboard = Switchboard(seed)
+        self.platform = MemoryPlatform()
+        self.nodes: dict[str, Node] = {}
+        self.changes: list[Change] = []
+        self.names = [
+            (f"h{domain}-{number}", f"d{domain}")
+            for domain in range(n_domains)
+            for number in range(n_hosts)
+        ]
+        self._index = {host: index for index, (host, _) in enumerate(self.names)}
+        self._domain = dict(self.names)
+        self._is_listed_leaving: set[str] = set()
+
+    @property
+    def loop(self) -> VirtualLoop:
+        """The running loop."""
+        return asyncio.get_running_loop()  # type: ignore[return-value]
+
+    def publish_hosts(self) -> int:
+        """Publish the list of all hosts and return its revision."""
+        entries = []
+        for host, failure_domain in self.names:
+            is_leaving = host in self._is_listed_leaving
+            entries.append(
+                {
+                    "host": host,
+                    "service": self._service(host),
+                    "failure_domain": failure_domain,
+                    "region": "r",
+                    "peers": self._address(host),
+                    "status": "leaving" if is_leaving else "live",
+                }
+            )
+        return self.platform.publish("hosts", json.dumps({"hosts": entries}))
+
+    def list_leaving(self, host: str) -> None:
+        """Have the next published list call a host leaving."""
+        self._is_listed_leaving.add(host)
+
+    async def start_all(self) -> None:
+        """Start all nodes."""
+        for host, _ in self.names:
+            await self.start(host)
+
+    async def start(self, host: str) -> Node:
+        """Start a host's daemon with empty memory, in place of a former one."""
+        await self.stop(host)
+        context = contextvars.copy_context()
+        context.run(PROCESS.set, host)
+        node = context.run(self._make, host, context)
+        self.nodes[host] = node
+        await self._run_in(context, node.network.start())
+        await self._run_in(context, node.control.start())
+        return node
+
+    async def stop(self, host: str) -> None:
+        """End a host's daemon without a word, as by SIGKILL."""
+        node = self.nodes.pop(host, None)
+        if node is None:
+            return
+        self.loop.resume(host)
+        self.switchboard.leave(node.network)
+        await node.control.stop()
+
+    async def stop_all(self) -> None:
+        """End all daemons."""
+        for host in list(self.nodes):
+            await self.stop(host)
+
+    def cut_domains(self, one: str, other: str) -> None:
+        """Cut two failure domains off from each other."""
+        for left, right in self._pairs(one, other):
+            self.switchboard.cut(left, right)
+
+    def heal_domains(self, one: str, other: str) -> None:
+        """End the cut between two failure domains."""
+        for left, right in self._pairs(one, other):
+            self.switchboard.heal(left, right)
+
+    def in_domain(self, failure_domain: str) -> list[str]:
+        """Return the names of a failure domain's hosts."""
+        return [host for host, domain in self.names if domain == failure_domain]
+
+    def address(self, host: str) -> str:
+        """Return the address at which a host takes peers."""
+        return self._address(host)
+
+    def _pairs(self, one: str, other: str) -> list[tuple[str, str]]:
+        """Return all pairs of hosts of two failure domains."""
+        return [
+            (left, right)
+            for left in self.in_domain(one)
+            for right in self.in_domain(other)
+        ]
+
+    def _make(self, host: str, context: contextvars.Context) -> Node:
+        """Build a daemon."""
+        loop = self.loop
+        rng = random.Random(self._rng.getrandbits(64))
+        incarnation = rng.getrandbits(63)
+        started_at_s = loop.time()
+        failure_domain = self._domain[host]
+
+        def make_hello() -> Hello:
+            return Hello(
+                host,
+                incarnation,
+                self._service(host),
+                failure_domain,
+                "r",
+                self._address(host),
+                round((loop.time() - started_at_s) * 1000),
+            )
+
+        def on_change(
+            name: str, old: Member | None, new: Member, evidence: Evidence
+        ) -> None:
+            if old is not None:
+                self.changes.append(Change(loop.time(), host, old, new, evidence))
+
+        in_force: list[InForce] = []
+        audit: list[tuple[str, str, str]] = []
+
+        def on_document(
+            environment: str, document: Any, revision: int, plain: dict
+        ) -> None:
+            in_force.append(InForce(loop.time(), environment, revision))
+
+        table = MemberTable(host, on_change, loop.time)
+        network = MemoryNetwork(self.switchboard, make_hello)
+        seeds = [self._address(name) for name, _ in self._seeds()]
+        control = Control(
+            make_hello,
+            table,
+            network,
+            self.platform.reader(host),
+            PauseDetector(clock=loop.time),
+            on_document,
+            seeds=seeds,
+            on_audit=lambda *entry: audit.append(entry),
+            rng=rng,
+        )
+        return Node(
+            host,
+            failure_domain,
+            self._index[host],
+            incarnation,
+            started_at_s,
+            table,
+            network,
+            control,
+            context,
+            in_force,
+            audit,
+        )
+
+    async def _run_in(
+        self, context: contextvars.Context, coroutine: Coroutine[Any, Any, None]
+    ) -> None:
+        """Run a coroutine in a node's context."""
+        await self.loop.create_task(coroutine, context=context)
+
+    def _seeds(self) -> list[tuple[str, str]]:
+        """Return the hosts that every daemon begins with."""
+        return self.names[:: max(1, len(self.names) // N_SEEDS)][:N_SEEDS]
+
+    def _service(self, host: str) -> str:
+        """Return the service of a host."""
+        return f"s{self._index[host] % self._n_services}"
+
+    def _address(self, host: str) -> str:
+        """Return the address of a host."""
+        index = self._index[host]
+        return f"10.{index // 65536}.{index // 256 % 256}.{index % 256}:1"
+
+
+def document_text(version: int, environment: str = "production") -> str:
+    """Return the text of a small valid document."""
+    plain = {
+        "environment": environment,
+        "version": version,
+        "classes": {"order": {"rank": 0, "timeout_ms": 1000 + version}},
+        "services": {"s0": {"slots": 4}},
+    }
+    return json.dumps(plain)
