--- a/packages/savoryroute/savoryroute/transport/platform_client.py
+++ b/packages/savoryroute/savoryroute/transport/platform_client.py
@@ -50,8 +50,9 @@
             reason why the platform did not answer.
         """
 
-    async def close(self) -> None:  # noqa: B027
-        """Release connections; a reader without any has nothing to do."""
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Release connections."""
 
 
 class HttpPlatform(PlatformReader):
@@ -239,6 +240,9 @@
         except TimeoutError:
             return Ok(None)
 
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
     async def _next(
         self, key: str, after_revision: int
     ) -> Result[PlatformValue | None, PlatformError]:
