--- a/packages/savoryroute_lab/savoryroute_lab/caller.py
+++ b/packages/savoryroute_lab/savoryroute_lab/caller.py
@@ -57,7 +57,8 @@
         method: HTTP method.
         idempotent: Whether the action may run more than once.
         plan: Chain below the upstream, and faults asked for.
-        timeout_s: Time for one attempt.
+        timeout_s: Time for one attempt, as told to the entry.
+        grace_s: Time that the caller waits beyond it.
         resend: What the caller does without a whole answer.
         maximum_sends: Most attempts, those for a first key included.
         body: Body sent.
@@ -71,6 +72,7 @@
     idempotent: bool = True
     plan: Plan = Plan()
     timeout_s: float = 2.0
+    grace_s: float = 0.2
     resend: Resend = Resend.NEVER
     maximum_sends: int = 6
     body: bytes = b""
@@ -209,7 +211,7 @@
                 self._url(send, request, entry),
                 headers=headers,
                 data=send.body or None,
-                timeout=aiohttp.ClientTimeout(total=send.timeout_s),
+                timeout=aiohttp.ClientTimeout(total=send.timeout_s + send.grace_s),
             ) as response:
                 body = await response.read()
         except aiohttp.ClientConnectorError as error:
--- a/packages/savoryroute_lab/savoryroute_lab/children.py
+++ b/packages/savoryroute_lab/savoryroute_lab/children.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import time
 from collections.abc import Mapping
 
 import aiohttp
@@ -52,17 +54,17 @@
             self._session = None
 
     async def call(
-        self, plan: Plan, headers: Mapping[str, str], timeout_s: float | None
+        self, plan: Plan, headers: Mapping[str, str], deadline_s: float = math.inf
     ) -> list[ChildFailure]:
         """Make the calls of a plan at once and return what failed.
 
         Args:
             plan: Plan of the request being worked on.
             headers: Headers of that request.
-            timeout_s: Seconds left for it, or None.
+            deadline_s: Monotonic time of its deadline.
         """
         calls = [
-            self._call_step(plan, step, headers, f".{number}", timeout_s)
+            self._call_step(plan, step, headers, f".{number}", deadline_s)
             for number, step in enumerate(plan.children)
         ]
         results = await asyncio.gather(*calls)
@@ -74,13 +76,15 @@
         step: Step,
         headers: Mapping[str, str],
         suffix: str,
-        timeout_s: float | None,
+        deadline_s: float,
     ) -> Result[None, ChildFailure]:
         url = self._base(step.service) + step.path + plan.child_query(step)
         request_id = headers.get(LAB_REQUEST, "") + suffix
         sent = {name: headers[name] for name in PROPAGATED_HEADERS if name in headers}
         sent[LAB_REQUEST] = request_id
-        if timeout_s is not None:
+        timeout_s = None
+        if math.isfinite(deadline_s):
+            timeout_s = max(0.001, deadline_s - time.monotonic())
             sent["grpc-timeout"] = format_timeout(timeout_s)
         result = await self._exchange(step.method, url, sent, timeout_s)
         if isinstance(result, _KeyRequired):
--- /dev/null
+++ b/packages/savoryroute_lab/savoryroute_lab/demo.py
@@ -0,0 +1,292 @@
+"""Demonstration on loopback: load, overload, recovery and faults.
+
+Usage:
+  demo [--seed=N] [--without-daemons]
+
+Options:
+  --seed=N            Seed of arrivals and choices [default: 1].
+  --without-daemons   Callers and upstreams reach the upstreams themselves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from collections.abc import Mapping
+
+import attrs
+import docopt
+import uvloop
+
+from .caller import Caller, Load, LoadClass, Resend, Send
+from .calls import Mark, Plan
+from .deployment import NAIROBI
+from .launcher import Launcher, NotReadyError, daemon_name, upstream_name
+from .oracle import Findings, judge
+from .report import Window, goodput, recovery_s, table
+from .tally import LogicalRequest, Outcome, Tally, quantile, tally_by_class
+from .wiring import Wiring
+from .workloads import NAIROBI_LOAD, VIEW_TIMEOUT_S
+
+__all__ = ["main"]
+
+NOT_READY_EXIT_CODE = 2
+SCALE = 0.1
+COMPARISON_S = 3.0
+COMPARISON_RATE_PER_S = 40.0
+NORMAL_S = 5.0
+OVERLOAD_S = 6.0
+RECOVERY_S = 7.0
+FAULTS_S = 6.0
+SURGE_FACTOR = 3.0
+SLOW_FACTOR = 8.0
+SLOW_SERVICE = "crews"
+KILLED_HOST = "nairobi-catalogue-1"
+KILLED_FOR_S = 1.0
+PAUSED_HOST = "nairobi-planner-2"
+PAUSED_FOR_S = 3.0
+RESTART_POLL_S = 0.5
+UPSTREAM_SETTINGS = {
+    "queue_length": 32,
+    "payload_bytes": 1024,
+    "connection_cost_s": 0.001,
+}
+
+CRASHING = Send(
+    "crashing_view",
+    "catalogue",
+    "/items/crash",
+    plan=Plan(mark=Mark.CRASH),
+    timeout_s=VIEW_TIMEOUT_S,
+    resend=Resend.HARD,
+)
+COMPARED = Send("compared", "catalogue", "/items/{n}", timeout_s=VIEW_TIMEOUT_S)
+
+
+@attrs.frozen
+class Comparison:
+    """Latency of single calls through daemons beside direct ones, in seconds."""
+
+    through_s: list[float]
+    direct_s: list[float]
+
+    def added_ms(self, share: float) -> float:
+        """Return the added latency at a quantile in milliseconds."""
+        through_s = quantile(self.through_s, share)
+        return (through_s - quantile(self.direct_s, share)) * 1000
+
+    def ratio(self, share: float) -> float:
+        """Return the added latency at a quantile over the direct one."""
+        direct_s = quantile(self.direct_s, share)
+        return (quantile(self.through_s, share) - direct_s) / direct_s
+
+
+@attrs.frozen
+class Phases:
+    """Windows of the run."""
+
+    normal: Window
+    overload: Window
+    recovery: Window
+
+    @classmethod
+    def starting(cls, start_s: float) -> Phases:
+        """Return the windows of a run that starts at a monotonic time."""
+        slow_s = start_s + NORMAL_S
+        healed_s = slow_s + OVERLOAD_S
+        return cls(
+            Window(start_s, slow_s),
+            Window(slow_s, healed_s),
+            Window(healed_s, healed_s + RECOVERY_S),
+        )
+
+
+class Demo:
+    """One run of the demonstration.
+
+    Args:
+        seed: Seed of arrivals and choices.
+        has_daemons: Whether calls go through daemons.
+    """
+
+    def __init__(self, seed: int, has_daemons: bool) -> None:
+        self._seed = seed
+        self._has_daemons = has_daemons
+        self._wiring = Wiring.new(NAIROBI.scaled(SCALE))
+        self._launcher = Launcher(self._wiring, UPSTREAM_SETTINGS, has_daemons)
+        self._callers: list[Caller] = []
+
+    async def run(self) -> int:
+        """Run all phases, print the report and return the exit code."""
+        print(f"logs and records: {self._launcher.folder}", flush=True)
+        try:
+            await self._launcher.start()
+            comparison = await self._compare()
+            phases = await self._load()
+        finally:
+            for caller in self._callers:
+                await caller.close()
+            await self._launcher.stop()
+        findings = judge(self._requests(), self._launcher.executions())
+        self._print(comparison, phases, findings)
+        return 0 if findings.is_clean else 1
+
+    def _caller(self, entries: Mapping[str, list[str]], mints_ahead: bool) -> Caller:
+        caller = Caller(entries, self._seed, self._has_daemons, mints_ahead)
+        self._callers.append(caller)
+        return caller
+
+    def _requests(self) -> list[LogicalRequest]:
+        return [request for caller in self._callers for request in caller.requests]
+
+    async def _compare(self) -> Comparison:
+        direct = Caller(self._wiring.upstream_addresses(), self._seed, False)
+        through = self._caller(self._entries(), mints_ahead=False)
+        load = [LoadClass(COMPARISON_RATE_PER_S, (COMPARED,))]
+        await asyncio.gather(
+            Load(direct, load, self._seed).run(COMPARISON_S),
+            Load(through, load, self._seed + 1).run(COMPARISON_S),
+        )
+        await direct.close()
+        return Comparison(_latencies_s(through), _latencies_s(direct))
+
+    async def _load(self) -> Phases:
+        near = self._caller(self._entries(), mints_ahead=False)
+        far = self._caller(self._far_entries(), mints_ahead=True)
+        phases = Phases.starting(time.monotonic())
+        duration_s = NORMAL_S + OVERLOAD_S + RECOVERY_S + FAULTS_S
+        await asyncio.gather(
+            Load(near, NAIROBI_LOAD, self._seed).run(duration_s, _rate_factor),
+            Load(far, NAIROBI_LOAD, self._seed + 1).run(duration_s, _rate_factor),
+            self._script(far),
+        )
+        return phases
+
+    async def _script(self, caller: Caller) -> None:
+        await asyncio.sleep(NORMAL_S)
+        await self._launcher.set_service(SLOW_SERVICE, slow_factor=SLOW_FACTOR)
+        await asyncio.sleep(OVERLOAD_S)
+        await self._launcher.set_service(SLOW_SERVICE, slow_factor=1.0)
+        await asyncio.sleep(RECOVERY_S)
+        await asyncio.gather(
+            self._kill_upstream(), self._pause_daemon(), self._crash(caller)
+        )
+
+    async def _kill_upstream(self) -> None:
+        self._launcher.kill(upstream_name(KILLED_HOST))
+        await asyncio.sleep(KILLED_FOR_S)
+        end_s = time.monotonic() + FAULTS_S - KILLED_FOR_S
+        while time.monotonic() < end_s:
+            await self._launcher.restart_ended()
+            await asyncio.sleep(RESTART_POLL_S)
+
+    async def _pause_daemon(self) -> None:
+        if not self._has_daemons:
+            return
+        self._launcher.pause(daemon_name(PAUSED_HOST))
+        await asyncio.sleep(PAUSED_FOR_S)
+        self._launcher.resume(daemon_name(PAUSED_HOST))
+
+    async def _crash(self, caller: Caller) -> None:
+        await asyncio.sleep(FAULTS_S / 2)
+        await caller.send(CRASHING)
+
+    def _entries(self) -> dict[str, list[str]]:
+        if self._has_daemons:
+            return self._wiring.near_entries()
+        return self._wiring.upstream_addresses()
+
+    def _far_entries(self) -> dict[str, list[str]]:
+        if self._has_daemons:
+            return self._wiring.all_entries()
+        return self._wiring.upstream_addresses()
+
+    def _print(
+        self, comparison: Comparison, phases: Phases, findings: Findings
+    ) -> None:
+        requests = self._requests()
+        tallies = tally_by_class(requests)
+        print(table(tallies.values()))
+        for name, n_executions in sorted(findings.executions.items()):
+            n_sent = tallies[name].n_sent
+            print(f"{name}: {n_executions} executions of {n_sent} actions")
+        summary = _summary(requests, tallies, comparison, phases, findings)
+        print(_goodput_line(summary))
+        print(_latency_line(summary))
+        print(json.dumps(summary))
+
+
+def _summary(
+    requests: list[LogicalRequest],
+    tallies: Mapping[str, Tally],
+    comparison: Comparison,
+    phases: Phases,
+    findings: Findings,
+) -> dict[str, object]:
+    before = goodput(requests, phases.normal)
+    return {
+        "requests": len(requests),
+        "whole": _count(tallies, Outcome.WHOLE),
+        "refused": _count(tallies, Outcome.REFUSED),
+        "may_have_run": _count(tallies, Outcome.MAY_HAVE_RUN),
+        "failed": _count(tallies, Outcome.FAILED),
+        "wrong": len(findings.wrong),
+        "ran_twice": len(findings.ran_twice),
+        "not_run_but_ran": len(findings.not_run_but_ran),
+        "unended": findings.unended,
+        "most_executions": findings.most_executions,
+        "goodput_before": round(before, 3),
+        "goodput_during": round(goodput(requests, phases.overload), 3),
+        "goodput_after": round(goodput(requests, phases.recovery), 3),
+        "recovery_s": recovery_s(requests, before, phases.recovery),
+        "added_p50_ms": round(comparison.added_ms(0.5), 2),
+        "added_p99_ms": round(comparison.added_ms(0.99), 2),
+        "added_p99_ratio": round(comparison.ratio(0.99), 3),
+    }
+
+
+def _goodput_line(summary: Mapping[str, object]) -> str:
+    return (
+        f"goodput: before {summary['goodput_before']}, during overload "
+        f"{summary['goodput_during']}, after {summary['goodput_after']}; "
+        f"recovery {summary['recovery_s']} s"
+    )
+
+
+def _latency_line(summary: Mapping[str, object]) -> str:
+    return (
+        f"added latency beside direct: p50 {summary['added_p50_ms']} ms, "
+        f"p99 {summary['added_p99_ms']} ms"
+    )
+
+
+def _count(tallies: Mapping[str, Tally], outcome: Outcome) -> int:
+    return sum(tally.outcomes[outcome] for tally in tallies.values())
+
+
+def _latencies_s(caller: Caller) -> list[float]:
+    whole = (r for r in caller.requests if r.outcome is Outcome.WHOLE)
+    return [request.latency_s for request in whole]
+
+
+def _rate_factor(time_s: float) -> float:
+    is_surge = NORMAL_S <= time_s < NORMAL_S + OVERLOAD_S
+    # Two callers share the rates.
+    return (SURGE_FACTOR if is_surge else 1.0) / 2
+
+
+def main() -> int:
+    """Run the demonstration."""
+    options = docopt.docopt(__doc__)
+    demo = Demo(int(options["--seed"]), not options["--without-daemons"])
+    try:
+        return uvloop.run(demo.run())
+    except NotReadyError as error:
+        print(error, file=sys.stderr)
+        return NOT_READY_EXIT_CODE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/savoryroute_lab/savoryroute_lab/oracle.py
+++ b/packages/savoryroute_lab/savoryroute_lab/oracle.py
@@ -9,7 +9,7 @@
 
 from savoryroute.verdict import Verdict
 
-from .records import Execution
+from .records import Execution, ExecutionState
 from .tally import LogicalRequest, Outcome
 
 __all__ = ["Findings", "judge"]
@@ -24,6 +24,7 @@
         ran_twice: A non-idempotent action started more than once.
         not_run_but_ran: The caller was told "not run" of what ran.
         executions: Executions of non-idempotent actions by class.
+        unended: Executions that a crash of their upstream cut off.
         most_executions: Most executions that one action caused on all hops.
     """
 
@@ -31,6 +32,7 @@
     ran_twice: list[str] = attrs.field(factory=list)
     not_run_but_ran: list[str] = attrs.field(factory=list)
     executions: Counter[str] = attrs.field(factory=Counter)
+    unended: int = 0
     most_executions: int = 0
 
     @property
@@ -51,7 +53,10 @@
     own = Counter(execution.request_id for execution in executions)
     roots = Counter(execution.request_id.split(".")[0] for execution in executions)
     keys = {execution.key for execution in executions if execution.key}
-    findings = Findings(most_executions=max(roots.values(), default=0))
+    findings = Findings(
+        unended=sum(e.state is ExecutionState.STARTED for e in executions),
+        most_executions=max(roots.values(), default=0),
+    )
     for request in requests:
         n_executions = own[request.request_id]
         if request.outcome is Outcome.WRONG:
--- /dev/null
+++ b/packages/savoryroute_lab/savoryroute_lab/report.py
@@ -0,0 +1,97 @@
+"""Goodput over time, recovery and the tables of a run."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+from .tally import LogicalRequest, Outcome, Tally
+
+__all__ = ["Window", "goodput", "recovery_s", "table"]
+
+BIN_S = 0.5
+RECOVERED_SHARE = 0.9
+COLUMNS = (
+    ("class", 16),
+    ("sent", 6),
+    ("attempts", 9),
+    ("whole", 6),
+    ("refused", 8),
+    ("may have run", 13),
+    ("failed", 7),
+    ("wrong", 6),
+    ("p50 ms", 8),
+    ("p99 ms", 8),
+)
+
+
+@attrs.frozen
+class Window:
+    """Span of monotonic time."""
+
+    start_s: float
+    end_s: float
+
+    def holds(self, request: LogicalRequest) -> bool:
+        """Return whether the request started in this window."""
+        return self.start_s <= request.started_s < self.end_s
+
+
+def goodput(requests: Iterable[LogicalRequest], window: Window) -> float:
+    """Return the share of requests of a window that brought a whole answer."""
+    inside = [request for request in requests if window.holds(request)]
+    if not inside:
+        return 1.0
+    whole = sum(request.outcome is Outcome.WHOLE for request in inside)
+    return whole / len(inside)
+
+
+def recovery_s(
+    requests: Sequence[LogicalRequest], former: float, window: Window
+) -> float | None:
+    """Return how long goodput took to come back and stay.
+
+    Args:
+        requests: Requests of the whole run.
+        former: Goodput before the trigger.
+        window: From the end of the trigger to the end of the observation.
+
+    Returns:
+        Seconds from the start of the window, or None for no recovery in it.
+    """
+    n_bins = int((window.end_s - window.start_s) / BIN_S)
+    recovered = 0
+    for number in range(n_bins):
+        start_s = window.start_s + number * BIN_S
+        share = goodput(requests, Window(start_s, start_s + BIN_S))
+        if share < RECOVERED_SHARE * former:
+            recovered = number + 1
+    return None if recovered >= n_bins else recovered * BIN_S
+
+
+def table(tallies: Iterable[Tally]) -> str:
+    """Return one line for each class below a line of headings."""
+    lines = ["".join(name.rjust(width) for name, width in COLUMNS)]
+    for tally in sorted(tallies, key=lambda tally: tally.class_name):
+        cells = _cells(tally)
+        widths = (width for _, width in COLUMNS)
+        parts = zip(cells, widths, strict=True)
+        lines.append("".join(cell.rjust(width) for cell, width in parts))
+    return "\n".join(lines)
+
+
+def _cells(tally: Tally) -> list[str]:
+    outcomes = tally.outcomes
+    return [
+        tally.class_name,
+        str(tally.n_sent),
+        str(tally.n_attempts),
+        str(outcomes[Outcome.WHOLE]),
+        str(outcomes[Outcome.REFUSED]),
+        str(outcomes[Outcome.MAY_HAVE_RUN]),
+        str(outcomes[Outcome.FAILED]),
+        str(outcomes[Outcome.WRONG]),
+        f"{tally.latency_s(0.5) * 1000:.1f}",
+        f"{tally.latency_s(0.99) * 1000:.1f}",
+    ]
--- a/packages/savoryroute_lab/savoryroute_lab/upstream.py
+++ b/packages/savoryroute_lab/savoryroute_lab/upstream.py
@@ -16,6 +16,7 @@
 import asyncio
 import enum
 import hashlib
+import math
 import os
 import pathlib
 import random
@@ -226,16 +227,16 @@
             return self._shed("no slot and the queue is full")
         try:
             self._note_utilization()
-            left_s = self._time_left_s(request, arrived_s)
-            if left_s is not None and left_s <= 0:
+            deadline_s = _deadline_s(request, arrived_s)
+            if time.monotonic() >= deadline_s:
                 return self._shed("the deadline has passed")
-            return await self._run(request, body, left_s)
+            return await self._run(request, body, deadline_s)
         finally:
             self._slots.release()
             self._note_utilization()
 
     async def _run(
-        self, request: web.Request, body: bytes, left_s: float | None
+        self, request: web.Request, body: bytes, deadline_s: float
     ) -> web.StreamResponse:
         execution = self._new_execution(request)
         self._record.add(execution)
@@ -245,7 +246,7 @@
             if mark is Mark.CRASH:
                 self.crash()
             await asyncio.sleep(self._work_time_s(request))
-            failures = await self._children.call(plan, request.headers, left_s)
+            failures = await self._children.call(plan, request.headers, deadline_s)
         except asyncio.CancelledError:
             self._record.end(execution, ExecutionState.CANCELLED)
             raise
@@ -272,12 +273,6 @@
             request_id=headers.get(LAB_REQUEST, ""),
         )
 
-    def _time_left_s(self, request: web.Request, arrived_s: float) -> float | None:
-        timeout_s = parse_timeout_s(request.headers.get("grpc-timeout"))
-        if timeout_s is None:
-            return None
-        return timeout_s - (time.monotonic() - arrived_s)
-
     def _work_time_s(self, request: web.Request) -> float:
         settings = self._settings
         spread = 1 + settings.work_jitter * self._random.uniform(-1, 1)
@@ -386,6 +381,11 @@
         return web.json_response({})
 
 
+def _deadline_s(request: web.Request, arrived_s: float) -> float:
+    timeout_s = parse_timeout_s(request.headers.get("grpc-timeout"))
+    return math.inf if timeout_s is None else arrived_s + timeout_s
+
+
 async def _serve(upstream: Upstream, port: int, control_port: int) -> None:
     await upstream.start(port, control_port)
     await wait_for_signal()
--- a/tests/savoryroute_lab/test_caller.py
+++ b/tests/savoryroute_lab/test_caller.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 from aiohttp import web
 
 from savoryroute.verdict import Verdict
@@ -92,9 +93,7 @@
 
     async def test_oracle_sees_a_second_run(self):
         dropped = Plan(mark=Mark.DROP)
-        send = Send(
-            "booking", "crews", "/b", "POST", False, dropped, 1.0, Resend.HARD, 2
-        )
+        send = attrs.evolve(BOOKING, plan=dropped, resend=Resend.HARD, maximum_sends=2)
         request = await self.caller.send(send)
         self.assertEqual(request.outcome, Outcome.MAY_HAVE_RUN)
         self.assertEqual(self.findings().ran_twice, [request.request_id])
