lab: cancellations, and smaller modules for callers and upstreams

Cause: upstream.py and caller.py had grown past one job, and nothing told whether a cancelled booking ran after its cancellation. Conclusion: kept; the oracle has ran_cancelled, and calls without a daemon take the upstreams of a service in turn.

--- a/packages/savoryroute_lab/savoryroute_lab/caller.py
+++ b/packages/savoryroute_lab/savoryroute_lab/caller.py
@@ -1,23 +1,21 @@
-"""Callers: single actions with re-sends, and open-loop load."""
+"""Callers that carry single actions through all of their attempts."""
 
 from __future__ import annotations
 
 import asyncio
-import enum
 import itertools
 import json
 import os
 import random
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 
 import aiohttp
 import attrs
 
-from savoryroute.verdict import Verdict
+from savoryroute.verdict import Reason, Verdict
 
 from .answers import verify_answer
-from .calls import Plan
 from .http import (
     IDEMPOTENCY_KEY,
     LAB_REQUEST,
@@ -25,10 +23,12 @@
     format_timeout,
     new_traceparent,
 )
+from .sends import Resend, Send
 from .tally import Attempt, LogicalRequest
 
-__all__ = ["Caller", "Load", "LoadClass", "Resend", "Send"]
+__all__ = ["Caller"]
 
+CANCELS_HEADER = "Savoryroute-Cancels"
 VERDICT_HEADER = "Savoryroute-Verdict"
 KEY_REQUIRED_STATUS = 428
 SHED_STATUS = 503
@@ -38,55 +38,6 @@
 IDS_PREFIX_BYTES = 4
 
 
-class Resend(enum.StrEnum):
-    """What a caller does where it got no whole answer."""
-
-    NEVER = "never"
-    HARD = "hard"
-    POLITE = "polite"
-
-
-@attrs.frozen
-class Send:
-    """One kind of action.
-
-    Attributes:
-        class_name: Class that the tally counts it under.
-        service: Service called.
-        path: Path; ``{n}`` is replaced by a running number.
-        method: HTTP method.
-        idempotent: Whether the action may run more than once.
-        plan: Chain below the upstream, and faults asked for.
-        timeout_s: Time for one attempt, as told to the entry.
-        grace_s: Time that the caller waits beyond it.
-        resend: What the caller does without a whole answer.
-        maximum_sends: Most attempts, those for a first key included.
-        body: Body sent.
-        headers: Further headers, such as ``Savoryroute-Cancels``.
-    """
-
-    class_name: str
-    service: str
-    path: str
-    method: str = "GET"
-    idempotent: bool = True
-    plan: Plan = Plan()
-    timeout_s: float = 2.0
-    grace_s: float = 0.2
-    resend: Resend = Resend.NEVER
-    maximum_sends: int = 6
-    body: bytes = b""
-    headers: Mapping[str, str] = attrs.field(factory=dict)
-
-
-@attrs.frozen
-class LoadClass:
-    """Kinds of action that arrive at one rate, each as likely as the next."""
-
-    rate_per_s: float
-    sends: tuple[Send, ...]
-
-
 class Caller:
     """Client that counts every attempt and verifies every answer.
 
@@ -120,15 +71,49 @@
             await self._session.close()
             self._session = None
 
-    async def send(self, send: Send, key: str = "") -> LogicalRequest:
+    def prepare(self, send: Send) -> LogicalRequest:
+        """Return a request that is yet to be sent, already counted."""
+        number = next(self._numbers)
+        request = LogicalRequest(
+            class_name=send.class_name,
+            service=send.service,
+            method=send.method,
+            path=send.path.format(n=number),
+            idempotent=send.idempotent,
+            request_id=f"{self._prefix}-{number}",
+            trace_id=os.urandom(16).hex(),
+            started_s=time.monotonic(),
+        )
+        self.requests.append(request)
+        return request
+
+    async def cancel(
+        self, send: Send, cancelled: LogicalRequest, key: str = ""
+    ) -> LogicalRequest:
+        """Carry a cancellation of another action.
+
+        Args:
+            send: Kind of the cancellation.
+            cancelled: Action to cancel, whatever became of it.
+            key: Key of that action; empty for the newest it was sent with.
+        """
+        cancels = key or cancelled.newest_key
+        send = attrs.evolve(send, headers={**send.headers, CANCELS_HEADER: cancels})
+        request = self.prepare(send)
+        request.cancels = cancelled.request_id
+        return await self.send(send, request=request)
+
+    async def send(
+        self, send: Send, key: str = "", request: LogicalRequest | None = None
+    ) -> LogicalRequest:
         """Carry one action through all of its attempts.
 
         Args:
             send: Kind of action.
             key: Idempotency key to start with; empty to get one.
+            request: What ``prepare`` returned; None for a new one.
         """
-        request = self._new_request(send)
-        self.requests.append(request)
+        request = request or self.prepare(send)
         key = key or await self._first_key(send)
         entries = self._order_of_entries(send.service)
         for number in range(send.maximum_sends):
@@ -145,6 +130,8 @@
 
     async def mint(self, service: str, n_keys: int = KEYS_PER_MINT) -> list[str]:
         """Return keys minted by any daemon, or none where none answers."""
+        if not self._has_daemons:
+            return []
         entry = self._random.choice(self._entries[service])
         url = f"http://{entry}/-/keys/{service}?n={n_keys}"
         try:
@@ -155,19 +142,6 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return []
 
-    def _new_request(self, send: Send) -> LogicalRequest:
-        number = next(self._numbers)
-        return LogicalRequest(
-            class_name=send.class_name,
-            service=send.service,
-            method=send.method,
-            path=send.path.format(n=number),
-            idempotent=send.idempotent,
-            request_id=f"{self._prefix}-{number}",
-            trace_id=os.urandom(16).hex(),
-            started_s=time.monotonic(),
-        )
-
     async def _first_key(self, send: Send) -> str:
         if send.idempotent:
             return ""
@@ -190,6 +164,8 @@
             return bool(attempt.next_key)
         if send.resend is Resend.NEVER or attempt.verdict is Verdict.RAN:
             return False
+        if attempt.reason == Reason.CANCELLED:
+            return False
         if not send.idempotent and attempt.verdict is Verdict.NOT_RUN:
             return bool(attempt.next_key) or not self._has_daemons
         return True
@@ -280,67 +256,6 @@
         return self._session
 
 
-class Load:
-    """Open-loop arrivals: actions start by the clock, whatever became of others.
-
-    Args:
-        caller: Caller that carries the actions.
-        classes: What arrives, and how often.
-        seed: Seed of arrival times and of the choice of actions.
-    """
-
-    def __init__(
-        self, caller: Caller, classes: Sequence[LoadClass], seed: int = 0
-    ) -> None:
-        self._caller = caller
-        self._classes = list(classes)
-        self._seed = seed
-        self._tasks: set[asyncio.Task[LogicalRequest]] = set()
-
-    async def run(
-        self, duration_s: float, factor: Callable[[float], float] = lambda _: 1.0
-    ) -> None:
-        """Send for a time, then wait until every action has ended.
-
-        Args:
-            duration_s: Time during which actions arrive.
-            factor: Factor on all rates by time since the start in seconds.
-        """
-        arrivals = [
-            self._arrive(load_class, number, duration_s, factor)
-            for number, load_class in enumerate(self._classes)
-        ]
-        await asyncio.gather(*arrivals)
-        await asyncio.gather(*self._tasks)
-
-    async def _arrive(
-        self,
-        load_class: LoadClass,
-        number: int,
-        duration_s: float,
-        factor: Callable[[float], float],
-    ) -> None:
-        source = random.Random(self._seed * 1000 + number)
-        start_s = time.monotonic()
-        due_s = 0.0
-        while True:
-            rate_per_s = load_class.rate_per_s * factor(due_s)
-            due_s += source.expovariate(rate_per_s)
-            if due_s >= duration_s:
-                return
-            await asyncio.sleep(start_s + due_s - time.monotonic())
-            self._start(source.choice(load_class.sends))
-
-    def _start(self, send: Send) -> None:
-        task = asyncio.create_task(self._caller.send(send))
-        self._tasks.add(task)
-        task.add_done_callback(self._forget)
-
-    def _forget(self, task: asyncio.Task[LogicalRequest]) -> None:
-        if not task.cancelled() and task.exception() is None:
-            self._tasks.discard(task)
-
-
 def _read_answer(
     attempt: Attempt, response: aiohttp.ClientResponse, body: bytes, request_id: str
 ) -> Attempt:
--- a/packages/savoryroute_lab/savoryroute_lab/children.py
+++ b/packages/savoryroute_lab/savoryroute_lab/children.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import aiohttp
 import attrs
@@ -39,12 +40,12 @@
 
     Args:
         upstream_side: Address of the host's own daemon; empty for none.
-        direct: Addresses by service, used where there is no daemon.
+        direct: Addresses by service, taken in turn where there is no daemon.
     """
 
-    def __init__(self, upstream_side: str, direct: Mapping[str, str]) -> None:
+    def __init__(self, upstream_side: str, direct: Mapping[str, Sequence[str]]) -> None:
         self._upstream_side = upstream_side
-        self._direct = dict(direct)
+        self._direct = {name: itertools.cycle(found) for name, found in direct.items()}
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -118,7 +119,7 @@
     def _base(self, service: str) -> str:
         if self._upstream_side:
             return f"http://{self._upstream_side}/{service}"
-        return f"http://{self._direct[service]}"
+        return f"http://{next(self._direct[service])}"
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/packages/savoryroute_lab/savoryroute_lab/demo.py
+++ b/packages/savoryroute_lab/savoryroute_lab/demo.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import json
+import random
 import sys
 import time
 from collections.abc import Mapping
@@ -20,15 +21,22 @@
 import docopt
 import uvloop
 
-from .caller import Caller, Load, LoadClass, Resend, Send
+from .caller import Caller
 from .calls import Mark, Plan
 from .deployment import NAIROBI
 from .launcher import Launcher, NotReadyError, daemon_name, upstream_name
+from .load import Load
 from .oracle import Findings, judge
 from .report import Window, goodput, recovery_s, table
+from .sends import LoadClass, Resend, Send
 from .tally import LogicalRequest, Outcome, Tally, quantile, tally_by_class
 from .wiring import Wiring
-from .workloads import NAIROBI_LOAD, VIEW_TIMEOUT_S
+from .workloads import (
+    CREW_BOOKING,
+    CREW_CANCELLATION,
+    NAIROBI_LOAD,
+    VIEW_TIMEOUT_S,
+)
 
 __all__ = ["main"]
 
@@ -40,6 +48,9 @@
 OVERLOAD_S = 6.0
 RECOVERY_S = 7.0
 FAULTS_S = 6.0
+TOTAL_S = NORMAL_S + OVERLOAD_S + RECOVERY_S + FAULTS_S
+CANCEL_AFTER_S = 0.05
+CANCEL_PAUSE_S = 0.3
 SURGE_FACTOR = 3.0
 SLOW_FACTOR = 8.0
 SLOW_SERVICE = "crews"
@@ -156,11 +167,11 @@
         near = self._caller(self._entries(), mints_ahead=False)
         far = self._caller(self._far_entries(), mints_ahead=True)
         phases = Phases.starting(time.monotonic())
-        duration_s = NORMAL_S + OVERLOAD_S + RECOVERY_S + FAULTS_S
         await asyncio.gather(
-            Load(near, NAIROBI_LOAD, self._seed).run(duration_s, _rate_factor),
-            Load(far, NAIROBI_LOAD, self._seed + 1).run(duration_s, _rate_factor),
+            Load(near, NAIROBI_LOAD, self._seed).run(TOTAL_S, _rate_factor),
+            Load(far, NAIROBI_LOAD, self._seed + 1).run(TOTAL_S, _rate_factor),
             self._script(far),
+            self._cancel_bookings(far),
         )
         return phases
 
@@ -174,6 +185,25 @@
             self._kill_upstream(), self._pause_daemon(), self._crash(caller)
         )
 
+    async def _cancel_bookings(self, caller: Caller) -> None:
+        source = random.Random(self._seed)
+        end_s = time.monotonic() + TOTAL_S
+        while time.monotonic() < end_s:
+            await self._cancel_booking(caller, source.uniform(0, CANCEL_AFTER_S))
+            await asyncio.sleep(CANCEL_PAUSE_S)
+
+    async def _cancel_booking(self, caller: Caller, after_s: float) -> None:
+        """Book and cancel, so that at times the cancellation overtakes."""
+        keys = await caller.mint(CREW_BOOKING.service, 1)
+        if not keys:
+            return
+        key = keys[0]
+        booking = caller.prepare(CREW_BOOKING)
+        booked = asyncio.create_task(caller.send(CREW_BOOKING, key, booking))
+        await asyncio.sleep(after_s)
+        await caller.cancel(CREW_CANCELLATION, booking, key)
+        await booked
+
     async def _kill_upstream(self) -> None:
         self._launcher.kill(upstream_name(KILLED_HOST))
         await asyncio.sleep(KILLED_FOR_S)
@@ -235,6 +265,7 @@
         "wrong": len(findings.wrong),
         "ran_twice": len(findings.ran_twice),
         "not_run_but_ran": len(findings.not_run_but_ran),
+        "ran_cancelled": len(findings.ran_cancelled),
         "unended": findings.unended,
         "most_executions": findings.most_executions,
         "goodput_before": round(before, 3),
--- a/packages/savoryroute_lab/savoryroute_lab/launcher.py
+++ b/packages/savoryroute_lab/savoryroute_lab/launcher.py
@@ -224,7 +224,11 @@
 
     def _direct_options(self) -> list[str]:
         addresses = self._wiring.upstream_addresses()
-        return [f"--direct={name}={found[0]}" for name, found in addresses.items()]
+        return [
+            f"--direct={name}={address}"
+            for name, found in addresses.items()
+            for address in found
+        ]
 
     def _add_daemon(self, upstream: UpstreamSpec) -> str:
         path = self._folder / f"{upstream.host}.json5"
--- a/packages/savoryroute_lab/savoryroute_lab/oracle.py
+++ b/packages/savoryroute_lab/savoryroute_lab/oracle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 
@@ -23,6 +24,8 @@
         wrong: A body that is not whole or not the caller's own came as whole.
         ran_twice: A non-idempotent action started more than once.
         not_run_but_ran: The caller was told "not run" of what ran.
+        ran_cancelled: A cancelled action started after its cancellation had
+            brought its whole answer.
         executions: Executions of non-idempotent actions by class.
         unended: Executions that a crash of their upstream cut off.
         most_executions: Most executions that one action caused on all hops.
@@ -31,6 +34,7 @@
     wrong: list[str] = attrs.field(factory=list)
     ran_twice: list[str] = attrs.field(factory=list)
     not_run_but_ran: list[str] = attrs.field(factory=list)
+    ran_cancelled: list[str] = attrs.field(factory=list)
     executions: Counter[str] = attrs.field(factory=Counter)
     unended: int = 0
     most_executions: int = 0
@@ -38,7 +42,8 @@
     @property
     def is_clean(self) -> bool:
         """Whether no promise was broken."""
-        return not (self.wrong or self.ran_twice or self.not_run_but_ran)
+        broken = self.wrong, self.ran_twice, self.not_run_but_ran, self.ran_cancelled
+        return not any(broken)
 
 
 def judge(
@@ -49,9 +54,10 @@
     An execution belongs to a request by ``x-lab-request``; ids of calls further
     down extend that of the request.
     """
-    executions = list(executions)
+    requests, executions = list(requests), list(executions)
     own = Counter(execution.request_id for execution in executions)
-    roots = Counter(execution.request_id.split(".")[0] for execution in executions)
+    named = (e.request_id for e in executions if e.request_id)
+    roots = Counter(request_id.split(".")[0] for request_id in named)
     keys = {execution.key for execution in executions if execution.key}
     findings = Findings(
         unended=sum(e.state is ExecutionState.STARTED for e in executions),
@@ -69,6 +75,7 @@
         if n_executions > 1:
             findings.ran_twice.append(request.request_id)
     findings.ran_twice += _children_run_twice(executions)
+    findings.ran_cancelled += _ran_cancelled(requests, executions)
     return findings
 
 
@@ -84,3 +91,19 @@
     below = (e for e in executions if e.key and "." in e.request_id)
     starts = Counter((e.key, e.request_id) for e in below)
     return [request_id for (_, request_id), count in starts.items() if count > 1]
+
+
+def _ran_cancelled(
+    requests: list[LogicalRequest], executions: list[Execution]
+) -> list[str]:
+    """Return the actions that started after they had been cancelled."""
+    cancelled_s = {
+        request.cancels: request.ended_s
+        for request in requests
+        if request.cancels and request.outcome is Outcome.WHOLE
+    }
+    return [
+        execution.request_id
+        for execution in executions
+        if execution.started_s > cancelled_s.get(execution.request_id, math.inf)
+    ]
--- a/packages/savoryroute_lab/savoryroute_lab/tally.py
+++ b/packages/savoryroute_lab/savoryroute_lab/tally.py
@@ -73,7 +73,11 @@
 
 @attrs.define
 class LogicalRequest:
-    """One action of a caller with all of its attempts."""
+    """One action of a caller with all of its attempts.
+
+    Attributes:
+        cancels: Logical request that this one cancels, or an empty string.
+    """
 
     class_name: str
     service: str
@@ -84,6 +88,7 @@
     trace_id: str
     started_s: float
     ended_s: float = 0.0
+    cancels: str = ""
     attempts: list[Attempt] = attrs.field(factory=list)
 
     @property
@@ -91,6 +96,12 @@
         """Time from the first attempt to the end of the last."""
         return self.ended_s - self.started_s
 
+    @property
+    def newest_key(self) -> str:
+        """Key that the action went by last, or an empty string."""
+        keys = [attempt.key for attempt in self.attempts if attempt.key]
+        return keys[-1] if keys else ""
+
     @property
     def outcome(self) -> Outcome:
         """What the request came to."""
--- a/packages/savoryroute_lab/savoryroute_lab/upstream.py
+++ b/packages/savoryroute_lab/savoryroute_lab/upstream.py
@@ -14,7 +14,6 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import hashlib
 import math
 import os
@@ -22,8 +21,7 @@
 import random
 import sys
 import time
-from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from weakref import WeakSet
 
 import attrs
@@ -43,10 +41,12 @@
     trace_id_of,
     wait_for_signal,
 )
+from .load_meter import LOAD_REPORT_HEADER, LoadMeter
 from .records import Execution, ExecutionRecord, ExecutionState
 from .slots import Slots
+from .upstream_settings import LoadReport, UpstreamSettings
 
-__all__ = ["LoadReport", "Upstream", "UpstreamSettings", "main"]
+__all__ = ["Upstream", "main"]
 
 SHED_STATUS = 503
 CHILD_FAILED_STATUS = 502
@@ -56,62 +56,6 @@
 STREAM_PAUSE_S = 0.005
 
 
-class LoadReport(enum.StrEnum):
-    """How honest the load reports are."""
-
-    NONE = "none"
-    TRUE = "true"
-    LAGGING = "lagging"
-    LYING = "lying"
-
-
-@attrs.define
-class UpstreamSettings:
-    """Behaviour of an upstream; every member may change at run time.
-
-    Attributes:
-        service: Service that the upstream belongs to.
-        host: Host that it runs on.
-        slots: Most requests at work at a time.
-        queue_length: Most requests waiting for a slot; None for no bound.
-        connections: Most connections open; None for no bound.
-        connection_cost_s: Extra time of the first request of a connection.
-        work_s: Time of the work itself.
-        work_jitter: Share of ``work_s`` by which it varies to both sides.
-        slow_factor: Factor on the work.
-        cold_start_s: Time after a start for which the work takes longer.
-        cold_factor: Factor on the work during a cold start.
-        leaving: Whether health says that the upstream is leaving.
-        sheds: Whether every request is shed.
-        load_report: How honest the load reports are.
-        lying_utilization: What a lying report says.
-        report_lag_s: Age of a lagging report.
-        payload_bytes: Size of an answer's payload.
-        restart_s: Time until a crashed in-process upstream is back.
-        exits_on_crash: Whether a crash ends the process.
-    """
-
-    service: str
-    host: str
-    slots: int = 50
-    queue_length: int | None = None
-    connections: int | None = None
-    connection_cost_s: float = 0.0
-    work_s: float = 0.005
-    work_jitter: float = 0.2
-    slow_factor: float = 1.0
-    cold_start_s: float = 0.0
-    cold_factor: float = 5.0
-    leaving: bool = False
-    sheds: bool = False
-    load_report: LoadReport = attrs.field(default=LoadReport.TRUE, converter=LoadReport)
-    lying_utilization: float = 0.0
-    report_lag_s: float = 5.0
-    payload_bytes: int = 512
-    restart_s: float = 0.5
-    exits_on_crash: bool = False
-
-
 class Upstream:
     """Upstream on one port, with a second port for settings and executions."""
 
@@ -120,7 +64,7 @@
         settings: UpstreamSettings,
         record: ExecutionRecord | None = None,
         upstream_side: str = "",
-        direct: Mapping[str, str] | None = None,
+        direct: Mapping[str, Sequence[str]] | None = None,
     ) -> None:
         self._settings = settings
         self._record = record or ExecutionRecord()
@@ -129,7 +73,7 @@
         self._listener = Listener(self._work_app(), settings.connections)
         self._control = Listener(self._control_app())
         self._seen_connections: WeakSet[asyncio.BaseTransport] = WeakSet()
-        self._utilization: deque[tuple[float, float]] = deque(maxlen=4096)
+        self._meter = LoadMeter()
         self._started_s = 0.0
         self._n_crashes = 0
         self._restart: asyncio.Task[None] | None = None
@@ -342,26 +286,13 @@
         return web.Response(status=CHILD_FAILED_STATUS, text=text, headers=headers)
 
     def _note_utilization(self) -> None:
-        share = self._slots.n_in_flight / max(1, self._slots.n_slots)
-        self._utilization.append((time.monotonic(), share))
+        self._meter.note(self._slots.n_in_flight / max(1, self._slots.n_slots))
 
     def _report(self) -> dict[str, str]:
         if self._settings.load_report is LoadReport.NONE:
             return {}
-        value = f"TEXT cpu_utilization={self._reported_utilization():.3f}"
-        return {"endpoint-load-metrics": value}
-
-    def _reported_utilization(self) -> float:
-        if self._settings.load_report is LoadReport.LYING:
-            return self._settings.lying_utilization
-        lag_s = 0.0
-        if self._settings.load_report is LoadReport.LAGGING:
-            lag_s = self._settings.report_lag_s
-        newest_s = time.monotonic() - lag_s
-        for noted_s, share in reversed(self._utilization):
-            if noted_s <= newest_s:
-                return share
-        return 0.0
+        value = self._meter.reported(self._settings)
+        return {LOAD_REPORT_HEADER: f"TEXT cpu_utilization={value:.3f}"}
 
     async def _control_executions(self, request: web.Request) -> web.Response:
         return web.json_response([attrs.asdict(e) for e in self.executions])
@@ -400,7 +331,10 @@
     settings.exits_on_crash = True
     path = options["--record"]
     record = ExecutionRecord(pathlib.Path(path) if path else None)
-    direct = dict(entry.split("=", 1) for entry in options["--direct"])
+    direct: dict[str, list[str]] = {}
+    for entry in options["--direct"]:
+        service, _, address = entry.partition("=")
+        direct.setdefault(service, []).append(address)
     upstream = Upstream(settings, record, options["--upstream-side"] or "", direct)
     uvloop.run(_serve(upstream, int(options["--port"]), int(options["--control-port"])))
     return 0
--- a/packages/savoryroute_lab/savoryroute_lab/workloads.py
+++ b/packages/savoryroute_lab/savoryroute_lab/workloads.py
@@ -4,10 +4,19 @@
 
 import attrs
 
-from .caller import LoadClass, Resend, Send
 from .calls import Plan, parse_steps
+from .sends import LoadClass, Resend, Send
 
-__all__ = ["ACTION_TIMEOUT_S", "DEEP_SOUTH_LOAD", "NAIROBI_LOAD", "VIEW_TIMEOUT_S"]
+__all__ = [
+    "ACTION_TIMEOUT_S",
+    "CREW_BOOKING",
+    "CREW_CANCELLATION",
+    "DEEP_SOUTH_LOAD",
+    "NAIROBI_LOAD",
+    "POUR_BOOKING",
+    "POUR_CANCELLATION",
+    "VIEW_TIMEOUT_S",
+]
 
 VIEW_TIMEOUT_S = 1.5
 ACTION_TIMEOUT_S = 3.0
@@ -51,6 +60,11 @@
     )
 
 
+CREW_BOOKING = _action("crew_booking", "crews", "POST", "/bookings")
+CREW_CANCELLATION = _action("cancellation", "crews", "POST", "/cancellations")
+POUR_BOOKING = _action("pour_booking", "booking", "POST", "/pours")
+POUR_CANCELLATION = _action("cancellation", "booking", "DELETE", "/loads/{n}")
+
 NAIROBI_LOAD = (
     LoadClass(
         16.0,
@@ -75,12 +89,12 @@
             _action("print_order", "printshop", "POST", "/orders", ORDER_DEPTH_3),
         ),
     ),
-    LoadClass(4.0, (_action("crew_booking", "crews", "POST", "/bookings"),)),
+    LoadClass(4.0, (CREW_BOOKING,)),
     LoadClass(
         2.0,
         (
             _action("cancellation", "printshop", "DELETE", "/orders/{n}"),
-            _action("cancellation", "crews", "POST", "/cancellations"),
+            CREW_CANCELLATION,
         ),
     ),
 )
@@ -104,9 +118,9 @@
     LoadClass(
         4.0,
         (
-            _action("pour_booking", "booking", "POST", "/pours"),
+            POUR_BOOKING,
             _action("pour_booking", "booking", "POST", "/pours", POUR_DEPTH_3),
         ),
     ),
-    LoadClass(2.0, (_action("cancellation", "booking", "DELETE", "/loads/{n}"),)),
+    LoadClass(2.0, (POUR_CANCELLATION,)),
 )
--- a/tests/savoryroute_lab/test_caller.py
+++ b/tests/savoryroute_lab/test_caller.py
@@ -1,20 +1,14 @@
-"""Tests of the load generator and of the oracle."""
+"""Tests of callers: the flow of keys."""
 
 import unittest
 
-import attrs
 from aiohttp import web
 
-from savoryroute.verdict import Verdict
 from savoryroute_lab.answers import Answer, encode_answer
-from savoryroute_lab.caller import Caller, Load, LoadClass, Resend, Send
-from savoryroute_lab.calls import Mark, Plan
+from savoryroute_lab.caller import Caller
 from savoryroute_lab.http import IDEMPOTENCY_KEY, LAB_REQUEST, Listener
-from savoryroute_lab.oracle import judge
-from savoryroute_lab.tally import Outcome, tally_by_class
-from savoryroute_lab.upstream import Upstream, UpstreamSettings
-
-BOOKING = Send("booking", "crews", "/bookings", "POST", idempotent=False)
+from savoryroute_lab.sends import Resend, Send
+from savoryroute_lab.tally import Outcome
 
 
 class FakeDaemon:
@@ -67,39 +61,3 @@
         _, request = await self.send(Send("v", "crews", "/v"), ("not_run", 503, ""))
         self.assertEqual(request.outcome, Outcome.REFUSED)
         self.assertEqual(request.attempts[0].reason, "overload")
-
-
-class DirectTests(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        settings = UpstreamSettings("crews", "crews-1", work_s=0.001)
-        self.upstream = Upstream(settings)
-        await self.upstream.start()
-        self.addAsyncCleanup(self.upstream.stop)
-        entries = {"crews": [self.upstream.address]}
-        self.caller = Caller(entries, has_daemons=False)
-        self.addAsyncCleanup(self.caller.close)
-
-    def findings(self):
-        return judge(self.caller.requests, self.upstream.executions)
-
-    async def test_load_is_tallied_and_clean(self):
-        classes = [LoadClass(100.0, (BOOKING, Send("view", "crews", "/slots")))]
-        await Load(self.caller, classes, seed=1).run(0.5)
-        tallies = tally_by_class(self.caller.requests)
-        self.assertEqual(set(tallies), {"booking", "view"})
-        for tally in tallies.values():
-            self.assertEqual(tally.n_whole, tally.n_sent)
-        self.assertTrue(self.findings().is_clean)
-
-    async def test_oracle_sees_a_second_run(self):
-        dropped = Plan(mark=Mark.DROP)
-        send = attrs.evolve(BOOKING, plan=dropped, resend=Resend.HARD, maximum_sends=2)
-        request = await self.caller.send(send)
-        self.assertEqual(request.outcome, Outcome.MAY_HAVE_RUN)
-        self.assertEqual(self.findings().ran_twice, [request.request_id])
-
-    async def test_oracle_sees_a_run_that_was_denied(self):
-        request = await self.caller.send(Send("view", "crews", "/slots"))
-        (attempt,) = request.attempts
-        object.__setattr__(attempt, "verdict", Verdict.NOT_RUN)
-        self.assertEqual(self.findings().not_run_but_ran, [request.request_id])
--- a/tests/savoryroute_lab/test_report.py
+++ b/tests/savoryroute_lab/test_report.py
@@ -11,9 +11,9 @@
     attempt = Attempt(
         "e", "", started_s, 0.01, status, Verdict.RAN, has_verified_body=status == 200
     )
-    return LogicalRequest(
-        "view", "crews", "GET", "/", True, "r", "t", started_s, started_s, [attempt]
-    )
+    request = LogicalRequest("view", "crews", "GET", "/", True, "r", "t", started_s)
+    request.attempts.append(attempt)
+    return request
 
 
 class ReportTests(unittest.TestCase):
--- a/tests/savoryroute_lab/test_upstream.py
+++ b/tests/savoryroute_lab/test_upstream.py
@@ -11,7 +11,8 @@
 from savoryroute_lab.calls import Mark, Plan, Step, parse_plan
 from savoryroute_lab.http import LAB_REQUEST, client_session
 from savoryroute_lab.records import ExecutionRecord, ExecutionState, read_executions
-from savoryroute_lab.upstream import Upstream, UpstreamSettings
+from savoryroute_lab.upstream import Upstream
+from savoryroute_lab.upstream_settings import UpstreamSettings
 
 
 class UpstreamCase(unittest.IsolatedAsyncioTestCase):
@@ -100,6 +101,12 @@
             await asyncio.sleep(0.01)
         self.assertEqual(upstream.executions[0].state, ExecutionState.CANCELLED)
 
+    async def test_load_reports_may_lie(self):
+        upstream = await self.start(load_report="lying", lying_utilization=0.75)
+        response, _ = await self.get(upstream)
+        report = response.headers["endpoint-load-metrics"]
+        self.assertEqual(report, "TEXT cpu_utilization=0.750")
+
     async def test_settings_change_at_run_time(self):
         upstream = await self.start()
         url = f"http://{upstream.control_address}/lab/set"
@@ -135,9 +142,9 @@
 
     async def test_nested_chain_and_fan_out(self):
         crews = await self.start("crews")
-        direct = {"crews": crews.address}
+        direct = {"crews": [crews.address]}
         catalogue = await self.start("catalogue", direct=direct)
-        direct = {"crews": crews.address, "catalogue": catalogue.address}
+        direct = {"crews": [crews.address], "catalogue": [catalogue.address]}
         planner = await self.start("planner", direct=direct)
         chain = (Step("catalogue", "/items/1"), Step("crews", "/slots"))
         response, _ = await self.get(planner, Plan(chain, fan=(Step("crews", "/f"),)))
@@ -147,6 +154,6 @@
 
     async def test_failed_child_is_not_shed(self):
         crews = await self.start("crews", sheds=True)
-        planner = await self.start("planner", direct={"crews": crews.address})
+        planner = await self.start("planner", direct={"crews": [crews.address]})
         response, _ = await self.get(planner, Plan((Step("crews", "/slots"),)))
         self.assertEqual(response.status, 502)
