--- a/packages/savoryroute_lab/savoryroute_lab/children.py
+++ b/packages/savoryroute_lab/savoryroute_lab/children.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+import itertools
+import math
+import time
+from collections.abc import Mapping, Sequence
 
 import aiohttp
 import attrs
@@ -37,12 +40,12 @@
 
     Args:
         upstream_side: Address of the host's own daemon; empty for none.
-        direct: Addresses by service, used where there is no daemon.
+        direct: Addresses by service, taken in turn where there is no daemon.
     """
 
-    def __init__(self, upstream_side: str, direct: Mapping[str, str]) -> None:
+    def __init__(self, upstream_side: str, direct: Mapping[str, Sequence[str]]) -> None:
         self._upstream_side = upstream_side
-        self._direct = dict(direct)
+        self._direct = {name: itertools.cycle(found) for name, found in direct.items()}
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -52,17 +55,17 @@
             self._session = None
 
     async def call(
-        self, plan: Plan, headers: Mapping[str, str], timeout_s: float | None
+        self, plan: Plan, headers: Mapping[str, str], deadline_s: float = math.inf
     ) -> list[ChildFailure]:
         """Make the calls of a plan at once and return what failed.
 
         Args:
             plan: Plan of the request being worked on.
             headers: Headers of that request.
-            timeout_s: Seconds left for it, or None.
+            deadline_s: Monotonic time of its deadline.
         """
         calls = [
-            self._call_step(plan, step, headers, f".{number}", timeout_s)
+            self._call_step(plan, step, headers, f".{number}", deadline_s)
             for number, step in enumerate(plan.children)
         ]
         results = await asyncio.gather(*calls)
@@ -74,13 +77,15 @@
         step: Step,
         headers: Mapping[str, str],
         suffix: str,
-        timeout_s: float | None,
+        deadline_s: float,
     ) -> Result[None, ChildFailure]:
         url = self._base(step.service) + step.path + plan.child_query(step)
         request_id = headers.get(LAB_REQUEST, "") + suffix
         sent = {name: headers[name] for name in PROPAGATED_HEADERS if name in headers}
         sent[LAB_REQUEST] = request_id
-        if timeout_s is not None:
+        timeout_s = None
+        if math.isfinite(deadline_s):
+            timeout_s = max(0.001, deadline_s - time.monotonic())
             sent["grpc-timeout"] = format_timeout(timeout_s)
         result = await self._exchange(step.method, url, sent, timeout_s)
         if isinstance(result, _KeyRequired):
@@ -114,7 +119,7 @@
     def _base(self, service: str) -> str:
         if self._upstream_side:
             return f"http://{self._upstream_side}/{service}"
-        return f"http://{self._direct[service]}"
+        return f"http://{next(self._direct[service])}"
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
