--- a/packages/savoryroute/savoryroute/state/checking.py
+++ b/packages/savoryroute/savoryroute/state/checking.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 import difflib
-import ipaddress
 import math
 import re
 from collections.abc import Collection, Iterator
 
 from ..errors import CheckError
-from .address import Address
+from .address import PORT_MAX, Address, parse_address
 
 __all__ = ["Members", "describe"]
 
 NAME_PATTERN = re.compile(r"[a-z][a-z0-9_-]{0,63}")
 NAME_ALLOWED = "1 to 64 of a-z, 0-9, - and _, a letter first"
 SHOWN_CHARACTERS = 60
-PORT_MAX = 65535
 
 _REQUIRED = object()
 
@@ -206,7 +204,7 @@
         return value
 
     def _as_address(self, name: str, value: object, lowest_port: int) -> Address:
-        address = _parse_address(value)
+        address = parse_address(value)
         if address is None or not lowest_port <= address.port <= PORT_MAX:
             allowed = f"an IP number and a port from {lowest_port} to {PORT_MAX}"
             self.fail(name, value, f'{allowed}, as "127.0.0.1:7101" or "[::1]:7101"')
@@ -230,19 +228,3 @@
         return ""
     nearest = difflib.get_close_matches(name[:SHOWN_CHARACTERS], known, n=1)
     return f" (did you mean {nearest[0]}?)" if nearest else ""
-
-
-def _parse_address(value: object) -> Address | None:
-    if type(value) is not str:
-        return None
-    ip, colon, port = value.rpartition(":")
-    if not colon or not re.fullmatch(r"[0-9]{1,5}", port):
-        return None
-    is_bracketed = ip.startswith("[") and ip.endswith("]")
-    try:
-        parsed = ipaddress.ip_address(ip[1:-1] if is_bracketed else ip)
-    except ValueError:
-        return None
-    if is_bracketed != (parsed.version == 6):
-        return None
-    return Address(str(parsed), int(port))
--- a/packages/savoryroute/savoryroute/state/difference.py
+++ b/packages/savoryroute/savoryroute/state/difference.py
@@ -8,7 +8,7 @@
 
 from ..errors import DocumentError
 
-__all__ = ["apply_difference", "make_difference"]
+__all__ = ["Operation", "apply_difference", "make_difference"]
 
 SOURCE = "difference"
 DEPTH_MAX = 64
--- /dev/null
+++ b/packages/savoryroute_cli/savoryroute_cli/documents.py
@@ -0,0 +1,71 @@
+"""Documents in files, their published form and what changes between two."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from collections.abc import Iterator
+
+from result import Err, Result
+
+from savoryroute.errors import DocumentError
+from savoryroute.state.difference import Operation, make_difference
+from savoryroute.state.document import Document, parse_document
+from savoryroute.state.parsing import TEXT_BYTES_MAX
+
+__all__ = ["list_changes", "read_document", "render_document"]
+
+
+def read_document(path: str) -> Result[Document, DocumentError]:
+    """Read and check the document in a file."""
+    try:
+        with pathlib.Path(path).open("rb") as file:
+            text = file.read(TEXT_BYTES_MAX + 1).decode()
+    except OSError as exc:
+        return Err(DocumentError(path, "file", str(exc.strerror), "a readable file"))
+    except UnicodeDecodeError as exc:
+        return Err(DocumentError(path, f"byte {exc.start}", exc.reason, "UTF-8"))
+    return parse_document(text, path)
+
+
+def render_document(document: Document) -> str:
+    """Return a document as strict JSON, the same text for the same document."""
+    return json.dumps(document.to_plain(), sort_keys=True, separators=(",", ":"))
+
+
+def list_changes(old: dict, new: dict) -> Iterator[str]:
+    """Yield a line for each member that differs between two plain documents."""
+    for operation, path, *arguments in make_difference(old, new):
+        where = _show_path(path)
+        if operation == Operation.REMOVE:
+            yield f"- {where}: {_show(_lookup(old, path))}"
+        elif operation == Operation.SPLICE:
+            yield from _list_splice(_lookup(old, path), where, *arguments)
+        elif path[-1] in _lookup(old, path[:-1]):
+            yield f"  {where}: {_show(_lookup(old, path))} -> {_show(arguments[0])}"
+        else:
+            yield f"+ {where}: {_show(arguments[0])}"
+
+
+def _list_splice(
+    old: list, where: str, first: int, n_removed: int, items: list
+) -> Iterator[str]:
+    for item in old[first : first + n_removed]:
+        yield f"- {where}: {_show(item)}"
+    for item in items:
+        yield f"+ {where}: {_show(item)}"
+
+
+def _lookup(plain: object, path: list) -> object:
+    for key in path:
+        plain = plain[key]
+    return plain
+
+
+def _show_path(path: list) -> str:
+    parts = (f"[{key}]" if isinstance(key, int) else f".{key}" for key in path)
+    return "".join(parts).removeprefix(".")
+
+
+def _show(value: object) -> str:
+    return json.dumps(value, sort_keys=True)
