command line: one test module for each command

Cause: the tests of commands stood in two files that did not mirror the package. Conclusion: layout only, no assertion dropped.

--- a/tests/savoryroute/state/test_address.py
+++ b/tests/savoryroute/state/test_address.py
@@ -1,3 +1,5 @@
+"""Tests of addresses."""
+
 import unittest
 
 from savoryroute.state.address import Address, parse_address
--- a/tests/savoryroute/state/test_audit.py
+++ b/tests/savoryroute/state/test_audit.py
@@ -1,3 +1,5 @@
+"""Tests of the audit trail."""
+
 import json
 import unittest
 
--- a/tests/savoryroute/state/test_checking.py
+++ b/tests/savoryroute/state/test_checking.py
@@ -1,3 +1,5 @@
+"""Tests of typed reading of plain values."""
+
 import re
 import unittest
 
--- a/tests/savoryroute/state/test_decisions.py
+++ b/tests/savoryroute/state/test_decisions.py
@@ -1,3 +1,5 @@
+"""Tests of the log of decisions."""
+
 import unittest
 
 from hypothesis import given
--- a/tests/savoryroute/state/test_difference.py
+++ b/tests/savoryroute/state/test_difference.py
@@ -1,3 +1,5 @@
+"""Tests of differences between documents."""
+
 import copy
 import unittest
 
--- a/tests/savoryroute/state/test_document.py
+++ b/tests/savoryroute/state/test_document.py
@@ -1,3 +1,5 @@
+"""Tests of environment documents."""
+
 import json
 import unittest
 
--- a/tests/savoryroute/state/test_document_check.py
+++ b/tests/savoryroute/state/test_document_check.py
@@ -1,3 +1,5 @@
+"""Tests of the checks of documents."""
+
 import unittest
 
 from savoryroute.state.document import document_from_plain
--- a/tests/savoryroute/state/test_parsing.py
+++ b/tests/savoryroute/state/test_parsing.py
@@ -1,3 +1,5 @@
+"""Tests of the parsing of texts."""
+
 import json
 import unittest
 
--- a/tests/savoryroute/state/test_policies.py
+++ b/tests/savoryroute/state/test_policies.py
@@ -1,3 +1,5 @@
+"""Tests of the search for a route."""
+
 import unittest
 
 from savoryroute.state.document import document_from_plain
--- a/tests/savoryroute/state/test_settings.py
+++ b/tests/savoryroute/state/test_settings.py
@@ -1,3 +1,5 @@
+"""Tests of settings."""
+
 import json
 import pathlib
 import tempfile
--- a/tests/savoryroute/test_logs.py
+++ b/tests/savoryroute/test_logs.py
@@ -1,3 +1,5 @@
+"""Tests of structured logs."""
+
 import io
 import json
 import logging
--- /dev/null
+++ b/tests/savoryroute_cli/commands/files.py
@@ -0,0 +1,36 @@
+"""Files with documents for tests of commands."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from tests.savoryroute.state.documents import MINIMAL, changed
+
+__all__ = ["DocumentFilesTestCase"]
+
+
+class DocumentFilesTestCase(unittest.TestCase):
+    """Test case with a production document, a trial document and a bad one."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.production = self.write("production.json", MINIMAL)
+        trial = changed("classes.booking.rank", 1)
+        trial |= {"environment": "trial", "version": 2}
+        self.trial = self.write("trial.json", trial)
+        bad = changed("classes.booking.rank", 9)
+        self.bad = self.write("bad.json", bad)
+
+    def write(self, name, plain):
+        path = self.folder / name
+        path.write_text("// note\n" + json.dumps(plain))
+        return path
+
+    def assert_names_fault(self, done):
+        self.assertEqual((done.code, done.out), (1, ""))
+        self.assertIn("bad.json: classes.booking.rank: found 9", done.err)
--- a/tests/savoryroute_cli/commands/test_call.py
+++ b/tests/savoryroute_cli/commands/test_call.py
@@ -1,9 +1,11 @@
+"""Tests of the command call."""
+
 import json
 import unittest
 
 from aiohttp import web
 
-from ..console import StandIn, run
+from ..console import CLOSED, StandIn, run
 
 
 def problem(status, verdict, reason, **members):
@@ -97,6 +99,6 @@
         self.assertEqual(self.call([odd], "--retry").code, 1)
 
     def test_unreachable(self):
-        done = run("call", "http://127.0.0.1:1/planner")
+        done = run("call", f"http://{CLOSED}/planner")
         self.assertEqual(done.code, 3)
         self.assertIn("verdict: not_run", done.err)
--- a/tests/savoryroute_cli/console.py
+++ b/tests/savoryroute_cli/console.py
@@ -13,7 +13,10 @@
 
 from savoryroute_cli.main import main
 
-__all__ = ["Run", "StandIn", "json_answer", "run"]
+__all__ = ["CLOSED", "Run", "StandIn", "json_answer", "run"]
+
+CLOSED = "127.0.0.1:1"
+"""Address at which nothing listens."""
 
 
 @attrs.frozen
--- a/tests/savoryroute_cli/test_documents.py
+++ b/tests/savoryroute_cli/test_documents.py
@@ -1,3 +1,5 @@
+"""Tests of documents in files."""
+
 import copy
 import json
 import unittest
--- a/tests/savoryroute_cli/test_main.py
+++ b/tests/savoryroute_cli/test_main.py
@@ -1,3 +1,5 @@
+"""Tests of the command line."""
+
 import unittest
 
 from savoryroute_cli.commands import COMMANDS
