--- a/packages/savoryroute/savoryroute/coordination/limits.py
+++ b/packages/savoryroute/savoryroute/coordination/limits.py
@@ -32,6 +32,7 @@
 LIMIT_WEIGHT = 0.5
 LATENCY_FLOOR_FRACTION = 0.5
 DROP_WEIGHT = 0.5
+LONGEST_CALM = 5
 
 
 @attrs.define
@@ -194,6 +195,9 @@
     takes the limit no lower than half the slots. Below that only drops count, in
     proportion to their share, so that single failures cost next to nothing.
 
+    Growth is the square root of the limit a round trip, doubled with each further
+    calm one, so that a limit that fell is back within seconds.
+
     Sources: ``Gradient2Limit`` of Netflix concurrency-limits for the gradient and its
     drifting baseline; DCTCP (Alizadeh and others, 2010) for the decrease in
     proportion to the marked share; slow start after Jacobson (1988).
@@ -201,6 +205,7 @@
 
     _limit: float = attrs.field(init=False)
     _is_slow_start: bool = attrs.field(init=False, default=True)
+    _n_calm: int = attrs.field(init=False, default=0)
     _baseline_s: float | None = attrs.field(init=False, default=None)
     _window: _Window = attrs.field(init=False, factory=_Window)
 
@@ -224,12 +229,17 @@
 
     def _adjust(self, window: _Window) -> None:
         gradient = self._gradient(window.latency_s)
+        is_busy = window.n_busiest >= self._limit * BUSY_FRACTION
         if window.n_dropped or gradient < 1.0:
             self._is_slow_start = False
-        if window.n_dropped:
-            self._shrink_by_drops(window.drop_fraction)
-        if window.n_busiest >= self._limit * BUSY_FRACTION:
-            self._follow(gradient, window.drop_fraction)
+            self._n_calm = 0
+        self._shrink_by_drops(window.drop_fraction)
+        if not is_busy or self._is_slow_start:
+            return
+        if gradient < 1.0:
+            self._shrink_by_latency(gradient)
+        elif window.drop_fraction < DROP_WEIGHT:
+            self._grow()
 
     def _gradient(self, latency_s: float | None) -> float:
         if latency_s is None:
@@ -250,9 +260,12 @@
     def _shrink_by_drops(self, drop_fraction: float) -> None:
         self._limit = self._clamp(self._limit * (1.0 - drop_fraction * DROP_WEIGHT))
 
-    def _follow(self, gradient: float, drop_fraction: float) -> None:
-        if drop_fraction >= DROP_WEIGHT or self._is_slow_start:
-            return
+    def _grow(self) -> None:
+        self._n_calm += 1
+        headroom = math.sqrt(self._limit) * 2.0 ** min(self._n_calm - 1, LONGEST_CALM)
+        self._limit = self._clamp(self._limit + min(headroom, self._limit))
+
+    def _shrink_by_latency(self, gradient: float) -> None:
         target = self._limit * gradient + math.sqrt(self._limit)
         floor = min(self._limit, self.slots * LATENCY_FLOOR_FRACTION)
         target = max(target, floor)
--- /dev/null
+++ b/tests/savoryroute/coordination/test_pressure.py
@@ -0,0 +1,95 @@
+"""Levels fall by the excess, recover soon and leave probes."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from savoryroute.coordination.pressure import (
+    HIGHEST_LEVEL,
+    LevelController,
+    PressureKey,
+    PressureMap,
+    refusal_probability,
+)
+
+KEY = PressureKey("planner", "plan_view")
+LEVELS = st.floats(0.0, 8.0)
+RANKS = st.integers(0, 7)
+
+
+class RefusalProbabilityTests(unittest.TestCase):
+    @given(RANKS, LEVELS)
+    def test_better_rank_is_refused_no_more_often(self, rank, level):
+        self.assertLessEqual(
+            refusal_probability(rank, level), refusal_probability(rank + 1, level)
+        )
+        self.assertLess(refusal_probability(rank, level), 1.0)
+
+    def test_full_level_refuses_nothing(self):
+        self.assertEqual(refusal_probability(7, HIGHEST_LEVEL), 0.0)
+
+
+class LevelControllerTests(unittest.TestCase):
+    def test_cuts_just_the_excess_from_the_worst_rank(self):
+        controller = LevelController(0.0)
+        for rank in [0] * 20 + [3] * 80:
+            controller.on_arrival(rank, 0.05)
+        for _ in range(40):
+            controller.on_refusal(0.05)
+        self.assertAlmostEqual(controller.level(0.1), 3.5)
+
+    def test_standing_queue_lowers_and_short_burst_does_not(self):
+        burst, standing = LevelController(0.0), LevelController(0.0)
+        for controller in (burst, standing):
+            controller.on_arrival(2, 0.01)
+            controller.on_delay(1.0, 0.01)
+        burst.on_delay(0.0, 0.15)
+        for tick in range(1, 10):
+            standing.on_arrival(2, tick / 10 + 0.05)
+        self.assertEqual(burst.level(0.9), HIGHEST_LEVEL)
+        self.assertLess(standing.level(1.0), 3.0)
+
+    @given(st.lists(st.tuples(RANKS, st.booleans(), st.floats(0.0, 0.2))))
+    def test_recovers_from_any_depth_within_two_seconds(self, events):
+        controller, now = LevelController(0.0), 0.0
+        for rank, is_refused, elapsed_s in events:
+            now += elapsed_s
+            controller.on_arrival(rank, now)
+            if is_refused:
+                controller.on_refusal(now)
+            self.assertTrue(0.0 <= controller.level(now) <= HIGHEST_LEVEL)
+        self.assertEqual(controller.level(now + 2.0), HIGHEST_LEVEL)
+
+    def test_queue_that_stands_still_holds_the_level_down(self):
+        controller = LevelController(0.0)
+        controller.on_arrival(1, 0.05)
+        controller.on_refusal(0.05)
+        controller.on_delay(1.0, 0.15)
+        low = controller.level(0.3)
+        self.assertLess(low, HIGHEST_LEVEL)
+        self.assertEqual(controller.level(30.0), low)
+
+
+class PressureMapTests(unittest.TestCase):
+    @given(LEVELS, st.floats(0.0, 2.5))
+    def test_level_recovers_after_the_last_note(self, level, elapsed_s):
+        pressure = PressureMap()
+        pressure.note(KEY, level, 10.0)
+        self.assertEqual(pressure.level(KEY, 10.0), level)
+        later = pressure.level(KEY, 10.0 + elapsed_s)
+        self.assertTrue(level <= later <= HIGHEST_LEVEL)
+        self.assertEqual(pressure.level(KEY, 12.5 + 1e-9), HIGHEST_LEVEL)
+
+    def test_probes_pass_at_level_zero(self):
+        pressure, randomness = PressureMap(), random.Random(1)
+        pressure.note(KEY, 0.0, 0.0)
+        admitted = sum(pressure.admits(KEY, 7, 0.0, randomness) for _ in range(10000))
+        self.assertTrue(100 <= admitted <= 300, admitted)
+
+    def test_other_chains_are_untouched(self):
+        pressure = PressureMap()
+        pressure.note(KEY, 0.0, 0.0)
+        other = PressureKey("planner", "order")
+        self.assertEqual(pressure.level(other, 0.0), HIGHEST_LEVEL)
