ledger: focused tests and long histories against an oracle

Cause: the ledger had no proof. Ruled out: histories over several homes with loss, copies, restarts, misdelivery to another home, pauses, full ledger, cancellations (400 histories of 40 steps). Conclusion: oracle is executions <= 1, no run before or after a NOT_RUN, replays equal the one execution, no run after its cancellation.

--- /dev/null
+++ b/tests/savoryroute/state/test_ledger.py
@@ -0,0 +1,312 @@
+"""At most once: focused cases, and long histories against a simple oracle."""
+
+import asyncio
+import collections
+import unittest
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from savoryroute.protocol.idempotency_key import mint_key
+from savoryroute.state import ledger as ledgers
+from savoryroute.state.ledger import Ledger
+from savoryroute.state.ledger_entry import RecordedAnswer, Refuse, Replay, Run, Wait
+from savoryroute.verdict import Reason, Refusal, Verdict
+
+LOST = Refusal(Verdict.MAY_HAVE_RUN, Reason.CONNECTION_LOST, "lost")
+SHED = Refusal(Verdict.NOT_RUN, Reason.OVERLOAD, "shed")
+INDEX = st.integers(0, 1000)
+
+
+class Home:
+    """A host whose daemon may start anew with an empty ledger."""
+
+    def __init__(self, world, host, n_records):
+        self.world, self.host, self.n_records = world, host, n_records
+        self.incarnation = 0
+        self.restart()
+
+    def restart(self):
+        self.incarnation += 1
+        self.started_s = self.world.now_s
+        self.ledger = Ledger(
+            self.host,
+            self.incarnation,
+            lambda: self.world.now_s - self.started_s,
+            self.n_records * ledgers.RECORD_BYTES,
+        )
+
+
+@attrs.frozen
+class Copy:
+    """One copy of an action on its way."""
+
+    key: str
+    body: bytes
+    cancels: str = ""
+
+
+@attrs.define(eq=False)
+class Delivery:
+    """An action begun at its home, and the copies that wait for it."""
+
+    home: Home
+    entry: object
+    copy: Copy
+    answer: RecordedAnswer | None = None
+    is_closed: bool = False
+    waiting: list = attrs.field(factory=list)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Callers, entry daemons, a network that does anything, three homes."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 1000.0
+        sizes = {"a": 1000, "b": 4, "c.d": 1000}
+        self.homes = [Home(self, host, size) for host, size in sizes.items()]
+        self.now_s += 50.0
+        self.sent = []
+        self.network = []
+        self.deliveries = []
+        self.executions = collections.defaultdict(list)
+        self.said_not_run = set()
+        self.cancelled = set()
+
+    def pick(self, items, index):
+        return items[index % len(items)]
+
+    @rule(i=INDEX, skew_s=st.sampled_from([-20.0, 0.0, 0.9, 3.0]), body=st.binary())
+    def book(self, i, skew_s, body):
+        home = self.pick(self.homes, i)
+        uptime_ms = int((self.now_s - home.started_s + skew_s) * 1000)
+        self.send(Copy(mint_key(home.host, home.incarnation, uptime_ms), body))
+
+    @precondition(lambda self: self.sent)
+    @rule(i=INDEX, is_own=st.booleans())
+    def cancel(self, i, is_own):
+        target = self.pick(self.sent, i).key
+        if is_own:
+            home = next(h for h in self.homes if f".{h.host}." in target)
+            self.send(Copy(home.ledger.mint(), b"cancel", target))
+        else:
+            self.send(Copy(self.homes[0].ledger.mint(), b"cancel", target))
+
+    def send(self, copy):
+        self.sent.append(copy)
+        self.network.append(copy)
+
+    @precondition(lambda self: self.sent)
+    @rule(i=INDEX, has_other_body=st.booleans())
+    def send_again(self, i, has_other_body):
+        copy = self.pick(self.sent, i)
+        if has_other_body:
+            copy = attrs.evolve(copy, body=copy.body + b"!")
+        self.network.append(copy)
+
+    @precondition(lambda self: self.network)
+    @rule(i=INDEX)
+    def lose(self, i):
+        self.network.remove(self.pick(self.network, i))
+
+    @precondition(lambda self: self.network)
+    @rule(i=INDEX, is_duplicate=st.booleans(), wrong=st.none() | INDEX)
+    def arrive(self, i, is_duplicate, wrong):
+        copy = self.pick(self.network, i)
+        if not is_duplicate:
+            self.network.remove(copy)
+        home = next(h for h in self.homes if f".{h.host}." in copy.key)
+        if wrong is not None and wrong % 5 == 0:
+            home = self.pick(self.homes, wrong)
+        begun = home.ledger.begin(copy.key, copy.body, copy.cancels)
+        if isinstance(begun, Run):
+            self.deliveries.append(Delivery(home, begun.entry, copy))
+        elif isinstance(begun, Wait):
+            first = next(d for d in self.deliveries if d.entry is begun.entry)
+            assert first.copy == copy
+            first.waiting.append(copy)
+        else:
+            self.hear(copy, begun.outcome if isinstance(begun, Replay) else begun)
+
+    def hear(self, copy, word):
+        """Check a word to a caller against all that happened."""
+        ran = self.executions[copy.key]
+        if isinstance(word, RecordedAnswer):
+            assert [(copy, word)] == ran, "an answer is that of the one execution"
+            return
+        refusal = word.refusal if isinstance(word, Refuse) else word
+        if refusal.verdict is Verdict.NOT_RUN:
+            assert not ran, f"not run was said of what ran: {refusal}"
+            self.said_not_run.add(copy.key)
+
+    @precondition(lambda self: self.sent)
+    @rule(i=INDEX, j=INDEX)
+    def fence(self, i, j):
+        key = self.pick(self.sent, i).key
+        verdict = self.pick(self.homes, j).ledger.fence(key)
+        if verdict is Verdict.NOT_RUN:
+            self.hear(Copy(key, b""), SHED)
+        if verdict is Verdict.RAN:
+            assert len(self.executions[key]) == 1
+
+    @precondition(lambda self: self.deliveries)
+    @rule(i=INDEX, is_large=st.booleans())
+    def execute(self, i, is_large):
+        delivery = self.pick(self.deliveries, i)
+        if delivery.is_closed or delivery.answer is not None:
+            return
+        copy = delivery.copy
+        assert copy.key not in self.said_not_run, "ran after not run"
+        assert copy.key not in self.cancelled, "ran after its cancellation"
+        number = sum(map(len, self.executions.values()))
+        size = ledgers.RECORDED_BODY_BYTES_MAX + 1 if is_large else 1
+        delivery.answer = RecordedAnswer(200 + number, ("n", str(number)), b"x" * size)
+        self.executions[copy.key].append((copy, delivery.answer))
+        assert len(self.executions[copy.key]) == 1, "ran twice"
+        if copy.cancels:
+            self.cancelled.add(copy.cancels)
+
+    @precondition(lambda self: self.deliveries)
+    @rule(i=INDEX, is_lost=st.booleans())
+    def end(self, i, is_lost):
+        delivery = self.pick(self.deliveries, i)
+        if is_lost:
+            delivery.entry.may_have_run(LOST)
+        elif delivery.answer is not None:
+            delivery.entry.finish(delivery.answer)
+        else:
+            delivery.entry.not_run(SHED)
+        delivery.is_closed = True
+        for copy in [delivery.copy, *delivery.waiting]:
+            self.hear(copy, delivery.entry.outcome)
+        delivery.waiting.clear()
+
+    @rule(i=INDEX)
+    def restart(self, i):
+        home = self.pick(self.homes, i)
+        for delivery in self.deliveries:
+            delivery.is_closed |= delivery.home is home
+        self.deliveries = [d for d in self.deliveries if d.home is not home]
+        home.restart()
+
+    @rule(step_s=st.sampled_from([0.5, 1.0, 3.0, 60.0, 200.0, 298.0, 301.0, 361.0]))
+    def wait(self, step_s):
+        self.now_s += step_s
+
+
+TestLedgerMachine = LedgerMachine.TestCase
+TestLedgerMachine.settings = settings(max_examples=400, stateful_step_count=40)
+
+
+class TestLedger(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 10.0
+        self.ledger = self.make()
+
+    def make(self, n_records=100):
+        capacity = n_records * ledgers.RECORD_BYTES
+        return Ledger("a", 7, lambda: self.now_s, capacity)
+
+    def refused(self, key, body=b"", cancels="", **options):
+        begun = self.ledger.begin(key, body, cancels, **options)
+        self.assertIsInstance(begun, Refuse)
+        return begun.refusal.verdict, begun.refusal.reason
+
+    def test_waiter_gets_the_answer(self):
+        async def scenario():
+            key = self.ledger.mint()
+            entry = self.ledger.begin(key, b"").entry
+            waiting = asyncio.create_task(self.ledger.begin(key, b"").entry.wait())
+            await asyncio.sleep(0)
+            entry.finish(RecordedAnswer(201, (), b"yes"))
+            return await waiting
+
+        self.assertEqual(asyncio.run(scenario()).body, b"yes")
+
+    def test_late_answer_replaces_may_have_run(self):
+        key = self.ledger.mint()
+        entry = self.ledger.begin(key, b"").entry
+        entry.may_have_run(LOST)
+        self.assertEqual(
+            self.refused(key), (Verdict.MAY_HAVE_RUN, Reason.CONNECTION_LOST)
+        )
+        self.assertTrue(entry.finish(RecordedAnswer(201, (), b"")))
+        self.assertFalse(entry.not_run(SHED))
+        self.assertIsInstance(self.ledger.begin(key, b""), Replay)
+
+    def test_other_body_never_says_not_run_of_what_ran(self):
+        key = self.ledger.mint()
+        self.ledger.begin(key, b"x").entry.finish(RecordedAnswer(201, (), b""))
+        self.assertEqual(
+            self.refused(key, b"y"), (Verdict.MAY_HAVE_RUN, Reason.KEY_REUSED)
+        )
+
+    def test_full_ledger_fences_what_it_refuses(self):
+        self.ledger = self.make(n_records=1)
+        first, refused = self.ledger.mint(), self.ledger.mint()
+        self.ledger.begin(first, b"").entry.not_run(SHED)
+        self.assertEqual(self.refused(refused), (Verdict.NOT_RUN, Reason.OVERLOAD))
+        self.assertEqual(self.ledger.n_records, 1)
+        self.now_s += ledgers.RECORD_HORIZON_S - 100
+        late = self.ledger.mint()
+        self.assertEqual(self.refused(late), (Verdict.NOT_RUN, Reason.OVERLOAD))
+        self.now_s += 101
+        self.assertEqual(self.refused(late), (Verdict.NOT_RUN, Reason.KEY_SPENT))
+        self.now_s += ledgers.RECORD_HORIZON_S + 1
+        self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b""), Run)
+
+    def test_records_are_evicted_after_the_horizon_only(self):
+        keys = [self.ledger.mint() for _ in range(3)]
+        for key in keys:
+            self.ledger.begin(key, b"").entry.finish(RecordedAnswer(200, (), b"abc"))
+        self.assertEqual(self.ledger.n_bytes, 3 * (ledgers.RECORD_BYTES + 3))
+        self.now_s += ledgers.RECORD_HORIZON_S
+        self.assertIsInstance(self.ledger.begin(keys[0], b""), Replay)
+        self.now_s += 0.1
+        self.assertEqual(
+            self.refused(keys[0]), (Verdict.MAY_HAVE_RUN, Reason.KEY_EXPIRED)
+        )
+        self.assertEqual((self.ledger.n_records, self.ledger.n_bytes), (0, 0))
+
+    def test_cancellation_before_during_and_after(self):
+        early, later = self.ledger.mint(), self.ledger.mint()
+        self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", early), Run)
+        self.assertEqual(self.refused(early), (Verdict.NOT_RUN, Reason.CANCELLED))
+        entry = self.ledger.begin(later, b"").entry
+        self.assertEqual(
+            self.refused(self.ledger.mint(), b"", later),
+            (Verdict.NOT_RUN, Reason.IN_PROGRESS),
+        )
+        entry.finish(RecordedAnswer(201, (), b""))
+        self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", later), Run)
+        self.assertIsInstance(self.ledger.begin(later, b""), Replay)
+
+    def test_cancellation_of_a_spent_booking_stops_its_rebooking(self):
+        booking = self.ledger.mint()
+        self.ledger.begin(booking, b"").entry.not_run(SHED)
+        self.ledger.begin(self.ledger.mint(), b"", booking)
+        self.assertEqual(self.refused(booking), (Verdict.NOT_RUN, Reason.CANCELLED))
+
+    def test_cancellation_waits_after_a_lost_connection(self):
+        booking = self.ledger.mint()
+        self.ledger.begin(booking, b"").entry.may_have_run(LOST)
+        self.assertEqual(
+            self.refused(self.ledger.mint(), b"", booking),
+            (Verdict.NOT_RUN, Reason.IN_PROGRESS),
+        )
+        self.now_s += ledgers.CANCEL_GRACE_S
+        self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", booking), Run)
+
+    def test_cancellation_of_another_home_needs_its_fence(self):
+        target = mint_key("b", 1, 0)
+        self.assertEqual(
+            self.refused(self.ledger.mint(), b"", target),
+            (Verdict.NOT_RUN, Reason.KEY_INVALID),
+        )
+        key = self.ledger.mint()
+        self.assertIsInstance(
+            self.ledger.begin(key, b"", target, is_target_fenced=True), Run
+        )
