--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -5,7 +5,7 @@
 import hashlib
 import heapq
 import secrets
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -21,6 +21,10 @@
 EXPORTED_MAX = 32
 MERGED_MAX = 256
 
+# An event told this often is old news, of which few go with each heartbeat.
+EXPORTS_OF_NEWS = 8
+OLD_NEWS_MAX = 2
+
 # How many quarantines long a crash is remembered.
 MEMORY_FACTOR = 10
 
@@ -93,7 +97,7 @@
         self._duration_s = duration_s
         self._events: OrderedDict[tuple[bytes, int], _Event] = OrderedDict()
         self._crash_ids: dict[bytes, set[int]] = {}
-        self._running: set[bytes] = set()
+        self._in_flight: Counter[bytes] = Counter()
 
     def __len__(self) -> int:
         return len(self._events)
@@ -140,21 +144,25 @@
         return bool(self._counted(request))
 
     def try_start(self, request: bytes) -> bool:
-        """Reserve the upstream's one place for suspects, if the request needs it.
+        """Count a request as in flight, unless two suspects would run together.
 
         Returns:
             Whether the request may be delivered now; call ``end`` after it.
         """
-        if not self.must_run_alone(request):
-            return True
-        if self._running:
+        if self.must_run_alone(request) and self._is_suspect_in_flight():
             return False
-        self._running.add(request)
+        self._in_flight[request] += 1
         return True
 
     def end(self, request: bytes) -> None:
-        """Give back the place for suspects, if the request had it."""
-        self._running.discard(request)
+        """Count a request as no longer in flight."""
+        self._in_flight[request] -= 1
+        if self._in_flight[request] <= 0:
+            del self._in_flight[request]
+
+    def _is_suspect_in_flight(self) -> bool:
+        """Return whether a request in flight is a suspect by now."""
+        return any(self.must_run_alone(request) for request in self._in_flight)
 
     def export(self) -> list[Any]:
         """Return the events told least so far, for one heartbeat.
@@ -164,16 +172,21 @@
             request was alone in flight, and whether it was cleared since.
         """
         self._forget_old()
-        chosen = heapq.nsmallest(
-            EXPORTED_MAX, self._events.items(), key=lambda item: item[1].n_exports
-        )
         rows = []
-        for (request, crash_id), event in chosen:
+        for (request, crash_id), event in self._least_told():
             event.n_exports += 1
             age_ms = int((self._clock() - event.at_s) * 1000)
             rows.append([request, crash_id, age_ms, event.is_alone, event.is_cleared])
         return rows
 
+    def _least_told(self) -> list[tuple[tuple[bytes, int], _Event]]:
+        """Return the events for one heartbeat: news, or else a little old news."""
+        chosen = heapq.nsmallest(
+            EXPORTED_MAX, self._events.items(), key=lambda item: item[1].n_exports
+        )
+        news = [item for item in chosen if item[1].n_exports < EXPORTS_OF_NEWS]
+        return chosen[: max(len(news), OLD_NEWS_MAX)]
+
     def merge(self, rows: list[Any]) -> None:
         """Take in what a peer exported; rows of another form are ignored."""
         for row in rows[:MERGED_MAX]:
--- /dev/null
+++ b/tests/savoryroute/coordination/test_retries.py
@@ -0,0 +1,73 @@
+"""The retry rule and the retry budget."""
+
+import unittest
+
+from savoryroute.coordination.retries import (
+    RETRIES_HELD_MAX,
+    RetryBudget,
+    may_retry,
+)
+from savoryroute.verdict import Reason, Refusal, Verdict
+
+RETRIED = {
+    Reason.CONNECTION_LOST,
+    Reason.LEAVING,
+    Reason.NOT_READY,
+    Reason.NO_UPSTREAM,
+    Reason.OVERLOAD,
+    Reason.QUEUE_FULL,
+    Reason.UNREACHABLE,
+}
+
+
+class TestMayRetry(unittest.TestCase):
+    def check(self, verdict, reason=Reason.OVERLOAD, is_idempotent=False, **options):
+        refusal = Refusal(verdict, reason, "", from_deep=options.pop("deep", False))
+        return may_retry(refusal, is_idempotent, options.pop("n", 1), 3, **options)
+
+    def test_only_what_did_not_run_or_is_idempotent(self):
+        self.assertTrue(self.check(Verdict.NOT_RUN))
+        self.assertFalse(self.check(Verdict.MAY_HAVE_RUN))
+        self.assertTrue(self.check(Verdict.MAY_HAVE_RUN, is_idempotent=True))
+
+    def test_never_beyond_the_attempts_of_a_hop(self):
+        self.assertTrue(self.check(Verdict.NOT_RUN, n=2))
+        self.assertFalse(self.check(Verdict.NOT_RUN, n=3))
+
+    def test_never_on_top_of_a_deeper_retry(self):
+        self.assertFalse(self.check(Verdict.NOT_RUN, deep=True, is_idempotent=True))
+
+    def test_reasons(self):
+        for reason in Reason:
+            with self.subTest(reason=reason):
+                self.assertEqual(
+                    self.check(Verdict.NOT_RUN, reason, True), reason in RETRIED
+                )
+
+    def test_keyed_action_only_where_its_home_stayed_silent(self):
+        for reason in Reason:
+            with self.subTest(reason=reason):
+                self.assertEqual(
+                    self.check(Verdict.MAY_HAVE_RUN, reason, is_keyed=True),
+                    reason in {Reason.CONNECTION_LOST, Reason.UNREACHABLE},
+                )
+
+
+class TestRetryBudget(unittest.TestCase):
+    def test_retries_stay_a_small_share_in_a_full_outage(self):
+        now_s = 0.0
+        budget = RetryBudget(0.1, 1.0, lambda: now_s)
+        n_first, n_retries = 10_000, 0
+        for _ in range(n_first):
+            now_s += 0.01
+            budget.note_first_try()
+            n_retries += sum(budget.try_retry() for _ in range(3))
+        bound = RETRIES_HELD_MAX + 0.1 * n_first + 1.0 * now_s
+        self.assertLessEqual(n_retries, bound)
+        self.assertGreater(n_retries, 0.9 * bound)
+
+    def test_savings_are_bounded(self):
+        budget = RetryBudget(0.1, 1.0, lambda: 0.0)
+        for _ in range(10_000):
+            budget.note_first_try()
+        self.assertEqual(sum(budget.try_retry() for _ in range(100)), RETRIES_HELD_MAX)
--- /dev/null
+++ b/tests/savoryroute/state/test_quarantine.py
@@ -0,0 +1,152 @@
+"""Requests that crash upstreams: bound, innocent neighbours, hearsay."""
+
+import random
+import unittest
+
+from savoryroute.state import quarantine as quarantines
+from savoryroute.state.quarantine import Quarantine, fingerprint
+from savoryroute.verdict import Reason, Verdict
+
+POISON, NEIGHBOUR, OTHER = (
+    fingerprint("GET", "planner", target, b"") for target in ("/p", "/n", "/o")
+)
+HOSTILE_ROWS = [
+    None,
+    [],
+    [POISON, 1, 0, False],
+    [POISON[:3], 1, 0, False, False],
+    [POISON, -1, 0, False, False],
+    [POISON, True, 0, False, False],
+    [POISON, 1 << 70, 0, False, False],
+    [POISON, 1, -5, False, False],
+    [POISON, 1, 10**30, False, False],
+    [POISON, 1, 0, 1, False],
+]
+
+
+class TestQuarantine(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 100.0
+        self.here = self.make()
+
+    def make(self):
+        return Quarantine(lambda: self.now_s, crashes_max=2, duration_s=60.0)
+
+    def test_parts_of_a_fingerprint_do_not_run_together(self):
+        self.assertNotEqual(
+            fingerprint("GET", "ab", "c", b""), fingerprint("GET", "a", "bc", b"")
+        )
+
+    def test_second_crash_quarantines_until_the_duration_ends(self):
+        self.here.note_crash([POISON, NEIGHBOUR])
+        self.assertIsNone(self.here.check(POISON))
+        self.now_s += 10.0
+        self.here.note_crash([POISON])
+        refusal = self.here.check(POISON)
+        self.assertEqual(refusal.reason, Reason.QUARANTINED)
+        self.assertEqual(refusal.verdict, Verdict.NOT_RUN)
+        self.assertAlmostEqual(refusal.retry_after_s, 60.0)
+        self.assertIsNone(self.here.check(NEIGHBOUR))
+        self.assertEqual(
+            [entry.n_crashes for entry in self.here.entries()],
+            [2, 1],
+        )
+        self.now_s += 60.0
+        self.assertIsNone(self.here.check(POISON))
+
+    def test_one_more_crash_after_a_quarantine_renews_it(self):
+        for _ in range(2):
+            self.here.note_crash([POISON])
+        self.now_s += 61.0
+        self.here.note_crash([POISON])
+        self.assertIsNotNone(self.here.check(POISON))
+
+    def test_success_clears_a_neighbour_here_and_elsewhere(self):
+        there = self.make()
+        self.here.note_crash([POISON, NEIGHBOUR])
+        there.merge(self.here.export())
+        self.assertTrue(there.must_run_alone(NEIGHBOUR))
+        there.note_success(NEIGHBOUR)
+        self.assertFalse(there.must_run_alone(NEIGHBOUR))
+        self.here.merge(there.export())
+        self.assertFalse(self.here.must_run_alone(NEIGHBOUR))
+        self.assertTrue(self.here.must_run_alone(POISON))
+
+    def test_success_clears_neither_quarantine_nor_a_crash_alone(self):
+        self.here.note_crash([POISON])
+        self.here.note_success(POISON)
+        self.assertTrue(self.here.must_run_alone(POISON))
+        for _ in range(2):
+            self.here.note_crash([OTHER, NEIGHBOUR])
+        self.here.note_success(OTHER)
+        self.assertIsNotNone(self.here.check(OTHER))
+
+    def test_suspects_never_run_together(self):
+        self.assertTrue(self.here.try_start(POISON))
+        self.assertTrue(self.here.try_start(POISON))
+        self.here.note_crash([POISON, NEIGHBOUR])
+        self.assertFalse(self.here.try_start(NEIGHBOUR))
+        self.assertTrue(self.here.try_start(OTHER))
+        self.here.end(POISON)
+        self.assertFalse(self.here.try_start(NEIGHBOUR))
+        self.here.end(POISON)
+        self.assertTrue(self.here.try_start(NEIGHBOUR))
+
+    def test_hearsay_counts_each_crash_once(self):
+        there = self.make()
+        there.note_crash([POISON, NEIGHBOUR])
+        self.here.note_crash([POISON, OTHER])
+        for _ in range(3):
+            self.here.merge(there.export())
+        self.assertEqual(self.here.entries()[0].n_crashes, 2)
+        self.assertIsNotNone(self.here.check(POISON))
+        self.assertIsNone(self.here.check(NEIGHBOUR))
+
+    def test_hostile_rows_are_ignored(self):
+        self.here.merge(HOSTILE_ROWS)
+        self.assertEqual(len(self.here), 0)
+
+    def test_news_goes_first_and_old_news_is_little(self):
+        requests = [fingerprint("GET", "s", str(i), b"") for i in range(170)]
+        self.here.note_crash(requests)
+        told = set()
+        for _ in range(6):
+            told |= {row[0] for row in self.here.export()}
+        self.assertEqual(told, set(requests))
+        for _ in range(6 * quarantines.EXPORTS_OF_NEWS):
+            last = self.here.export()
+        self.assertEqual(len(last), quarantines.OLD_NEWS_MAX)
+
+    def test_memory_is_bounded(self):
+        for i in range(quarantines.EVENTS_MAX // 100 + 2):
+            self.here.note_crash(i.to_bytes(8) + j.to_bytes(8) for j in range(100))
+        self.assertEqual(len(self.here), quarantines.EVENTS_MAX)
+        self.now_s += 60.0 * quarantines.MEMORY_FACTOR
+        self.here.note_crash([POISON])
+        self.assertEqual(len(self.here), 1)
+
+    def test_a_resent_poison_request_stays_within_the_bound(self):
+        for seed in range(50):
+            with self.subTest(seed=seed):
+                self.check_fleet(random.Random(seed))
+
+    def check_fleet(self, rng):
+        """Re-send one poison request with neighbours over two cut-off parts."""
+        parts = [[self.make() for _ in range(4)] for _ in range(2)]
+        crashes = 0
+        for _ in range(100):
+            part = rng.choice(parts)
+            daemon = rng.choice(part)
+            if daemon.check(POISON) is None and daemon.try_start(POISON):
+                daemon.note_crash([POISON, NEIGHBOUR])
+                daemon.end(POISON)
+                crashes += 1
+            if daemon.check(NEIGHBOUR) is None and daemon.try_start(NEIGHBOUR):
+                daemon.end(NEIGHBOUR)
+                daemon.note_success(NEIGHBOUR)
+            for one in part:
+                for other in part:
+                    other.merge(one.export())
+        self.assertLessEqual(crashes, 2 * 2)
+        for daemon in parts[0] + parts[1]:
+            self.assertIsNotNone(daemon.check(POISON))
