ledger: answers crowd out no new keys; cancellations wait for lost upstreams

Cause: 1,000 answers of 64 KiB would have filled the ledger, which then refuses all bookings; a cancellation could overtake a booking still running at the upstream of a daemon that restarted. Ruled out: evicting live records. Conclusion: half of the capacity is for answers, each at most 1/256 of what is left.

--- a/packages/savoryroute/savoryroute/state/ledger.py
+++ b/packages/savoryroute/savoryroute/state/ledger.py
@@ -11,6 +11,7 @@
 
 from ..protocol.idempotency_key import IdempotencyKey, mint_key, parse_key
 from ..verdict import Reason, Refusal, Verdict
+from . import ledger_refusals as refusals
 from .ledger_entry import (
     Begun,
     Entry,
@@ -34,13 +35,21 @@
 RUN_WINDOW_S = 300.0
 RECORD_HORIZON_S = 360.0
 MINT_AHEAD_MAX_S = 1.0
+
+# Time that an upstream may take to notice a closed connection and stop.
 CANCEL_GRACE_S = 2.0
+
 RETRY_AFTER_S = 1.0
 RECORDED_BODY_BYTES_MAX = 64 * 1024
 CAPACITY_BYTES = 64 * 1024 * 1024
 
 # Memory of one record without headers and body.
-RECORD_BYTES = 1024
+RECORD_BYTES = 512
+
+# Answers may take this share of the capacity, one answer a small part of what is
+# left of it, so that they crowd out neither new keys nor each other.
+ANSWERS_SHARE = 1 / 2
+ANSWER_DIVISOR = 256
 
 
 @attrs.define
@@ -52,14 +61,19 @@
         minted_s: Uptime at which the key was minted in seconds.
         fingerprint: What copies must equal, or None if no copy was seen.
         outcome: How the action ended.
-        n_bytes: Bytes counted for the record.
     """
 
     settled_s: float
     minted_s: float
     fingerprint: bytes | None
     outcome: Outcome
-    n_bytes: int
+
+    @property
+    def answer_bytes(self) -> int:
+        """Bytes of the answer, 0 without one."""
+        if isinstance(self.outcome, RecordedAnswer):
+            return self.outcome.n_bytes
+        return 0
 
     @property
     def verdict(self) -> Verdict:
@@ -99,6 +113,7 @@
         self._running: dict[str, Entry] = {}
         self._settled: OrderedDict[str, _Settled] = OrderedDict()
         self._n_bytes = 0
+        self._n_answer_bytes = 0
         self._n_lost_answers = 0
         self._fenced_to_ms = -1
 
@@ -158,15 +173,16 @@
         if known is not None:
             return known
         refusal = self._refusal_of_unseen(name)
-        if refusal is None and cancels:
+        if refusal is not None:
+            return Refuse(refusal)
+        if cancels:
             refusal = self._cancel(name, cancels, is_target_fenced)
         if refusal is None and not self._has_room(1):
-            refusal = _full()
-        if refusal is None:
-            return Run(self._start(name, fingerprint))
-        if refusal.verdict is Verdict.NOT_RUN:
-            self._fence_unseen(name, _spent())
-        return Refuse(refusal)
+            refusal = refusals.full(RETRY_AFTER_S)
+        if refusal is not None:
+            self._fence_unseen(name, refusals.spent())
+            return Refuse(refusal)
+        return Run(self._start(name, fingerprint))
 
     def fence(self, key: str) -> Verdict:
         """Make sure that a key never begins from now on, if that can be had.
@@ -186,9 +202,9 @@
         if record is not None:
             return record.verdict
         refusal = self._refusal_of_unseen(name)
-        if refusal is not None and refusal.verdict is not Verdict.NOT_RUN:
+        if refusal is not None:
             return refusal.verdict
-        self._fence_unseen(name, _spent())
+        self._fence_unseen(name, refusals.spent())
         return Verdict.NOT_RUN
 
     def _known(self, text: str, fingerprint: bytes) -> Begun | None:
@@ -196,7 +212,7 @@
         entry = self._running.get(text)
         if entry is not None:
             if entry.fingerprint != fingerprint:
-                return Refuse(_reused(Verdict.MAY_HAVE_RUN))
+                return Refuse(refusals.reused(Verdict.MAY_HAVE_RUN))
             return Wait(entry)
         record = self._settled.get(text)
         if record is None:
@@ -204,23 +220,23 @@
         if record.fingerprint not in (None, fingerprint):
             is_fenced = record.verdict is Verdict.NOT_RUN
             return Refuse(
-                _reused(Verdict.NOT_RUN if is_fenced else Verdict.MAY_HAVE_RUN)
+                refusals.reused(Verdict.NOT_RUN if is_fenced else Verdict.MAY_HAVE_RUN)
             )
         return _replay(record.outcome)
 
     def _refusal_of_unseen(self, name: IdempotencyKey) -> Refusal | None:
         """Return why a key without a record can't run here, or None if it can."""
         if not self._is_home_of(name):
-            return _home_gone()
+            return refusals.home_gone()
         age_s = self._uptime_s() - name.minted_ms / 1000
         if age_s < -MINT_AHEAD_MAX_S:
-            return _too_early(-age_s)
+            return refusals.too_early(-age_s)
         if age_s > RECORD_HORIZON_S:
-            return _expired(Verdict.MAY_HAVE_RUN)
+            return refusals.expired(RUN_WINDOW_S, Verdict.MAY_HAVE_RUN)
         if age_s > RUN_WINDOW_S:
-            return _expired(Verdict.NOT_RUN)
+            return refusals.expired(RUN_WINDOW_S, Verdict.NOT_RUN)
         if name.minted_ms <= self._fenced_to_ms:
-            return _spent()
+            return refusals.spent()
         return None
 
     def _is_home_of(self, name: IdempotencyKey) -> bool:
@@ -236,13 +252,17 @@
             return parsed.err_value
         target = parsed.ok_value
         if target == name:
-            return _bad_target("an action can't cancel itself")
+            return refusals.bad_target("an action can't cancel itself")
         if target.host != self._host:
-            return None if is_target_fenced else _bad_target("its home is elsewhere")
+            return (
+                None
+                if is_target_fenced
+                else refusals.bad_target("its home is elsewhere")
+            )
         if target.incarnation != self._incarnation:
-            return None
+            return refusals.in_progress_until(CANCEL_GRACE_S, self._uptime_s())
         if str(target) in self._running:
-            return _in_progress(RETRY_AFTER_S)
+            return refusals.in_progress(RETRY_AFTER_S)
         if str(target) in self._settled:
             return self._cancel_settled(self._settled[str(target)])
         return self._cancel_unseen(target)
@@ -250,22 +270,23 @@
     def _cancel_settled(self, record: _Settled) -> Refusal | None:
         """Let a cancellation run after its target has come to an end."""
         if record.verdict is Verdict.NOT_RUN:
-            record.outcome = _cancelled()
+            record.outcome = refusals.cancelled()
         if record.verdict is not Verdict.MAY_HAVE_RUN:
             return None
-        left_s = record.settled_s + CANCEL_GRACE_S - self._uptime_s()
-        return _in_progress(left_s) if left_s > 0 else None
+        return refusals.in_progress_until(
+            record.settled_s + CANCEL_GRACE_S, self._uptime_s()
+        )
 
     def _cancel_unseen(self, target: IdempotencyKey) -> Refusal | None:
         """Fence a target that never began, so that it never will."""
         refusal = self._refusal_of_unseen(target)
         if refusal is not None and refusal.reason is Reason.KEY_INVALID:
-            return _in_progress(refusal.retry_after_s)
+            return refusals.in_progress(refusal.retry_after_s)
         if refusal is not None and refusal.reason is Reason.KEY_EXPIRED:
             return None
         if not self._has_room(2):
-            return _full()
-        self._fence_unseen(target, _cancelled())
+            return refusals.full(RETRY_AFTER_S)
+        self._fence_unseen(target, refusals.cancelled())
         return None
 
     def _start(self, name: IdempotencyKey, fingerprint: bytes) -> Entry:
@@ -282,10 +303,9 @@
     def _settle(self, name: IdempotencyKey, entry: Entry, outcome: Outcome) -> bool:
         """Record how an action in flight ended, or its late answer."""
         if self._running.pop(str(name), None) is None:
-            old = self._settled.pop(str(name), None)
-            if old is None:
+            if str(name) not in self._settled:
                 return False
-            self._n_bytes -= old.n_bytes
+            self._forget(str(name))
         else:
             self._n_bytes -= RECORD_BYTES
         self._record(name, entry.fingerprint, self._fitting(outcome))
@@ -295,8 +315,8 @@
         """Return the outcome, without an answer that is too large to keep."""
         if not isinstance(outcome, RecordedAnswer):
             return outcome
-        left = self._capacity_bytes - self._n_bytes - RECORD_BYTES
-        if outcome.n_bytes <= min(left, RECORDED_BODY_BYTES_MAX):
+        left = self._capacity_bytes * ANSWERS_SHARE - self._n_answer_bytes
+        if outcome.n_bytes <= min(left / ANSWER_DIVISOR, RECORDED_BODY_BYTES_MAX):
             return outcome
         self._n_lost_answers += 1
         return LostAnswer(outcome.status)
@@ -312,17 +332,15 @@
         self, name: IdempotencyKey, fingerprint: bytes | None, outcome: Outcome
     ) -> None:
         """File a settled record as the newest."""
-        n_bytes = RECORD_BYTES
-        if isinstance(outcome, RecordedAnswer):
-            n_bytes += outcome.n_bytes
-        self._n_bytes += n_bytes
-        self._settled[str(name)] = _Settled(
+        record = _Settled(
             settled_s=self._uptime_s(),
             minted_s=name.minted_ms / 1000,
             fingerprint=fingerprint,
             outcome=outcome,
-            n_bytes=n_bytes,
         )
+        self._settled[str(name)] = record
+        self._n_answer_bytes += record.answer_bytes
+        self._n_bytes += RECORD_BYTES + record.answer_bytes
 
     def _has_room(self, n_records: int) -> bool:
         """Return whether that many more records fit."""
@@ -335,8 +353,13 @@
             text, record = next(iter(self._settled.items()))
             if record.settled_s >= since_s or record.minted_s >= since_s:
                 return
-            del self._settled[text]
-            self._n_bytes -= record.n_bytes
+            self._forget(text)
+
+    def _forget(self, text: str) -> None:
+        """Drop one settled record."""
+        record = self._settled.pop(text)
+        self._n_answer_bytes -= record.answer_bytes
+        self._n_bytes -= RECORD_BYTES + record.answer_bytes
 
 
 def _with_target(fingerprint: bytes, cancels: str) -> bytes:
@@ -354,57 +377,5 @@
     if isinstance(outcome, LostAnswer):
         return Refuse(outcome.as_refusal())
     if outcome.verdict is Verdict.NOT_RUN and outcome.reason is not Reason.CANCELLED:
-        return Refuse(_spent())
+        return Refuse(refusals.spent())
     return Refuse(outcome)
-
-
-def _refusal(
-    verdict: Verdict, reason: Reason, detail: str, retry_after_s: float | None = None
-) -> Refusal:
-    """Return a refusal in the ledger's own name."""
-    return Refusal(verdict, reason, detail, retry_after_s)
-
-
-def _spent() -> Refusal:
-    detail = "the key was refused before and never runs; use the new key"
-    return _refusal(Verdict.NOT_RUN, Reason.KEY_SPENT, detail)
-
-
-def _cancelled() -> Refusal:
-    detail = "the action was cancelled before it ran"
-    return _refusal(Verdict.NOT_RUN, Reason.CANCELLED, detail)
-
-
-def _reused(verdict: Verdict) -> Refusal:
-    detail = "the key belongs to another request"
-    return _refusal(verdict, Reason.KEY_REUSED, detail)
-
-
-def _home_gone() -> Refusal:
-    detail = "the incarnation that could run the key is gone"
-    return _refusal(Verdict.MAY_HAVE_RUN, Reason.KEY_HOME_GONE, detail)
-
-
-def _expired(verdict: Verdict) -> Refusal:
-    detail = f"the key was minted more than {RUN_WINDOW_S:.0f} s ago"
-    return _refusal(verdict, Reason.KEY_EXPIRED, detail)
-
-
-def _too_early(ahead_s: float) -> Refusal:
-    """Return the refusal of a key that may yet come to be valid: no verdict."""
-    detail = "the key was minted ahead of its home's clock"
-    return _refusal(Verdict.MAY_HAVE_RUN, Reason.KEY_INVALID, detail, ahead_s)
-
-
-def _full() -> Refusal:
-    detail = "the ledger is full"
-    return _refusal(Verdict.NOT_RUN, Reason.OVERLOAD, detail, RETRY_AFTER_S)
-
-
-def _in_progress(retry_after_s: float | None) -> Refusal:
-    detail = "the action to cancel is still in flight"
-    return _refusal(Verdict.NOT_RUN, Reason.IN_PROGRESS, detail, retry_after_s)
-
-
-def _bad_target(detail: str) -> Refusal:
-    return _refusal(Verdict.NOT_RUN, Reason.KEY_INVALID, detail)
--- a/packages/savoryroute/savoryroute/state/ledger_entry.py
+++ b/packages/savoryroute/savoryroute/state/ledger_entry.py
@@ -22,6 +22,9 @@
 ]
 
 
+STRING_BYTES = 56
+
+
 @attrs.frozen
 class RecordedAnswer:
     """Whole answer of the one execution of an action.
@@ -38,8 +41,9 @@
 
     @property
     def n_bytes(self) -> int:
-        """Bytes of the headers and the body."""
-        return len(self.body) + sum(map(len, self.headers))
+        """Bytes of the headers, with the memory that each string takes, and body."""
+        n_header_bytes = sum(STRING_BYTES + len(text) for text in self.headers)
+        return n_header_bytes + len(self.body)
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/savoryroute_lab/savoryroute_lab/ledger_bytes.py
@@ -0,0 +1,70 @@
+"""Memory and time that one record of the ledger takes.
+
+Usage:
+  ledger_bytes.py [--records=<n>]
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import secrets
+import time
+import tracemalloc
+
+from docopt import docopt
+
+from savoryroute.state.ledger import RECORD_BYTES, RECORD_HORIZON_S, Ledger
+from savoryroute.state.ledger_entry import RecordedAnswer
+
+__all__ = ["main"]
+
+HEADERS = ("content-type", "application/json")
+BODY_BYTES = 200
+CALLS_PER_S = 155
+
+
+def _fill(ledger: Ledger, n_records: int) -> None:
+    """Begin and finish that many actions."""
+    for n in range(n_records):
+        begun = ledger.begin(ledger.mint(), secrets.token_bytes(16))
+        body = secrets.token_bytes(BODY_BYTES)
+        begun.entry.finish(
+            RecordedAnswer(201, (*HEADERS, "location", f"/orders/{n}"), body)
+        )
+
+
+def main() -> None:
+    """Print one JSON line of what was measured."""
+    n_records = int(docopt(__doc__)["--records"] or 20_000)
+    gc.collect()
+    tracemalloc.start()
+    ledger = Ledger("nairobi-planner-1", 2**52, lambda: 1e5, 1 << 40)
+    _fill(ledger, n_records)
+    gc.collect()
+    n_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    now_s = 1e5
+    timed = Ledger("nairobi-planner-1", 2**52, lambda: now_s, 1 << 40)
+    start_s = time.perf_counter()
+    _fill(timed, n_records)
+    begun_s = time.perf_counter()
+    now_s += RECORD_HORIZON_S + 1
+    timed.begin(timed.mint(), b"")
+    evicted_s = time.perf_counter()
+    n_kept = CALLS_PER_S * RECORD_HORIZON_S
+    row = {
+        "n_records": n_records,
+        "body_bytes": BODY_BYTES,
+        "measured_bytes_per_record": round(n_bytes / n_records),
+        "counted_bytes_per_record": round(ledger.n_bytes / n_records),
+        "record_bytes": RECORD_BYTES,
+        "mib_at_155_per_s": round(n_kept * n_bytes / n_records / 2**20, 1),
+        "us_per_action": round((begun_s - start_s) / n_records * 1e6, 1),
+        "us_per_eviction": round((evicted_s - begun_s) / n_records * 1e6, 2),
+    }
+    print(json.dumps(row))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/savoryroute/state/test_ledger.py
+++ b/tests/savoryroute/state/test_ledger.py
@@ -271,6 +271,31 @@
         )
         self.assertEqual((self.ledger.n_records, self.ledger.n_bytes), (0, 0))
 
+    def test_large_answers_leave_room_for_new_keys(self):
+        capacity = 4 * 1024 * 1024
+        self.ledger = Ledger("a", 7, lambda: self.now_s, capacity)
+        answer = RecordedAnswer(201, (), b"x" * 4096)
+        keys = [self.ledger.mint() for _ in range(1800)]
+        for key in keys:
+            self.ledger.begin(key, b"").entry.finish(answer)
+        self.assertIsInstance(self.ledger.begin(keys[0], b""), Replay)
+        self.assertEqual(
+            self.refused(keys[-1]), (Verdict.MAY_HAVE_RUN, Reason.TOO_LARGE)
+        )
+        self.assertEqual(self.ledger.fence(keys[-1]), Verdict.RAN)
+        self.assertGreater(self.ledger.n_lost_answers, 0)
+        self.assertLess(self.ledger.n_bytes, capacity / 2 + 1800 * ledgers.RECORD_BYTES)
+
+    def test_cancellation_after_a_restart_waits_for_the_upstream(self):
+        self.now_s = 0.0
+        target = mint_key("a", 6, 0)
+        self.assertEqual(
+            self.refused(self.ledger.mint(), b"", target),
+            (Verdict.NOT_RUN, Reason.IN_PROGRESS),
+        )
+        self.now_s = ledgers.CANCEL_GRACE_S
+        self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", target), Run)
+
     def test_cancellation_before_during_and_after(self):
         early, later = self.ledger.mint(), self.ledger.mint()
         self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", early), Run)
