command line: read what the daemon's operators' port answers

Cause: status expected members that the daemon does not give, audit refused a page without last_sequence, and Address had two parsers under two names. A rendered form could pass the size that daemons accept. Ruled out: reading two forms of status; the daemon's code is the authority. Limit kind aimd is allowed.

--- a/packages/savoryroute/savoryroute/state/address.py
+++ b/packages/savoryroute/savoryroute/state/address.py
@@ -7,10 +7,9 @@
 
 import attrs
 
-__all__ = ["PORT_MAX", "Address", "parse_address"]
+__all__ = ["Address"]
 
 PORT_MAX = 65535
-PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 
 
 @attrs.frozen
@@ -29,25 +28,17 @@
         host = f"[{self.ip}]" if ":" in self.ip else self.ip
         return f"{host}:{self.port}"
 
-
-def parse_address(value: object) -> Address | None:
-    """Return the address that a text such as ``127.0.0.1:7101`` names, or None.
-
-    Args:
-        value: Text of an IP number, a colon and a port; version 6 in brackets.
-    """
-    if type(value) is not str:
-        return None
-    ip, colon, port = value.rpartition(":")
-    if not colon or not PORT_PATTERN.fullmatch(port):
-        return None
-    is_bracketed = ip.startswith("[") and ip.endswith("]")
-    try:
-        parsed = ipaddress.ip_address(ip[1:-1] if is_bracketed else ip)
-    except ValueError:
-        return None
-    if is_bracketed != (parsed.version == 6):
-        return None
-    if int(port) > PORT_MAX:
-        return None
-    return Address(str(parsed), int(port))
+    @classmethod
+    def parse(cls, text: str) -> Address | None:
+        """Return the address in ``ip:port`` or ``[ip]:port``, or None."""
+        ip, colon, port = text.rpartition(":")
+        if not colon or not re.fullmatch(r"[0-9]{1,5}", port):
+            return None
+        is_bracketed = ip.startswith("[") and ip.endswith("]")
+        try:
+            number = ipaddress.ip_address(ip[1:-1] if is_bracketed else ip)
+        except ValueError:
+            return None
+        if is_bracketed != (number.version == 6) or int(port) > PORT_MAX:
+            return None
+        return cls(str(number), int(port))
--- a/packages/savoryroute/savoryroute/state/checking.py
+++ b/packages/savoryroute/savoryroute/state/checking.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection, Iterator
 
 from ..errors import CheckError
-from .address import PORT_MAX, Address, parse_address
+from .address import PORT_MAX, Address
 
 __all__ = ["Members", "describe"]
 
@@ -204,7 +204,7 @@
         return value
 
     def _as_address(self, name: str, value: object, lowest_port: int) -> Address:
-        address = parse_address(value)
+        address = Address.parse(value) if type(value) is str else None
         if address is None or not lowest_port <= address.port <= PORT_MAX:
             allowed = f"an IP number and a port from {lowest_port} to {PORT_MAX}"
             self.fail(name, value, f'{allowed}, as "127.0.0.1:7101" or "[::1]:7101"')
--- a/packages/savoryroute/savoryroute/state/document_check.py
+++ b/packages/savoryroute/savoryroute/state/document_check.py
@@ -33,7 +33,7 @@
     "spill_over",
 )
 ENVIRONMENTS = ("production", "trial")
-LIMIT_KINDS = ("fixed", "gradient")
+LIMIT_KINDS = ("aimd", "fixed", "gradient")
 METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT")
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 PATH_PATTERN = re.compile(r"/[!-~]{0,255}")
--- a/packages/savoryroute_cli/savoryroute_cli/commands/audit.py
+++ b/packages/savoryroute_cli/savoryroute_cli/commands/audit.py
@@ -26,7 +26,8 @@
 
     Attributes:
         entries: New entries, oldest first.
-        last_sequence: Sequence number of the daemon's latest entry.
+        last_sequence: Sequence number of the daemon's latest entry; the reader's own
+            where the daemon does not tell it.
     """
 
     entries: list[dict]
@@ -73,7 +74,7 @@
     if is_err(answer):
         return answer
     entries = answer.ok_value.get("entries")
-    last_sequence = answer.ok_value.get("last_sequence")
+    last_sequence = answer.ok_value.get("last_sequence", sequence)
     is_page = isinstance(entries, list) and all(map(_is_entry, entries))
     if not is_page or type(last_sequence) is not int:
         detail = f"{address}: the answer holds no audit entries"
--- a/packages/savoryroute_cli/savoryroute_cli/commands/promote.py
+++ b/packages/savoryroute_cli/savoryroute_cli/commands/promote.py
@@ -62,8 +62,12 @@
 
 
 def _write(document: Document, path: str) -> ExitCode:
+    rendered = render_document(document)
+    if is_err(rendered):
+        print_error(str(rendered.err_value))
+        return ExitCode.REFUSED
     try:
-        pathlib.Path(path).write_text(render_document(document) + "\n")
+        pathlib.Path(path).write_text(rendered.ok_value + "\n")
     except OSError as exc:
         print_error(f"{path}: not written: {exc.strerror}")
         return ExitCode.REFUSED
--- a/packages/savoryroute_cli/savoryroute_cli/commands/render.py
+++ b/packages/savoryroute_cli/savoryroute_cli/commands/render.py
@@ -17,9 +17,9 @@
 def render(options: Options) -> ExitCode:
     """Print a valid document as strict JSON with all defaults filled in."""
     (path,) = options.files
-    read = read_document(path)
-    if is_err(read):
-        print_error(str(read.err_value))
+    rendered = read_document(path).and_then(render_document)
+    if is_err(rendered):
+        print_error(str(rendered.err_value))
         return ExitCode.REFUSED
-    print_line(render_document(read.ok_value))
+    print_line(rendered.ok_value)
     return ExitCode.OK
--- a/packages/savoryroute_cli/savoryroute_cli/commands/status.py
+++ b/packages/savoryroute_cli/savoryroute_cli/commands/status.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 
 import uvloop
 from result import Result, is_err
@@ -16,10 +17,9 @@
 __all__ = ["status"]
 
 STATUS_PATH = "/status"
-ENVIRONMENTS = ("production", "trial")
 DIGEST_CHARACTERS = 12
 MISSING = "-"
-TITLES = ("address", "host", "service", "readiness", *ENVIRONMENTS, "members")
+TITLES = ("address", "host", "readiness", "production", "trial", "members")
 
 
 @COMMANDS.register("status")
@@ -47,41 +47,44 @@
 
 
 def _row(address: object, state: dict) -> tuple[object, ...]:
-    documents = (_show_document(state, environment) for environment in ENVIRONMENTS)
     return (
         address,
         state.get("host", MISSING),
-        state.get("service", MISSING),
-        state.get("readiness", MISSING),
-        *documents,
+        _show_readiness(state.get("not_ready")),
+        _show_document(state),
+        _show_document(state.get("trial")),
         _show_members(state.get("members")),
     )
 
 
-def _document(state: dict, environment: str) -> dict | None:
-    documents = state.get("documents")
-    document = documents.get(environment) if isinstance(documents, dict) else None
-    return document if isinstance(document, dict) else None
+def _show_readiness(not_ready: object) -> str:
+    if not isinstance(not_ready, str):
+        return MISSING
+    return not_ready or "ready"
 
 
-def _show_document(state: dict, environment: str) -> str:
-    document = _document(state, environment)
-    if document is None:
+def _show_document(document: object) -> str:
+    """Show what identifies a document in force: version, revision and digest."""
+    if not isinstance(document, dict) or document.get("version") is None:
         return MISSING
     digest = str(document.get("digest", ""))[:DIGEST_CHARACTERS]
-    return f"v{document.get('version')} r{document.get('revision')} {digest}"
+    shown = f"v{document['version']} r{document.get('revision', MISSING)} {digest}"
+    return shown.rstrip()
 
 
 def _show_members(members: object) -> str:
-    if not isinstance(members, list):
+    if not isinstance(members, dict):
         return MISSING
-    states = [m.get("status") for m in members if isinstance(m, dict)]
-    counts = (f"{states.count(name)} {name}" for name in sorted(set(map(str, states))))
-    return ", ".join(counts) or "none"
+    counts = collections.Counter(map(str, members.values()))
+    shown = (f"{n_members} {status}" for status, n_members in sorted(counts.items()))
+    return ", ".join(shown) or "none"
 
 
 def _print_agreement(states: list[dict]) -> None:
-    for environment in ENVIRONMENTS:
-        shown = {_show_document(state, environment) for state in states}
+    documents = {
+        "production": {_show_document(state) for state in states},
+        "trial": {_show_document(state.get("trial")) for state in states},
+    }
+    for environment, shown in documents.items():
         if len(shown) > 1:
             print_line(f"{environment} documents differ: {', '.join(sorted(shown))}")
--- a/packages/savoryroute_cli/savoryroute_cli/documents.py
+++ b/packages/savoryroute_cli/savoryroute_cli/documents.py
@@ -6,7 +6,7 @@
 import pathlib
 from collections.abc import Iterator
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from savoryroute.errors import DocumentError
 from savoryroute.state.difference import Operation, make_difference
@@ -28,9 +28,14 @@
     return parse_document(text, path)
 
 
-def render_document(document: Document) -> str:
+def render_document(document: Document) -> Result[str, DocumentError]:
     """Return a document as strict JSON, the same text for the same document."""
-    return json.dumps(document.to_plain(), sort_keys=True, separators=(",", ":"))
+    text = json.dumps(document.to_plain(), sort_keys=True, separators=(",", ":"))
+    if len(text) > TEXT_BYTES_MAX:
+        found = f"{len(text)} bytes with all defaults filled in"
+        allowed = f"at most {TEXT_BYTES_MAX} bytes"
+        return Err(DocumentError("rendered form", "size", found, allowed))
+    return Ok(text)
 
 
 def list_changes(old: dict, new: dict) -> Iterator[str]:
--- a/packages/savoryroute_cli/savoryroute_cli/options.py
+++ b/packages/savoryroute_cli/savoryroute_cli/options.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from savoryroute.state.address import Address, parse_address
+from savoryroute.state.address import Address
 
 __all__ = ["Options", "UsageError"]
 
@@ -90,7 +90,7 @@
 
 
 def _parse_address(text: str) -> Address:
-    address = parse_address(text)
+    address = Address.parse(text)
     if address is None or address.port == 0:
         raise UsageError(f"{text}: not an IP number and a port, as 127.0.0.1:7104")
     return address
--- a/tests/savoryroute/state/test_settings.py
+++ b/tests/savoryroute/state/test_settings.py
@@ -48,6 +48,8 @@
             ("service", {"service": "Planner"}),
             ("upstream", {"upstream": "127.0.0.1:0"}),
             ("upstream", {"upstream": "planner:80"}),
+            ("upstream", {"upstream": 7100}),
+            ("upstream", {"upstream": None}),
             ("platform[0]", {"platform": ["x"]}),
             ("seeds", {"seeds": "127.0.0.1:1"}),
             ("log_level", {"log_level": "loud"}),
