--- a/packages/savoryroute/savoryroute/coordination/crash_watch.py
+++ b/packages/savoryroute/savoryroute/coordination/crash_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from ..state.quarantine import Quarantine
 
@@ -12,10 +13,16 @@
 
 
 class CrashWatch:
-    """Collector of lost requests: those lost together are one crash."""
+    """Collector of lost requests: those lost together are one crash.
 
-    def __init__(self, quarantine: Quarantine) -> None:
+    Args:
+        quarantine: Where crashes are counted.
+        on_crash: Called after each crash with the number of requests lost.
+    """
+
+    def __init__(self, quarantine: Quarantine, on_crash: Callable[[int], None]) -> None:
         self._quarantine = quarantine
+        self._on_crash = on_crash
         self._lost: set[bytes] = set()
 
     def note_lost(self, fingerprint: bytes) -> None:
@@ -27,3 +34,4 @@
     def _close_group(self) -> None:
         lost, self._lost = self._lost, set()
         self._quarantine.note_crash(lost)
+        self._on_crash(len(lost))
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -83,6 +83,7 @@
         pause: PauseDetector,
         decisions: DecisionLog,
         document: Callable[[], Document | None],
+        on_crash: Callable[[int], None],
     ) -> None:
         self._service = service
         self._gate = gate
@@ -97,7 +98,7 @@
         self._is_leaving = False
         self._n_open = 0
         self._running: set[asyncio.Task] = set()
-        self._crashes = CrashWatch(quarantine)
+        self._crashes = CrashWatch(quarantine, on_crash)
         self._pause_ended_s = float("-inf")
         self._pause_s = 0.0
         pause.add_callback(self._note_pause)
--- a/packages/savoryroute/savoryroute/coordination/node.py
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -23,6 +23,7 @@
 from ..state.settings import Settings
 from ..transport.platform_client import HttpPlatform
 from .admission import AdmissionGate
+from .control import Control
 from .delivery import Delivery
 from .hops import HopTable
 from .inbound import Inbound
@@ -47,6 +48,7 @@
 QUEUE_DEFAULT = 32
 CRASHES_DEFAULT = 2
 QUARANTINE_DEFAULT_S = 60.0
+PRODUCTION = "production"
 
 _logger = logging.getLogger(__name__)
 
@@ -85,6 +87,7 @@
             self._pause,
             self._decisions,
             self._get_document,
+            self._on_crash,
         )
         self._network = WebSocketNetwork(
             settings.peers,
@@ -149,20 +152,30 @@
         self._platform = HttpPlatform(
             [str(address) for address in settings.platform], settings.host
         )
+        self._control = Control(
+            self._make_hello,
+            self._table,
+            self._network,
+            self._platform,
+            self._pause,
+            self._on_document,
+            seeds=[str(address) for address in settings.seeds],
+            get_suspects=self._quarantine.export,
+            on_suspects=self._on_suspects,
+            on_audit=self._on_document_audit,
+            rng=self._rng,
+        )
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
         """Open all ports and start all tasks."""
-        self._network.set_handlers(self._on_control, self._on_link)
-        self._table.note_hello(self._make_hello())
         await self._client.start()
-        await self._pause.start()
         await self._network.start()
+        await self._control.start()
         await self._operators.start()
         await self._callers.start()
         await self._upstream_side.start()
         self._tasks.append(asyncio.create_task(self._watch.run()))
-        self._tasks.append(asyncio.create_task(self._poll()))
 
     async def stop(self) -> None:
         """Leave gracefully: no new work, all work in flight finished, then stop."""
@@ -171,6 +184,7 @@
         )
         self._inbound.is_leaving = True
         self._gate.drain()
+        await self._control.membership.announce_leaving()
         self._callers.announce_leaving()
         await asyncio.sleep(DRAIN_LISTEN_S)
         self._callers.stop_listening()
@@ -185,11 +199,11 @@
             task.cancel()
         await self._callers.stop(CLOSE_TIMEOUT_S)
         await self._upstream_side.stop(CLOSE_TIMEOUT_S)
+        await self._control.stop()
         await self._network.stop()
         await self._client.stop()
         await self._platform.close()
         await self._operators.stop()
-        await self._pause.stop()
 
     @property
     def _n_open(self) -> int:
@@ -224,7 +238,7 @@
 
     def _not_ready(self) -> str:
         """Return why the daemon is not ready, or an empty string."""
-        if self._document is None:
+        if self._document is None or not self._control.distribution.is_ready:
             return "no document: neither the platform nor a peer has given one"
         if self._inbound.is_leaving:
             return "leaving"
@@ -246,16 +260,14 @@
             "members": {m.host: str(m.status) for m in self._table.members},
         }
 
-    def _on_document(self, document: Document, revision: int) -> None:
+    def _on_document(
+        self, environment: str, document: Document, revision: int, plain: dict
+    ) -> None:
         """Take a document into force."""
+        if environment != PRODUCTION:
+            return
         self._document = document
         self._revision = revision
-        self._audit.record(
-            AuditKind.DOCUMENT,
-            document.environment,
-            f"version {document.version} in force",
-            f"revision {revision} of the platform",
-        )
         self._quarantine.set_policy(
             document.quarantine.crashes, document.quarantine.duration_s
         )
@@ -269,12 +281,22 @@
     def _on_health(self, health: UpstreamHealth) -> None:
         self._inbound.is_leaving = health.is_leaving
 
-    def _on_link(self, hello: Hello, is_up: bool) -> None:
-        if is_up:
-            self._table.note_hello(hello)
+    def _on_crash(self, n_lost: int) -> None:
+        """Tell peers at once which requests were lost together."""
+        self._audit.record(
+            AuditKind.QUARANTINE,
+            self._settings.host,
+            f"{n_lost} requests are suspects",
+            "their connections to the upstream were lost together",
+        )
+        self._control.membership.flush()
+
+    def _on_suspects(self, host: str, suspects: list) -> None:
+        """Take in what a peer says of requests that crash upstreams."""
+        self._quarantine.merge(suspects)
 
-    async def _on_control(self, host: str, frame) -> None:
-        pass
+    def _on_document_audit(self, subject: str, change: str, evidence: str) -> None:
+        self._audit.record(AuditKind.DOCUMENT, subject, change, evidence)
 
     def _on_member(
         self, host: str, old: Member | None, new: Member, evidence: Evidence
@@ -285,24 +307,3 @@
             f"{old.status if old else 'unknown'} to {new.status}",
             evidence.value,
         )
-
-    async def _poll(self) -> None:
-        from ..state.document import parse_document
-        from ..state.host_list import parse_host_list
-
-        while True:
-            read = await self._platform.read("documents/production")
-            if read.is_ok() and read.ok_value is not None:
-                value = read.ok_value
-                if value.revision > self._revision:
-                    parsed = parse_document(value.text, "documents/production")
-                    if parsed.is_ok():
-                        self._on_document(parsed.ok_value, value.revision)
-                    else:
-                        _logger.error("%s", parsed.err_value)
-            read = await self._platform.read("hosts")
-            if read.is_ok() and read.ok_value is not None:
-                hosts = parse_host_list(read.ok_value.text, "hosts")
-                if hosts.is_ok():
-                    self._table.merge_list(hosts.ok_value)
-            await asyncio.sleep(1.0)
--- a/packages/savoryroute/savoryroute/protocol/websocket_network.py
+++ b/packages/savoryroute/savoryroute/protocol/websocket_network.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from ..errors import ConnectionClosedError
-from ..state.address import Address, parse_address
+from ..state.address import Address
 from ..transport import websocket
 from .frames import FRAME_BYTES_MAX, Frame, Hello, encode
 from .peer_network import ControlHandler, LinkHandler, PeerNetwork
@@ -112,7 +112,7 @@
 
     async def _dial(self, peers_address: str) -> Result[Hello, ConnectionClosedError]:
         """Open a connection, exchange first frames and start its task."""
-        address = parse_address(peers_address)
+        address = Address.parse(peers_address)
         if address is None:
             return Err(ConnectionClosedError(f"{peers_address!r:.60} is no address"))
         dialled = await websocket.dial(address, self._fleet_key, FRAME_BYTES_MAX)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,11 +9,11 @@
 
 import aiohttp
 import attrs
-from savoryroute_lab.platform import Platform
-from savoryroute_lab.upstream import Upstream, UpstreamSettings
 
 from savoryroute.coordination.node import Node
 from savoryroute.state.settings import parse_settings
+from savoryroute_lab.platform import Platform
+from savoryroute_lab.upstream import Upstream, UpstreamSettings
 
 __all__ = ["Fleet", "Host", "Reply", "document"]
 
--- a/tests/savoryroute/coordination/test_node.py
+++ b/tests/savoryroute/coordination/test_node.py
@@ -154,7 +154,7 @@
 class PoisonTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_request_that_crashes_upstreams_is_held_back(self):
         async with Fleet({"planner": 5}, document(["planner"])) as fleet:
-            for round_ in range(3):
+            for _ in range(3):
                 for name in fleet.hosts:
                     await fleet.call(name, "GET", "/planner/x?mark=crash")
                 await asyncio.sleep(0.3)
