--- a/packages/savoryroute/savoryroute/coordination/distribution.py
+++ b/packages/savoryroute/savoryroute/coordination/distribution.py
@@ -142,6 +142,10 @@
         """Return the revision in force, 0 for none."""
         return self._channels[environment].store.revision
 
+    def digest(self, environment: str) -> bytes:
+        """Return the digest of the document in force."""
+        return self._channels[environment].store.digest
+
     def document(self, environment: str) -> Any:
         """Return the document in force, or None."""
         return self._channels[environment].store.document
@@ -405,11 +409,14 @@
         for read in reads:
             if read is not None:
                 await read
-        production = self._channels[PRODUCTION]
-        while not production.store.revision:
+        while not self._has_document():
             await asyncio.sleep(START_STEP_S)
         self._ready.set()
 
+    def _has_document(self) -> bool:
+        """Return whether a production or a trial document is in force."""
+        return any(self._channels[name].store.revision for name in (PRODUCTION, TRIAL))
+
     async def _read_at_start(self, channel: _Channel) -> None:
         """Read the platform once, spread over a short time."""
         await asyncio.sleep(self._rng.uniform(0, START_READ_JITTER_S))
@@ -466,6 +473,8 @@
         if n_with_document >= n_wanted:
             return True
         others = {member.host for member in self._table.usable()} - {self._host}
+        if not others and self._channels[HOSTS].store.revision and not self._seeds:
+            return True
         return bool(others) and others <= answers.keys()
 
     def _audit(self, channel: _Channel, change: str, evidence: str) -> None:
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -33,6 +33,7 @@
 from .hops import Hop, HopTable
 from .pause import PauseDetector
 from .pressure import HIGHEST_LEVEL
+from .shadow import ShadowGate
 
 __all__ = ["Inbound"]
 
@@ -84,6 +85,7 @@
         decisions: DecisionLog,
         document: Callable[[], Document | None],
         on_crash: Callable[[int], None],
+        shadow: ShadowGate,
     ) -> None:
         self._service = service
         self._gate = gate
@@ -95,6 +97,7 @@
         self._pause = pause
         self._decisions = decisions
         self._document = document
+        self._shadow = shadow
         self._is_leaving = False
         self._n_open = 0
         self._running: set[asyncio.Task] = set()
@@ -279,17 +282,28 @@
             traceparent=call.traceparent,
         )
         delivery.hop = hop
+        self._judge(delivery)
         started_s = time.monotonic()
+        is_dropped = False
         try:
             result = await self._client.send(_to_upstream(call, hop, service))
+            result = _after_upstream(result, hop, service)
+            is_dropped = _is_dropped(result)
         finally:
             self._hops.close(hop)
-        latency_s = time.monotonic() - started_s
-        result = _after_upstream(result, hop, service)
-        permit.release(latency_s, _is_dropped(result))
+            latency_s = time.monotonic() - started_s
+            self._shadow.end(latency_s, is_dropped)
+        permit.release(latency_s, is_dropped)
         self._note_crash(delivery, result)
         return result
 
+    def _judge(self, delivery: _Delivery) -> None:
+        """Report what the trial document would decide."""
+        call = delivery.call
+        judgement = self._shadow.begin(call.class_name, delivery.time_left_s)
+        if judgement is not None and judgement.is_refused:
+            self._decisions.note(call.action, "trial would refuse", judgement.detail)
+
     def _note_crash(
         self, delivery: _Delivery, result: Result[Response, Refusal]
     ) -> None:
--- a/packages/savoryroute/savoryroute/coordination/node.py
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -8,20 +8,27 @@
 import secrets
 import time
 
-from ..protocol.callers_http import CallersServer
+import attrs
+from result import Err
+
+from ..protocol.callers_http import CallersServer, Outcome
 from ..protocol.frames import Hello
 from ..protocol.operators_http import OperatorsServer
+from ..protocol.request import Request
 from ..protocol.upstream_http import UpstreamClient, UpstreamHealth
 from ..protocol.websocket_network import WebSocketNetwork
 from ..state.attempt_counter import ActionCounter
-from ..state.audit import AuditKind, AuditTrail
+from ..state.audit import AuditEntry, AuditKind, AuditTrail
 from ..state.decisions import DecisionLog
 from ..state.document import Document
 from ..state.ledger import Ledger
 from ..state.members import Evidence, Member, MemberTable
+from ..state.metrics import Metrics
+from ..state.policies import EjectionPolicy, ServicePolicy
 from ..state.quarantine import Quarantine
 from ..state.settings import Settings
 from ..transport.platform_client import HttpPlatform
+from ..verdict import Refusal, Verdict
 from .admission import AdmissionGate
 from .control import Control
 from .delivery import Delivery
@@ -33,6 +40,7 @@
 from .pause import PauseDetector
 from .placement import Placement
 from .pressure import PressureMap
+from .shadow import ShadowGate
 from .upstream_watch import UpstreamWatch
 
 __all__ = ["Node"]
@@ -49,6 +57,8 @@
 CRASHES_DEFAULT = 2
 QUARANTINE_DEFAULT_S = 60.0
 PRODUCTION = "production"
+TRIAL = "trial"
+UNLIMITED = 1_000_000
 
 _logger = logging.getLogger(__name__)
 
@@ -62,8 +72,13 @@
         self._started_s = time.monotonic()
         self._rng = random.Random(self._incarnation)
         self._document: Document | None = None
+        self._is_enforced = False
+        self._is_stopping = False
+        self._gate_policy: tuple[ServicePolicy, bool] | None = None
         self._revision = 0
-        self._audit = AuditTrail()
+        self._audit = AuditTrail(on_record=_log_audit)
+        self._shadow = ShadowGate(settings.service)
+        self._metrics = Metrics(self._read_gauges)
         self._decisions = DecisionLog()
         self._table = MemberTable(settings.host, self._on_member)
         self._hops = HopTable()
@@ -88,6 +103,7 @@
             self._decisions,
             self._get_document,
             self._on_crash,
+            self._shadow,
         )
         self._network = WebSocketNetwork(
             settings.peers,
@@ -126,7 +142,7 @@
         )
         self._callers = CallersServer(
             settings.callers,
-            self._outbound.from_caller,
+            self._serve_caller,
             self._keys.mint,
             self._body_limit,
         )
@@ -144,7 +160,7 @@
             self._not_ready,
             self._audit,
             self._decisions,
-            lambda: None,
+            self._metrics,
         )
         self._watch = UpstreamWatch(
             self._client, self._audit, settings.host, self._on_health
@@ -182,6 +198,7 @@
         self._audit.record(
             AuditKind.LEAVING, self._settings.host, "leaving", "planned stop"
         )
+        self._is_stopping = True
         self._inbound.is_leaving = True
         self._gate.drain()
         await self._control.membership.announce_leaving()
@@ -227,7 +244,7 @@
     def _get_document(self) -> Document | None:
         return self._document
 
-    def _get_ejection(self):
+    def _get_ejection(self) -> EjectionPolicy | None:
         return None if self._document is None else self._document.ejection
 
     def _body_limit(self, service: str) -> int:
@@ -257,29 +274,111 @@
             "n_queued": self._gate.n_queued,
             "limit": self._gate.limit,
             "level": self._gate.level,
+            "enforced": self._is_enforced,
+            "digest": self._control.distribution.digest(PRODUCTION).hex(),
+            "trial": self._trial_status(),
+            "quarantine": list(map(attrs.asdict, self._quarantine.entries())),
             "members": {m.host: str(m.status) for m in self._table.members},
         }
 
+    def _trial_status(self) -> dict | None:
+        """Return what operators see of the trial document, or None."""
+        document = self._shadow.document
+        if document is None:
+            return None
+        distribution = self._control.distribution
+        return {
+            "version": document.version,
+            "revision": distribution.revision(TRIAL),
+            "digest": distribution.digest(TRIAL).hex(),
+            "would": self._shadow.counts,
+        }
+
     def _on_document(
         self, environment: str, document: Document, revision: int, plain: dict
     ) -> None:
         """Take a document into force."""
-        if environment != PRODUCTION:
+        if environment not in (PRODUCTION, TRIAL):
             return
+        if environment == TRIAL:
+            self._shadow.set_document(document)
+        if environment == PRODUCTION or not self._is_enforced:
+            self._put_in_force(environment, document, revision)
+
+    def _put_in_force(
+        self, environment: str, document: Document, revision: int
+    ) -> None:
+        """Decide by this document from now on."""
         self._document = document
         self._revision = revision
+        self._is_enforced = environment == PRODUCTION
         self._quarantine.set_policy(
             document.quarantine.crashes, document.quarantine.duration_s
         )
-        policy = document.services.get(self._settings.service)
-        if policy is not None:
+        self._take_policy(document.services.get(self._settings.service))
+
+    def _take_policy(self, policy: ServicePolicy | None) -> None:
+        """Set up the gate anew if the policy of the own service changed."""
+        if policy is None or (policy, self._is_enforced) == self._gate_policy:
+            return
+        self._gate_policy = (policy, self._is_enforced)
+        if self._is_enforced:
             limit = make_limit(
                 policy.limit.kind, policy.limit.minimum, policy.slots, policy.slots
             )
             self._gate.reconfigure(limit, policy.queue_length)
+        else:
+            limit = make_limit("fixed", 1, UNLIMITED, UNLIMITED)
+            self._gate.reconfigure(limit, UNLIMITED)
+        change = f"{policy.limit.kind} limit, at most {policy.slots}"
+        if not self._is_enforced:
+            change = "no limit: the trial document is not enforced"
+        self._audit.record(
+            AuditKind.LIMIT, self._settings.host, change, f"revision {self._revision}"
+        )
 
     def _on_health(self, health: UpstreamHealth) -> None:
-        self._inbound.is_leaving = health.is_leaving
+        """Follow the upstream: leaving, gone, or back and cold."""
+        self._inbound.is_leaving = health.is_leaving or self._is_stopping
+        if health.is_reachable and self._document is not None:
+            self._gate_policy = None
+            self._take_policy(self._document.services.get(self._settings.service))
+
+    async def _serve_caller(self, request: Request) -> Outcome:
+        """Serve a caller and count what came of it."""
+        started_s = time.monotonic()
+        outcome = await self._outbound.from_caller(request)
+        latency_s = time.monotonic() - started_s
+        verdict, reason = Verdict.RAN, ""
+        if isinstance(outcome.result, Err):
+            refusal = outcome.result.err_value
+            verdict, reason = refusal.verdict, refusal.reason
+            self._log_refusal(outcome.action, refusal)
+        self._metrics.count(outcome.class_name, verdict, reason, latency_s)
+        return outcome
+
+    def _log_refusal(self, action: str, refusal: Refusal) -> None:
+        """Log a refusal: what may have run as a warning, the rest for debugging."""
+        level = logging.DEBUG
+        if refusal.verdict is Verdict.MAY_HAVE_RUN:
+            level = logging.WARNING
+        fields = {"action": action, "reason": refusal.reason}
+        _logger.log(level, "%s: %s", refusal.verdict, refusal.detail, extra=fields)
+
+    def _read_gauges(self) -> dict[str, float]:
+        """Return the gauges of a scrape."""
+        return {
+            "in_flight": self._gate.n_in_flight,
+            "queued": self._gate.n_queued,
+            "limit": self._gate.limit,
+            "level": self._gate.level,
+            "document_revision": self._revision,
+            "ledger_records": self._ledger.n_records,
+            "ledger_bytes": self._ledger.n_bytes,
+            "quarantine_suspects": len(self._quarantine),
+            "links": len(self._network.hosts),
+            "ready": not self._not_ready(),
+        }
 
     def _on_crash(self, n_lost: int) -> None:
         """Tell peers at once which requests were lost together."""
@@ -307,3 +406,9 @@
             f"{old.status if old else 'unknown'} to {new.status}",
             evidence.value,
         )
+
+
+def _log_audit(entry: AuditEntry) -> None:
+    """Log an entry of the audit trail."""
+    fields = {"kind": entry.kind, "subject": entry.subject, "evidence": entry.evidence}
+    _logger.info("%s", entry.change, extra=fields)
--- a/packages/savoryroute/savoryroute/coordination/outbound.py
+++ b/packages/savoryroute/savoryroute/coordination/outbound.py
@@ -109,7 +109,8 @@
         action = self._open(request, None)
         if isinstance(action, Err):
             return Outcome(action)
-        return await self._serve(action.ok_value)
+        outcome = await self._serve(action.ok_value)
+        return attrs.evolve(outcome, class_name=action.ok_value.policy.name)
 
     async def from_upstream(self, request: Request) -> Outcome:
         """Serve a further call of the host's own upstream.
--- a/packages/savoryroute/savoryroute/daemon.py
+++ b/packages/savoryroute/savoryroute/daemon.py
@@ -12,6 +12,7 @@
 
 from . import __version__
 from .coordination.node import Node
+from .logs import configure
 from .state.settings import Settings, read_settings
 
 __all__ = ["main"]
@@ -54,6 +55,7 @@
     if arguments["--check"]:
         print("settings are in order")
         return EXIT_OK
+    configure(read.ok_value.log_level, read.ok_value.host)
     try:
         uvloop.run(_run(read.ok_value))
     except OSError as error:
--- a/packages/savoryroute/savoryroute/protocol/callers_http.py
+++ b/packages/savoryroute/savoryroute/protocol/callers_http.py
@@ -38,12 +38,14 @@
         action: Identity of the action.
         key: Key under which it ran, or an empty string.
         next_key: Key with which the caller is to go on, or an empty string.
+        class_name: Class of the action, or an empty string.
     """
 
     result: Result[Response, Refusal]
     action: str = ""
     key: str = ""
     next_key: str = ""
+    class_name: str = ""
 
 
 RequestHandler = Callable[[Request], Awaitable[Outcome]]
--- a/packages/savoryroute/savoryroute/protocol/operators_http.py
+++ b/packages/savoryroute/savoryroute/protocol/operators_http.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 
 from aiohttp import web
-from aioprometheus import REGISTRY, render
 
 from ..state.audit import AuditTrail
 from ..state.decisions import DecisionLog
+from ..state.metrics import Metrics
 from ..state.settings import Address
 
 __all__ = ["OperatorsServer"]
@@ -29,7 +29,7 @@
         not_ready: Callable[[], str],
         audit: AuditTrail,
         decisions: DecisionLog,
-        refresh_metrics: Callable[[], None],
+        metrics: Metrics,
     ) -> None:
         self._address = address
         self._expected = f"Bearer {operator_key}".encode()
@@ -37,7 +37,7 @@
         self._not_ready = not_ready
         self._audit = audit
         self._decisions = decisions
-        self._refresh_metrics = refresh_metrics
+        self._metrics = metrics
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -76,8 +76,8 @@
         return web.json_response({"ready": True})
 
     async def _get_metrics(self, http: web.Request) -> web.Response:
-        self._refresh_metrics()
-        content, fields = render(REGISTRY, [http.headers.get("Accept", "text/plain")])
+        accept = http.headers.get("Accept", "text/plain")
+        content, fields = self._metrics.render(accept)
         return web.Response(body=content, headers=fields)
 
     async def _get_status(self, http: web.Request) -> web.Response:
@@ -88,7 +88,12 @@
         if not after.isdecimal():
             return web.json_response({"error": "after must be a number"}, status=400)
         entries = self._audit.after(int(after), AUDIT_ENTRIES_MAX)
-        return web.json_response({"entries": [e.to_plain() for e in entries]})
+        return web.json_response(
+            {
+                "entries": [entry.to_plain() for entry in entries],
+                "last_sequence": self._audit.last_sequence,
+            }
+        )
 
     async def _get_explanation(self, http: web.Request) -> web.Response:
         entries = self._decisions.explain(http.match_info["action"])
--- a/packages/savoryroute/savoryroute/state/audit.py
+++ b/packages/savoryroute/savoryroute/state/audit.py
@@ -60,13 +60,16 @@
     Args:
         capacity: Entries that are kept.
         clock: Monotonic clock in seconds.
+        on_record: Called with each new entry.
     """
 
     def __init__(
         self,
         capacity: int = CAPACITY_DEFAULT,
         clock: Callable[[], float] = time.monotonic,
+        on_record: Callable[[AuditEntry], None] = lambda entry: None,
     ) -> None:
+        self._on_record = on_record
         self._entries: collections.deque[AuditEntry] = collections.deque(
             maxlen=capacity
         )
@@ -94,6 +97,7 @@
             evidence=evidence,
         )
         self._entries.append(entry)
+        self._on_record(entry)
         return entry
 
     def after(self, sequence: int, limit: int) -> list[AuditEntry]:
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/metrics.py
@@ -0,0 +1,67 @@
+"""Metrics of one daemon in Prometheus form."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ["Metrics"]
+
+LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0)
+
+
+class Metrics:
+    """Counters that the daemon raises, and gauges read at each scrape.
+
+    Args:
+        read_gauges: Returns the present value of each gauge by name.
+    """
+
+    def __init__(self, read_gauges: Callable[[], Mapping[str, float]]) -> None:
+        self._read_gauges = read_gauges
+        self._registry = Registry()
+        self._outcomes = Counter(
+            "savoryroute_requests_total",
+            "Requests answered, by class, verdict and reason.",
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "savoryroute_request_seconds",
+            "Seconds from arrival to answer, by class.",
+            registry=self._registry,
+            buckets=(*LATENCY_BUCKETS_S, float("inf")),
+        )
+        self._gauges: dict[str, Gauge] = {}
+
+    def count(
+        self, class_name: str, verdict: str, reason: str, latency_s: float
+    ) -> None:
+        """Count one answered request.
+
+        Args:
+            class_name: Class of the action, or an empty string.
+            verdict: Verdict that the caller was told.
+            reason: Reason of a refusal, or an empty string.
+            latency_s: Seconds from arrival to answer.
+        """
+        self._outcomes.inc({"class": class_name, "verdict": verdict, "reason": reason})
+        self._latency.observe({"class": class_name}, latency_s)
+
+    def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Return the body and the headers of a scrape.
+
+        Args:
+            accept: Value of the scraper's ``Accept`` header.
+        """
+        for name, value in self._read_gauges().items():
+            self._gauge(name).set({}, value)
+        return render(self._registry, [accept])
+
+    def _gauge(self, name: str) -> Gauge:
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            description = name.replace("_", " ").capitalize() + "."
+            gauge = Gauge(f"savoryroute_{name}", description, registry=self._registry)
+            self._gauges[name] = gauge
+        return gauge
--- a/tests/savoryroute/coordination/test_node.py
+++ b/tests/savoryroute/coordination/test_node.py
@@ -285,3 +285,49 @@
             await fleet.restart_node("a-planner-0")
             status = await fleet.operate("a-planner-0", "/status")
             self.assertEqual(status["revision"], revision)
+
+
+class TrialTest(FleetTestCase):
+    async def test_a_trial_document_alone_refuses_nothing_for_load(self):
+        service = {"slots": 1, "queue_length": 1}
+        plain = document(["planner"], service=service, environment="trial")
+        async with Fleet({"planner": 1}, plain) as fleet:
+            fleet["a-planner-0"].upstream.set({"work_s": 0.05})
+            calls = [fleet.call("a-planner-0", "GET", "/planner/x") for _ in range(20)]
+            replies = await asyncio.gather(*calls)
+            self.assertEqual({reply.status for reply in replies}, {200})
+            status = await fleet.operate("a-planner-0", "/status")
+            self.assertFalse(status["enforced"])
+            self.assertGreater(status["trial"]["would"]["read"]["refused"], 0)
+
+    async def test_a_trial_document_beside_production_is_only_reported(self):
+        async with Fleet({"planner": 1}, document(["planner"])) as fleet:
+            fleet["a-planner-0"].upstream.set({"work_s": 0.05})
+            service = {"slots": 1, "queue_length": 1}
+            trial = document(["planner"], service=service, environment="trial")
+            fleet.publish(trial)
+            await asyncio.sleep(1.0)
+            calls = [fleet.call("a-planner-0", "GET", "/planner/x") for _ in range(8)]
+            replies = await asyncio.gather(*calls)
+            self.assertEqual({reply.status for reply in replies}, {200})
+            status = await fleet.operate("a-planner-0", "/status")
+            self.assertTrue(status["enforced"])
+            self.assertGreater(status["trial"]["would"]["read"]["refused"], 0)
+
+
+class OperatorsTest(FleetTestCase):
+    async def test_operators_need_their_key_and_see_decisions(self):
+        async with Fleet({"planner": 1}, document(["planner"])) as fleet:
+            trace = "1" * 32
+            headers = {"traceparent": f"00-{trace}-{'2' * 16}-01"}
+            await fleet.call("a-planner-0", "GET", "/planner/x", headers=headers)
+            found = await fleet.operate("a-planner-0", f"/explain/{trace}")
+            self.assertEqual(found["decisions"][0]["what"], "placed")
+            url = fleet["a-planner-0"].operators
+            for path, status in (("/status", 401), ("/audit", 401), ("/metrics", 200)):
+                async with fleet.session.get(url + path) as answer:
+                    self.assertEqual(answer.status, status, path)
+                    body = await answer.text()
+            self.assertIn('savoryroute_requests_total{class="read"', body)
+            callers = await fleet.call("a-planner-0", "GET", "/status")
+            self.assertEqual(callers.status, 404)
