--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,400 @@
+"""Deliberate faults in the mechanisms of each promise, and the tests that see them.
+
+Run with ``python -m tests.mutations [WORD]``; a word picks the mutations whose
+name contains it. Each fault is made in a scratch copy of the package.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+import attrs
+
+__all__ = ["MUTATIONS", "Mutation", "main"]
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PACKAGE = ROOT / "packages" / "savoryroute" / "savoryroute"
+TIMEOUT_S = 240
+N_PARALLEL = 2
+
+# The first failing example is proof enough: no time goes into shrinking it.
+RUNNER = """
+import sys
+import hypothesis
+import tests.run
+hypothesis.settings.register_profile(
+    "mutations", derandomize=True, deadline=None, database=None, print_blob=False,
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
+)
+hypothesis.settings.load_profile("mutations")
+sys.exit(tests.run.main())
+"""
+
+
+@attrs.frozen
+class Mutation:
+    """One deliberate fault.
+
+    Attributes:
+        name: What the fault breaks.
+        file: File below the package.
+        old: Text that occurs exactly once in the file.
+        new: Text put in its place.
+        test: Module, class or method that must fail.
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+LEDGER = "tests.savoryroute.state.test_ledger"
+MACHINE = f"{LEDGER}.TestLedgerMachine"
+QUARANTINE = "tests.savoryroute.state.test_quarantine"
+ALLOWANCE = "tests.savoryroute.coordination.test_allowance"
+RETRIES = "tests.savoryroute.coordination.test_retries"
+COUNTER = "tests.savoryroute.state.test_attempt_counter"
+KEYS = "tests.savoryroute.protocol.test_idempotency_key"
+
+MUTATIONS = [
+    Mutation(
+        "once: any incarnation may run a key",
+        "state/ledger.py",
+        "return (name.host, name.incarnation) == (self._host, self._incarnation)",
+        "return name.host == self._host",
+        MACHINE,
+    ),
+    Mutation(
+        "once: any host may run a key",
+        "state/ledger.py",
+        "return (name.host, name.incarnation) == (self._host, self._incarnation)",
+        "return name.incarnation == self._incarnation",
+        MACHINE,
+    ),
+    Mutation(
+        "once: no run window",
+        "state/ledger.py",
+        "if age_s > RUN_WINDOW_S:",
+        "if age_s > 1e9:",
+        f"{LEDGER}.TestLedger",
+    ),
+    Mutation(
+        "once: horizon shorter than the run window",
+        "state/ledger.py",
+        "RECORD_HORIZON_S = 360.0",
+        "RECORD_HORIZON_S = 200.0",
+        f"{LEDGER}.TestLedger",
+    ),
+    Mutation(
+        "once: no key is too old to run",
+        "state/ledger.py",
+        "        if age_s > RECORD_HORIZON_S:\n"
+        "            return refusals.expired(RUN_WINDOW_S, Verdict.MAY_HAVE_RUN)\n"
+        "        if age_s > RUN_WINDOW_S:\n"
+        "            return refusals.expired(RUN_WINDOW_S, Verdict.NOT_RUN)\n",
+        "",
+        MACHINE,
+    ),
+    Mutation(
+        "once: records of keys minted ahead go too early",
+        "state/ledger.py",
+        "if record.settled_s >= since_s or record.minted_s >= since_s:",
+        "if record.settled_s >= since_s:",
+        f"{LEDGER}.TestLedger",
+    ),
+    Mutation(
+        "once: keys from far ahead are run",
+        "state/ledger.py",
+        "if age_s < -MINT_AHEAD_MAX_S:",
+        "if age_s < -1e9:",
+        f"{LEDGER}.TestLedger",
+    ),
+    Mutation(
+        "once: a copy of a running action runs too",
+        "state/ledger.py",
+        "entry = self._running.get(text)",
+        "entry = None",
+        MACHINE,
+    ),
+    Mutation(
+        "once: settled keys are forgotten at once",
+        "state/ledger.py",
+        "since_s = self._uptime_s() - RECORD_HORIZON_S",
+        "since_s = self._uptime_s()",
+        MACHINE,
+    ),
+    Mutation(
+        "once: other body under one key gets the answer",
+        "state/ledger.py",
+        "if record.fingerprint not in (None, fingerprint):",
+        "if False:",
+        MACHINE,
+    ),
+    Mutation(
+        "once: other body under one key waits for the answer",
+        "state/ledger.py",
+        "if entry.fingerprint != fingerprint:",
+        "if False:",
+        MACHINE,
+    ),
+    Mutation(
+        "not run: full ledger does not fence what it refuses",
+        "state/ledger.py",
+        "self._fenced_to_ms = max(self._fenced_to_ms, name.minted_ms)",
+        "pass",
+        MACHINE,
+    ),
+    Mutation(
+        "not run: refused cancellation is not fenced",
+        "state/ledger.py",
+        "            self._fence_unseen(name, refusals.spent())\n"
+        "            return Refuse(refusal)",
+        "            return Refuse(refusal)",
+        MACHINE,
+    ),
+    Mutation(
+        "not run: fence leaves no trace",
+        "state/ledger.py",
+        "        self._fence_unseen(name, refusals.spent())\n"
+        "        return Verdict.NOT_RUN",
+        "        return Verdict.NOT_RUN",
+        MACHINE,
+    ),
+    Mutation(
+        "not run: fence of a running action",
+        "state/ledger.py",
+        "            return Verdict.MAY_HAVE_RUN\n        record",
+        "            return Verdict.NOT_RUN\n        record",
+        MACHINE,
+    ),
+    Mutation(
+        "not run: said of keys past the horizon",
+        "state/ledger.py",
+        "refusals.expired(RUN_WINDOW_S, Verdict.MAY_HAVE_RUN)",
+        "refusals.expired(RUN_WINDOW_S, Verdict.NOT_RUN)",
+        MACHINE,
+    ),
+    Mutation(
+        "not run: said of a key whose home is gone",
+        "state/ledger_refusals.py",
+        "return _refusal(Verdict.MAY_HAVE_RUN, Reason.KEY_HOME_GONE, detail)",
+        "return _refusal(Verdict.NOT_RUN, Reason.KEY_HOME_GONE, detail)",
+        MACHINE,
+    ),
+    Mutation(
+        "not run: overrides what may have run",
+        "state/ledger_entry.py",
+        "        if self._outcome is not None:\n"
+        "            return False\n"
+        "        return self._end(attrs.evolve",
+        "        return self._end(attrs.evolve",
+        LEDGER,
+    ),
+    Mutation(
+        "cancel: running target is no obstacle",
+        "state/ledger.py",
+        "        if str(target) in self._running:\n"
+        "            return refusals.in_progress(RETRY_AFTER_S)\n",
+        "",
+        MACHINE,
+    ),
+    Mutation(
+        "cancel: unseen target is not fenced",
+        "state/ledger.py",
+        "        self._fence_unseen(target, refusals.cancelled())\n",
+        "",
+        MACHINE,
+    ),
+    Mutation(
+        "cancel: target of another home needs no fence",
+        "state/ledger.py",
+        "if target.host != self._host:",
+        "if False:",
+        MACHINE,
+    ),
+    Mutation(
+        "cancel: no grace after a lost connection",
+        "state/ledger.py",
+        "CANCEL_GRACE_S = 2.0",
+        "CANCEL_GRACE_S = 0.0",
+        f"{LEDGER}.TestLedger",
+    ),
+    Mutation(
+        "ledger: answers fill the whole",
+        "state/ledger.py",
+        "min(left / ANSWER_DIVISOR, RECORDED_BODY_BYTES_MAX)",
+        "RECORDED_BODY_BYTES_MAX",
+        f"{LEDGER}.TestLedger",
+    ),
+    Mutation(
+        "ledger: eviction gives no bytes back",
+        "state/ledger.py",
+        "        self._n_bytes -= RECORD_BYTES + record.answer_bytes\n",
+        "",
+        f"{LEDGER}.TestLedger",
+    ),
+    Mutation(
+        "keys: numbers with leading zeros",
+        "protocol/idempotency_key.py",
+        "(?P<incarnation>0|[1-9][0-9]{0,18})",
+        "(?P<incarnation>[0-9]{1,19})",
+        KEYS,
+    ),
+    Mutation(
+        "poison: a crash heard twice counts twice",
+        "state/quarantine.py",
+        "            self._add(request, crash_id, _Event(at_s, is_alone, is_cleared))",
+        "            self._add(request, crash_id, _Event(at_s, is_alone, is_cleared))\n"
+        "            self._add(request, crash_id ^ 1, _Event(at_s, is_alone))",
+        QUARANTINE,
+    ),
+    Mutation(
+        "poison: hearsay is ignored",
+        "state/quarantine.py",
+        "            if _is_row(row):",
+        "            if False:",
+        QUARANTINE,
+    ),
+    Mutation(
+        "poison: suspects run together",
+        "state/quarantine.py",
+        "if self.must_run_alone(request) and self._is_suspect_in_flight():",
+        "if False:",
+        QUARANTINE,
+    ),
+    Mutation(
+        "poison: success does not clear a neighbour",
+        "state/quarantine.py",
+        "if not event.is_alone and not event.is_cleared:",
+        "if False:",
+        QUARANTINE,
+    ),
+    Mutation(
+        "poison: success lifts a quarantine",
+        "state/quarantine.py",
+        "        if self._is_quarantined(request):\n            return\n",
+        "",
+        QUARANTINE,
+    ),
+    Mutation(
+        "poison: quarantine never ends",
+        "state/quarantine.py",
+        "return self._last_age_s(request) < self._duration_s",
+        "return True",
+        QUARANTINE,
+    ),
+    Mutation(
+        "attempts: a delivery is free",
+        "coordination/allowance.py",
+        "        self._left -= 1\n",
+        "",
+        f"{ALLOWANCE}.TestAllowance.test_lends_three_quarters_and_at_least_one",
+    ),
+    Mutation(
+        "attempts: a loan is free",
+        "coordination/allowance.py",
+        "        self._left -= n_lent\n",
+        "",
+        ALLOWANCE,
+    ),
+    Mutation(
+        "attempts: more comes back than was lent",
+        "coordination/allowance.py",
+        "n = min(max(0, n), self._lent)",
+        "n = max(0, n)",
+        ALLOWANCE,
+    ),
+    Mutation(
+        "attempts: one delivery too many in a window",
+        "state/attempt_counter.py",
+        "if len(times) >= maximum:",
+        "if len(times) > maximum:",
+        COUNTER,
+    ),
+    Mutation(
+        "attempts: full counter lets all pass",
+        "state/attempt_counter.py",
+        "len(self) >= self._actions_max:\n            return False",
+        "len(self) >= self._actions_max:\n            return True",
+        COUNTER,
+    ),
+    Mutation(
+        "retries: on top of a deeper retry",
+        "coordination/retries.py",
+        "if refusal.from_deep or refusal.reason in _NEVER_RETRIED:",
+        "if refusal.reason in _NEVER_RETRIED:",
+        RETRIES,
+    ),
+    Mutation(
+        "retries: keyed action beyond its home's word",
+        "coordination/retries.py",
+        "    if is_keyed:\n        return refusal.reason in _HOME_SILENT\n",
+        "",
+        RETRIES,
+    ),
+    Mutation(
+        "retries: non-idempotent request that may have run",
+        "coordination/retries.py",
+        "return refusal.verdict is Verdict.NOT_RUN or is_idempotent",
+        "return True",
+        RETRIES,
+    ),
+    Mutation(
+        "retries: budget without a bound",
+        "coordination/retries.py",
+        "        self._tokens -= 1.0\n",
+        "",
+        RETRIES,
+    ),
+]
+
+
+def _is_caught(mutation: Mutation) -> bool:
+    """Return whether the named test fails with the fault in place."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder) / "savoryroute"
+        shutil.copytree(PACKAGE, copy, ignore=shutil.ignore_patterns("__pycache__"))
+        file = copy / mutation.file
+        text = file.read_text()
+        if text.count(mutation.old) != 1:
+            raise ValueError(f"{mutation.name}: the old text must occur once")
+        file.write_text(text.replace(mutation.old, mutation.new))
+        path = os.pathsep.join([folder, os.environ.get("PYTHONPATH", ""), str(ROOT)])
+        run = subprocess.run(
+            [sys.executable, "-c", RUNNER, mutation.test],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": path},
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+    if "_FailedTest" in run.stderr:
+        raise ValueError(f"{mutation.name}: the test did not load")
+    return run.returncode == 1 and "failed" in run.stdout
+
+
+def main() -> int:
+    """Try all mutations and return the number that no test caught."""
+    word = sys.argv[1] if len(sys.argv) > 1 else ""
+    chosen = [mutation for mutation in MUTATIONS if word in mutation.name]
+    n_missed = 0
+    with concurrent.futures.ThreadPoolExecutor(N_PARALLEL) as pool:
+        for mutation, is_caught in zip(
+            chosen, pool.map(_is_caught, chosen), strict=True
+        ):
+            print(f"{'caught' if is_caught else 'NOT caught'}: {mutation.name}")
+            n_missed += not is_caught
+    print(f"{len(chosen) - n_missed} of {len(chosen)} caught")
+    return n_missed
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/savoryroute/state/test_ledger.py
+++ b/tests/savoryroute/state/test_ledger.py
@@ -19,6 +19,10 @@
 SHED = Refusal(Verdict.NOT_RUN, Reason.OVERLOAD, "shed")
 INDEX = st.integers(0, 1000)
 
+# Few actions with many copies each make the interesting histories.
+N_BOOKINGS = 4
+N_ACTIONS = 7
+
 
 class Home:
     """A host whose daemon may start anew with an empty ledger."""
@@ -79,18 +83,19 @@
     def pick(self, items, index):
         return items[index % len(items)]
 
+    @precondition(lambda self: len(self.sent) < N_BOOKINGS)
     @rule(i=INDEX, skew_s=st.sampled_from([-20.0, 0.0, 0.9, 3.0]), body=st.binary())
     def book(self, i, skew_s, body):
         home = self.pick(self.homes, i)
         uptime_ms = int((self.now_s - home.started_s + skew_s) * 1000)
         self.send(Copy(mint_key(home.host, home.incarnation, uptime_ms), body))
 
-    @precondition(lambda self: self.sent)
+    @precondition(lambda self: 0 < len(self.sent) < N_ACTIONS)
     @rule(i=INDEX, is_own=st.booleans())
     def cancel(self, i, is_own):
         target = self.pick(self.sent, i).key
         if is_own:
-            home = next(h for h in self.homes if f".{h.host}." in target)
+            home = self.home_of(target)
             self.send(Copy(home.ledger.mint(), b"cancel", target))
         else:
             self.send(Copy(self.homes[0].ledger.mint(), b"cancel", target))
@@ -100,12 +105,15 @@
         self.network.append(copy)
 
     @precondition(lambda self: self.sent)
-    @rule(i=INDEX, has_other_body=st.booleans())
-    def send_again(self, i, has_other_body):
+    @rule(i=INDEX, has_other_body=st.booleans(), is_delayed=st.booleans())
+    def send_again(self, i, has_other_body, is_delayed):
         copy = self.pick(self.sent, i)
         if has_other_body:
             copy = attrs.evolve(copy, body=copy.body + b"!")
-        self.network.append(copy)
+        if is_delayed:
+            self.network.append(copy)
+        else:
+            self.take(copy, self.home_of(copy.key))
 
     @precondition(lambda self: self.network)
     @rule(i=INDEX)
@@ -118,9 +126,17 @@
         copy = self.pick(self.network, i)
         if not is_duplicate:
             self.network.remove(copy)
-        home = next(h for h in self.homes if f".{h.host}." in copy.key)
-        if wrong is not None and wrong % 5 == 0:
-            home = self.pick(self.homes, wrong)
+        is_lost_its_way = wrong is not None and wrong % 3 == 0
+        self.take(
+            copy,
+            self.pick(self.homes, wrong) if is_lost_its_way else self.home_of(copy.key),
+        )
+
+    def home_of(self, key):
+        return next(home for home in self.homes if f".{home.host}." in key)
+
+    def take(self, copy, home):
+        """Hand one copy to the ledger of a home."""
         begun = home.ledger.begin(copy.key, copy.body, copy.cancels)
         if isinstance(begun, Run):
             self.deliveries.append(Delivery(home, begun.entry, copy))
@@ -296,6 +312,25 @@
         self.now_s = ledgers.CANCEL_GRACE_S
         self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", target), Run)
 
+    def test_first_copies_run_within_the_window_only(self):
+        first, late = self.ledger.mint(), self.ledger.mint()
+        self.now_s += ledgers.RUN_WINDOW_S
+        self.assertIsInstance(self.ledger.begin(first, b""), Run)
+        self.now_s += 0.1
+        self.assertEqual(self.refused(late), (Verdict.NOT_RUN, Reason.KEY_EXPIRED))
+
+    def test_key_minted_ahead_runs_once_its_time_has_come(self):
+        key = mint_key("a", 7, 20_000)
+        begun = self.ledger.begin(key, b"")
+        self.assertEqual(begun.refusal.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(begun.refusal.retry_after_s, 10.0)
+        self.now_s += begun.refusal.retry_after_s - ledgers.MINT_AHEAD_MAX_S
+        self.ledger.begin(key, b"").entry.finish(RecordedAnswer(200, (), b""))
+        self.now_s += ledgers.RECORD_HORIZON_S + 0.5
+        self.assertIsInstance(self.ledger.begin(key, b""), Replay)
+        self.now_s += 1.0
+        self.assertEqual(self.refused(key), (Verdict.MAY_HAVE_RUN, Reason.KEY_EXPIRED))
+
     def test_cancellation_before_during_and_after(self):
         early, later = self.ledger.mint(), self.ledger.mint()
         self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", early), Run)
