ledger: a fence for a cancellation elsewhere gives no new key

Cause: after a plain fence a re-sent booking was told key_spent, which invites a new key: the cancelled booking could come back under it. Ruled out: leaving it to callers. Conclusion: Ledger.fence takes is_cancellation; the Fence frame needs the same flag.

--- a/packages/savoryroute/savoryroute/state/ledger.py
+++ b/packages/savoryroute/savoryroute/state/ledger.py
@@ -184,9 +184,14 @@
             return Refuse(refusal)
         return Run(self._start(name, fingerprint))
 
-    def fence(self, key: str) -> Verdict:
+    def fence(self, key: str, is_cancellation: bool = False) -> Verdict:
         """Make sure that a key never begins from now on, if that can be had.
 
+        Args:
+            key: Idempotency key of the action.
+            is_cancellation: Whether the action is to be cancelled at another home,
+                so that its copies get ``CANCELLED`` and no new key.
+
         Returns:
             ``NOT_RUN`` if it never ran and never will, ``RAN`` if it finished,
             else ``MAY_HAVE_RUN``.
@@ -200,13 +205,20 @@
             return Verdict.MAY_HAVE_RUN
         record = self._settled.get(str(name))
         if record is not None:
-            return record.verdict
+            return self._fence_settled(record, is_cancellation)
         refusal = self._refusal_of_unseen(name)
         if refusal is not None:
             return refusal.verdict
-        self._fence_unseen(name, refusals.spent())
+        outcome = refusals.cancelled() if is_cancellation else refusals.spent()
+        self._fence_unseen(name, outcome)
         return Verdict.NOT_RUN
 
+    def _fence_settled(self, record: _Settled, is_cancellation: bool) -> Verdict:
+        """Return what a fence finds where an action has ended."""
+        if is_cancellation and record.verdict is Verdict.NOT_RUN:
+            record.outcome = refusals.cancelled()
+        return record.verdict
+
     def _known(self, text: str, fingerprint: bytes) -> Begun | None:
         """Return what a copy of a recorded key gets, or None without a record."""
         entry = self._running.get(text)
@@ -269,9 +281,8 @@
 
     def _cancel_settled(self, record: _Settled) -> Refusal | None:
         """Let a cancellation run after its target has come to an end."""
-        if record.verdict is Verdict.NOT_RUN:
-            record.outcome = refusals.cancelled()
-        if record.verdict is not Verdict.MAY_HAVE_RUN:
+        verdict = self._fence_settled(record, is_cancellation=True)
+        if verdict is not Verdict.MAY_HAVE_RUN:
             return None
         return refusals.in_progress_until(
             record.settled_s + CANCEL_GRACE_S, self._uptime_s()
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -150,7 +150,7 @@
         "state/ledger.py",
         "self._fenced_to_ms = max(self._fenced_to_ms, name.minted_ms)",
         "pass",
-        MACHINE,
+        LEDGER,
     ),
     Mutation(
         "not run: refused cancellation is not fenced",
@@ -158,13 +158,12 @@
         "            self._fence_unseen(name, refusals.spent())\n"
         "            return Refuse(refusal)",
         "            return Refuse(refusal)",
-        MACHINE,
+        LEDGER,
     ),
     Mutation(
         "not run: fence leaves no trace",
         "state/ledger.py",
-        "        self._fence_unseen(name, refusals.spent())\n"
-        "        return Verdict.NOT_RUN",
+        "        self._fence_unseen(name, outcome)\n        return Verdict.NOT_RUN",
         "        return Verdict.NOT_RUN",
         MACHINE,
     ),
--- a/tests/savoryroute/state/test_ledger.py
+++ b/tests/savoryroute/state/test_ledger.py
@@ -50,6 +50,7 @@
     key: str
     body: bytes
     cancels: str = ""
+    is_target_fenced: bool = False
 
 
 @attrs.define(eq=False)
@@ -91,14 +92,19 @@
         self.send(Copy(mint_key(home.host, home.incarnation, uptime_ms), body))
 
     @precondition(lambda self: 0 < len(self.sent) < N_ACTIONS)
-    @rule(i=INDEX, is_own=st.booleans())
-    def cancel(self, i, is_own):
+    @rule(i=INDEX, way=st.sampled_from(["own", "fenced", "blind"]), later=st.booleans())
+    def cancel(self, i, way, later):
         target = self.pick(self.sent, i).key
-        if is_own:
-            home = self.home_of(target)
-            self.send(Copy(home.ledger.mint(), b"cancel", target))
-        else:
-            self.send(Copy(self.homes[0].ledger.mint(), b"cancel", target))
+        home = self.home_of(target) if way == "own" else self.homes[0]
+        is_fenced = False
+        if way == "fenced":
+            verdict = self.home_of(target).ledger.fence(target, is_cancellation=True)
+            is_fenced = verdict is not Verdict.MAY_HAVE_RUN
+        copy = Copy(home.ledger.mint(), b"cancel", target, is_fenced)
+        self.send(copy)
+        if not later:
+            self.network.remove(copy)
+            self.take(copy, home)
 
     def send(self, copy):
         self.sent.append(copy)
@@ -137,7 +143,7 @@
 
     def take(self, copy, home):
         """Hand one copy to the ledger of a home."""
-        begun = home.ledger.begin(copy.key, copy.body, copy.cancels)
+        begun = home.ledger.begin(*attrs.astuple(copy))
         if isinstance(begun, Run):
             self.deliveries.append(Delivery(home, begun.entry, copy))
         elif isinstance(begun, Wait):
@@ -200,6 +206,12 @@
             self.hear(copy, delivery.entry.outcome)
         delivery.waiting.clear()
 
+    @precondition(lambda self: self.deliveries)
+    @rule(i=INDEX)
+    def complete(self, i):
+        self.execute(i, False)
+        self.end(i, False)
+
     @rule(i=INDEX)
     def restart(self, i):
         home = self.pick(self.homes, i)
@@ -336,14 +348,25 @@
         self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", early), Run)
         self.assertEqual(self.refused(early), (Verdict.NOT_RUN, Reason.CANCELLED))
         entry = self.ledger.begin(later, b"").entry
+        refused = self.ledger.mint()
         self.assertEqual(
-            self.refused(self.ledger.mint(), b"", later),
-            (Verdict.NOT_RUN, Reason.IN_PROGRESS),
+            self.refused(refused, b"", later), (Verdict.NOT_RUN, Reason.IN_PROGRESS)
         )
         entry.finish(RecordedAnswer(201, (), b""))
+        self.assertEqual(
+            self.refused(refused, b"", later), (Verdict.NOT_RUN, Reason.KEY_SPENT)
+        )
         self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", later), Run)
         self.assertIsInstance(self.ledger.begin(later, b""), Replay)
 
+    def test_fence_for_a_cancellation_stops_a_rebooking(self):
+        unseen, spent = self.ledger.mint(), self.ledger.mint()
+        self.assertEqual(self.ledger.fence(spent), Verdict.NOT_RUN)
+        self.assertEqual(self.refused(spent), (Verdict.NOT_RUN, Reason.KEY_SPENT))
+        for key in (unseen, spent):
+            self.assertEqual(self.ledger.fence(key, True), Verdict.NOT_RUN)
+            self.assertEqual(self.refused(key), (Verdict.NOT_RUN, Reason.CANCELLED))
+
     def test_cancellation_of_a_spent_booking_stops_its_rebooking(self):
         booking = self.ledger.mint()
         self.ledger.begin(booking, b"").entry.not_run(SHED)
