ledger: one spelling of a cancellation's target

Cause: a re-sent cancellation that quoted its target's key got key_reused. Ruled out: leaving the form to the daemon around the ledger. Conclusion: the fingerprint covers the parsed target.

--- a/packages/savoryroute/savoryroute/state/ledger.py
+++ b/packages/savoryroute/savoryroute/state/ledger.py
@@ -377,7 +377,9 @@
     """Return a fingerprint that also covers the target of a cancellation."""
     if not cancels:
         return fingerprint
-    data = fingerprint + b"\0" + cancels.encode()
+    parsed = parse_key(cancels)
+    target = cancels if isinstance(parsed, Err) else str(parsed.ok_value)
+    data = fingerprint + b"\0" + target.encode(errors="replace")
     return hashlib.blake2b(data, digest_size=16).digest()
 
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -226,6 +226,13 @@
         "CANCEL_GRACE_S = 0.0",
         f"{LEDGER}.TestLedger",
     ),
+    Mutation(
+        "cancel: one key for two targets",
+        "state/ledger.py",
+        "fingerprint = _with_target(fingerprint, cancels)",
+        "pass",
+        f"{LEDGER}.TestLedger",
+    ),
     Mutation(
         "ledger: answers fill the whole",
         "state/ledger.py",
--- a/tests/savoryroute/state/test_ledger.py
+++ b/tests/savoryroute/state/test_ledger.py
@@ -382,6 +382,15 @@
             self.assertEqual(self.ledger.fence(key, True), Verdict.NOT_RUN)
             self.assertEqual(self.refused(key), (Verdict.NOT_RUN, Reason.CANCELLED))
 
+    def test_cancellation_covers_its_target_in_either_form(self):
+        target, key = self.ledger.mint(), self.ledger.mint()
+        self.assertIsInstance(self.ledger.begin(key, b"", target), Run)
+        self.assertIsInstance(self.ledger.begin(key, b"", f'"{target}"'), Wait)
+        other = self.ledger.mint()
+        self.assertEqual(
+            self.refused(key, b"", other), (Verdict.MAY_HAVE_RUN, Reason.KEY_REUSED)
+        )
+
     def test_cancellation_of_a_spent_booking_stops_its_rebooking(self):
         booking = self.ledger.mint()
         self.ledger.begin(booking, b"").entry.not_run(SHED)
