--- a/tests/savoryroute/state/test_ledger.py
+++ b/tests/savoryroute/state/test_ledger.py
@@ -18,6 +18,12 @@
 LOST = Refusal(Verdict.MAY_HAVE_RUN, Reason.CONNECTION_LOST, "lost")
 SHED = Refusal(Verdict.NOT_RUN, Reason.OVERLOAD, "shed")
 INDEX = st.integers(0, 1000)
+SKEWS_S = st.sampled_from([0.0, 0.0, -20.0, 0.9, 3.0])
+STEPS_S = st.sampled_from([0.5, 1.0, 3.0, 3.0, 60.0, 200.0, 298.0, 301.0, 361.0])
+
+# Few actions with many copies each make the interesting histories.
+N_BOOKINGS = 4
+N_ACTIONS = 7
 
 
 class Home:
@@ -46,6 +52,7 @@
     key: str
     body: bytes
     cancels: str = ""
+    is_target_fenced: bool = False
 
 
 @attrs.define(eq=False)
@@ -79,33 +86,47 @@
     def pick(self, items, index):
         return items[index % len(items)]
 
-    @rule(i=INDEX, skew_s=st.sampled_from([-20.0, 0.0, 0.9, 3.0]), body=st.binary())
-    def book(self, i, skew_s, body):
+    @precondition(lambda self: len(self.sent) < N_BOOKINGS)
+    @rule(i=INDEX, skew_s=SKEWS_S, body=st.binary(), is_delayed=st.booleans())
+    def book(self, i, skew_s, body, is_delayed):
         home = self.pick(self.homes, i)
         uptime_ms = int((self.now_s - home.started_s + skew_s) * 1000)
-        self.send(Copy(mint_key(home.host, home.incarnation, uptime_ms), body))
-
-    @precondition(lambda self: self.sent)
-    @rule(i=INDEX, is_own=st.booleans())
-    def cancel(self, i, is_own):
+        key = mint_key(home.host, home.incarnation, uptime_ms)
+        self.send(Copy(key, body), home, is_delayed)
+
+    @precondition(lambda self: 0 < len(self.sent) < N_ACTIONS)
+    @rule(
+        i=INDEX,
+        way=st.sampled_from(["own", "own", "fenced", "blind"]),
+        is_delayed=st.booleans(),
+    )
+    def cancel(self, i, way, is_delayed):
         target = self.pick(self.sent, i).key
-        if is_own:
-            home = next(h for h in self.homes if f".{h.host}." in target)
-            self.send(Copy(home.ledger.mint(), b"cancel", target))
-        else:
-            self.send(Copy(self.homes[0].ledger.mint(), b"cancel", target))
-
-    def send(self, copy):
+        home = self.home_of(target) if way == "own" else self.homes[0]
+        is_fenced = False
+        if way == "fenced":
+            verdict = self.home_of(target).ledger.fence(target, is_cancellation=True)
+            is_fenced = verdict is not Verdict.MAY_HAVE_RUN
+        copy = Copy(home.ledger.mint(), b"cancel", target, is_fenced)
+        self.send(copy, home, is_delayed)
+
+    def send(self, copy, home, is_delayed):
         self.sent.append(copy)
-        self.network.append(copy)
+        if is_delayed:
+            self.network.append(copy)
+        else:
+            self.take(copy, home)
 
     @precondition(lambda self: self.sent)
-    @rule(i=INDEX, has_other_body=st.booleans())
-    def send_again(self, i, has_other_body):
+    @rule(i=INDEX, has_other_body=st.booleans(), is_delayed=st.booleans())
+    def send_again(self, i, has_other_body, is_delayed):
         copy = self.pick(self.sent, i)
         if has_other_body:
             copy = attrs.evolve(copy, body=copy.body + b"!")
-        self.network.append(copy)
+        if is_delayed:
+            self.network.append(copy)
+        else:
+            self.take(copy, self.home_of(copy.key))
 
     @precondition(lambda self: self.network)
     @rule(i=INDEX)
@@ -118,10 +139,18 @@
         copy = self.pick(self.network, i)
         if not is_duplicate:
             self.network.remove(copy)
-        home = next(h for h in self.homes if f".{h.host}." in copy.key)
-        if wrong is not None and wrong % 5 == 0:
-            home = self.pick(self.homes, wrong)
-        begun = home.ledger.begin(copy.key, copy.body, copy.cancels)
+        is_lost_its_way = wrong is not None and wrong % 3 == 0
+        self.take(
+            copy,
+            self.pick(self.homes, wrong) if is_lost_its_way else self.home_of(copy.key),
+        )
+
+    def home_of(self, key):
+        return next(home for home in self.homes if f".{home.host}." in key)
+
+    def take(self, copy, home):
+        """Hand one copy to the ledger of a home."""
+        begun = home.ledger.begin(*attrs.astuple(copy))
         if isinstance(begun, Run):
             self.deliveries.append(Delivery(home, begun.entry, copy))
         elif isinstance(begun, Wait):
@@ -184,6 +213,12 @@
             self.hear(copy, delivery.entry.outcome)
         delivery.waiting.clear()
 
+    @precondition(lambda self: self.deliveries)
+    @rule(i=INDEX)
+    def complete(self, i):
+        self.execute(i, False)
+        self.end(i, False)
+
     @rule(i=INDEX)
     def restart(self, i):
         home = self.pick(self.homes, i)
@@ -192,10 +227,18 @@
         self.deliveries = [d for d in self.deliveries if d.home is not home]
         home.restart()
 
-    @rule(step_s=st.sampled_from([0.5, 1.0, 3.0, 60.0, 200.0, 298.0, 301.0, 361.0]))
+    @rule(step_s=STEPS_S)
     def wait(self, step_s):
         self.now_s += step_s
 
+    def teardown(self):
+        """End all that is under way, then re-send every action once more."""
+        for _ in range(2):
+            for i in range(len(self.deliveries)):
+                self.complete(i)
+            for copy in self.sent:
+                self.take(copy, self.home_of(copy.key))
+
 
 TestLedgerMachine = LedgerMachine.TestCase
 TestLedgerMachine.settings = settings(max_examples=400, stateful_step_count=40)
@@ -296,19 +339,58 @@
         self.now_s = ledgers.CANCEL_GRACE_S
         self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", target), Run)
 
+    def test_first_copies_run_within_the_window_only(self):
+        first, late = self.ledger.mint(), self.ledger.mint()
+        self.now_s += ledgers.RUN_WINDOW_S
+        self.assertIsInstance(self.ledger.begin(first, b""), Run)
+        self.now_s += 0.1
+        self.assertEqual(self.refused(late), (Verdict.NOT_RUN, Reason.KEY_EXPIRED))
+
+    def test_key_minted_ahead_runs_once_its_time_has_come(self):
+        key = mint_key("a", 7, 20_000)
+        begun = self.ledger.begin(key, b"")
+        self.assertEqual(begun.refusal.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(begun.refusal.retry_after_s, 10.0)
+        self.now_s += begun.refusal.retry_after_s - ledgers.MINT_AHEAD_MAX_S
+        self.ledger.begin(key, b"").entry.finish(RecordedAnswer(200, (), b""))
+        self.now_s += ledgers.RECORD_HORIZON_S + 0.5
+        self.assertIsInstance(self.ledger.begin(key, b""), Replay)
+        self.now_s += 1.0
+        self.assertEqual(self.refused(key), (Verdict.MAY_HAVE_RUN, Reason.KEY_EXPIRED))
+
     def test_cancellation_before_during_and_after(self):
         early, later = self.ledger.mint(), self.ledger.mint()
         self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", early), Run)
         self.assertEqual(self.refused(early), (Verdict.NOT_RUN, Reason.CANCELLED))
         entry = self.ledger.begin(later, b"").entry
+        refused = self.ledger.mint()
         self.assertEqual(
-            self.refused(self.ledger.mint(), b"", later),
-            (Verdict.NOT_RUN, Reason.IN_PROGRESS),
+            self.refused(refused, b"", later), (Verdict.NOT_RUN, Reason.IN_PROGRESS)
         )
         entry.finish(RecordedAnswer(201, (), b""))
+        self.assertEqual(
+            self.refused(refused, b"", later), (Verdict.NOT_RUN, Reason.KEY_SPENT)
+        )
         self.assertIsInstance(self.ledger.begin(self.ledger.mint(), b"", later), Run)
         self.assertIsInstance(self.ledger.begin(later, b""), Replay)
 
+    def test_fence_for_a_cancellation_stops_a_rebooking(self):
+        unseen, spent = self.ledger.mint(), self.ledger.mint()
+        self.assertEqual(self.ledger.fence(spent), Verdict.NOT_RUN)
+        self.assertEqual(self.refused(spent), (Verdict.NOT_RUN, Reason.KEY_SPENT))
+        for key in (unseen, spent):
+            self.assertEqual(self.ledger.fence(key, True), Verdict.NOT_RUN)
+            self.assertEqual(self.refused(key), (Verdict.NOT_RUN, Reason.CANCELLED))
+
+    def test_cancellation_covers_its_target_in_either_form(self):
+        target, key = self.ledger.mint(), self.ledger.mint()
+        self.assertIsInstance(self.ledger.begin(key, b"", target), Run)
+        self.assertIsInstance(self.ledger.begin(key, b"", f'"{target}"'), Wait)
+        other = self.ledger.mint()
+        self.assertEqual(
+            self.refused(key, b"", other), (Verdict.MAY_HAVE_RUN, Reason.KEY_REUSED)
+        )
+
     def test_cancellation_of_a_spent_booking_stops_its_rebooking(self):
         booking = self.ledger.mint()
         self.ledger.begin(booking, b"").entry.not_run(SHED)
