keys: only the home's word is not run; cancellations fence across homes

Cause: a daemon that refused a keyed request by itself said not run although another copy might be on its way; a cancellation with a key of another home was refused for good. Ruled out: may have run for every such refusal, which stops callers for nothing. Before: own refusals of keyed requests unconfirmed.

--- a/packages/savoryroute/savoryroute/coordination/distribution.py
+++ b/packages/savoryroute/savoryroute/coordination/distribution.py
@@ -41,6 +41,7 @@
 START_READ_JITTER_S = 0.5
 CONFIRM_LIMIT_S = 1.5
 PRODUCTION = "production"
+TRIAL = "trial"
 TEXT_MAX = 64
 
 DocumentHandler = Callable[[str, Any, int, dict[str, Any]], None]
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -122,7 +122,7 @@
 
     def fence(self, frame: Fence) -> Verdict:
         """Make sure that a key never runs here from now on, if that can be."""
-        return self._ledger.fence(frame.key)
+        return self._ledger.fence(frame.key, frame.is_cancellation)
 
     async def run(self, call: Call) -> Answer:
         """Return the final answer to a call."""
@@ -157,7 +157,9 @@
     async def _run_keyed(self, delivery: _Delivery) -> Result[Response, Refusal]:
         """Run a call at most once under its key."""
         call = delivery.call
-        begun = self._ledger.begin(call.key, delivery.fingerprint, call.cancels)
+        begun = self._ledger.begin(
+            call.key, delivery.fingerprint, call.cancels, call.is_target_fenced
+        )
         if isinstance(begun, Refuse):
             return Err(begun.refusal)
         if isinstance(begun, Replay):
@@ -268,7 +270,8 @@
         """Send one admitted call to the upstream."""
         call = delivery.call
         maximum = document.retries.attempts_per_hop
-        if not self._counter.count_delivery(call.action, maximum):
+        counted = f"{call.action} {delivery.fingerprint.hex()}"
+        if not self._counter.count_delivery(counted, maximum):
             detail = f"delivered {maximum} times here within a minute"
             return Err(_not_run(Reason.ALLOWANCE_SPENT, detail))
         service = document.services[self._service]
--- a/packages/savoryroute/savoryroute/coordination/keys.py
+++ b/packages/savoryroute/savoryroute/coordination/keys.py
@@ -8,9 +8,8 @@
 from result import Err, Ok, Result
 
 from ..errors import ConnectionClosedError
-from ..protocol.frames import Fence
-from ..protocol.idempotency_key import IdempotencyKey, mint_key, parse_key
 from ..protocol.websocket_network import WebSocketNetwork
+from ..state.idempotency_key import IdempotencyKey, mint_key, parse_key
 from ..state.ledger import Ledger
 from ..state.members import Member, MemberTable
 from ..state.policies import EjectionPolicy
@@ -86,26 +85,60 @@
             return Err(Refusal(Verdict.MAY_HAVE_RUN, Reason.KEY_HOME_GONE, detail))
         return Ok(member)
 
-    async def fence(self, key: str) -> Verdict:
-        """Ask the home of a key to fence it; what cannot be known may have run."""
+    async def fence(self, key: str, is_cancellation: bool = False) -> Verdict:
+        """Ask the home of a key to fence it; what cannot be known may have run.
+
+        Args:
+            key: Idempotency key.
+            is_cancellation: Whether the action is to be cancelled.
+        """
         home = self.home_of(key)
         if isinstance(home, Err):
-            return Verdict.MAY_HAVE_RUN
+            return home.err_value.verdict
         host = home.ok_value.host
         if host == self._host:
-            return self._ledger.fence(key)
+            return self._ledger.fence(key, is_cancellation)
         session = self._network.session(host)
         if session is None:
             return Verdict.MAY_HAVE_RUN
         try:
             async with asyncio.timeout(FENCE_TIMEOUT_S):
-                return await session.fence(key)
+                return await session.fence(key, is_cancellation)
         except (TimeoutError, ConnectionClosedError):
             return Verdict.MAY_HAVE_RUN
 
-    def fence_here(self, frame: Fence) -> Verdict:
-        """Fence a key for a peer."""
-        return self._ledger.fence(frame.key)
+    async def confirm(self, key: str, refusal: Refusal) -> Refusal:
+        """Return a refusal made here with what the home of its key says.
+
+        Nothing left this daemon, but another copy may have, through another.
+
+        Args:
+            key: Idempotency key of the request, or an empty string.
+            refusal: Refusal by this daemon itself.
+        """
+        if not key or refusal.verdict is not Verdict.NOT_RUN:
+            return refusal
+        if await self.fence(key) is Verdict.NOT_RUN:
+            return refusal
+        return refusal.as_may_have_run()
+
+    async def fence_target(self, key: str, cancels: str) -> bool:
+        """Fence the action that a cancellation cancels, if its home is elsewhere.
+
+        Args:
+            key: Key of the cancellation.
+            cancels: Key of the action to cancel, or an empty string.
+
+        Returns:
+            Whether that home fenced the action or has finished it.
+        """
+        own, target = parse_key(key), parse_key(cancels)
+        if isinstance(own, Err) or isinstance(target, Err):
+            return False
+        if own.ok_value.host == target.ok_value.host:
+            return False
+        verdict = await self.fence(cancels, is_cancellation=True)
+        return verdict is not Verdict.MAY_HAVE_RUN
 
     def _is_replaced(self, key: IdempotencyKey) -> bool:
         """Return whether the host of a key runs in another incarnation."""
--- a/packages/savoryroute/savoryroute/coordination/node.py
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -144,12 +144,14 @@
             settings.callers,
             self._serve_caller,
             self._keys.mint,
+            self._keys.confirm,
             self._body_limit,
         )
         self._upstream_side = CallersServer(
             settings.upstream_side,
             self._outbound.from_upstream,
             self._keys.mint,
+            self._keys.confirm,
             self._body_limit,
             is_upstream_side=True,
         )
--- a/packages/savoryroute/savoryroute/coordination/outbound.py
+++ b/packages/savoryroute/savoryroute/coordination/outbound.py
@@ -53,6 +53,8 @@
         hop: Hop that it belongs to, or None at the first hop.
         tried: Hosts that refused or failed it.
         n_lost: Attempts that ended with the loss of a connection.
+        is_target_fenced: Whether the home of the action to cancel, another host,
+            has fenced or finished it.
     """
 
     request: Request
@@ -69,6 +71,7 @@
     hop: Hop | None
     tried: list[str] = attrs.field(factory=list)
     n_lost: int = 0
+    is_target_fenced: bool = False
 
     @property
     def time_left_s(self) -> float:
@@ -108,7 +111,8 @@
         """Serve the request of a caller."""
         action = self._open(request, None)
         if isinstance(action, Err):
-            return Outcome(action)
+            refusal = await self._keys.confirm(request.key, action.err_value)
+            return Outcome(Err(refusal))
         outcome = await self._serve(action.ok_value)
         return attrs.evolve(outcome, class_name=action.ok_value.policy.name)
 
@@ -190,8 +194,9 @@
     async def _serve(self, action: _Action) -> Outcome:
         """Run an action and say how its caller may go on."""
         if action.time_left_s <= 0:
-            refused = _not_run(Reason.DEADLINE, "no time is left")
-            return Outcome(refused, action.id)
+            refusal = _not_run(Reason.DEADLINE, "no time is left").err_value
+            refusal = await self._keys.confirm(action.key, refusal)
+            return Outcome(Err(refusal), action.id)
         if action.route.is_idempotent:
             return Outcome(await self._run_idempotent(action), action.id)
         if action.hop is not None:
@@ -204,7 +209,7 @@
         if isinstance(result, Ok):
             return Outcome(result, action.id, action.key)
         next_key = ""
-        if result.err_value.verdict is Verdict.NOT_RUN and action.hop is None:
+        if action.hop is None and _may_go_on(result.err_value):
             next_key = await self._mint_one(action)
         return Outcome(result, action.id, action.key, next_key)
 
@@ -250,6 +255,9 @@
         if isinstance(home, Err):
             return home
         choice = Choice(home.ok_value, False)
+        action.is_target_fenced = await self._keys.fence_target(
+            action.key, action.request.cancels
+        )
         n_attempts = 0
         while True:
             n_attempts += 1
@@ -258,19 +266,11 @@
                 return result
             refusal = result.err_value
             if refusal.verdict is Verdict.NOT_RUN and _is_own_word(refusal):
-                # Nothing left this daemon, but another copy may be on its way.
-                result = Err(await self._fence(action, refusal))
+                result = Err(await self._keys.confirm(action.key, refusal))
             if not self._shall_retry(action, refusal, n_attempts):
                 return result
             await asyncio.sleep(RETRY_DELAY_S)
 
-    async def _fence(self, action: _Action, refusal: Refusal) -> Refusal:
-        """Return the refusal with what the home of the key says of it."""
-        verdict = await self._keys.fence(action.key)
-        if verdict is Verdict.NOT_RUN:
-            return refusal
-        return refusal.as_may_have_run()
-
     async def _run_idempotent(self, action: _Action) -> Result[Response, Refusal]:
         """Run an action at the hosts of its service until one answers."""
         quarantined = self._quarantine.check(action.fingerprint)
@@ -353,7 +353,7 @@
                 action.allowance.give_back(lent)
             result: Result[Response, Refusal] = sent
         else:
-            action.allowance.give_back(answer.allowance_left)
+            action.allowance.give_back(min(lent, answer.allowance_left))
             self._learn(action, answer)
             result = result_of(answer)
         self._note_failure(action, host, result)
@@ -428,6 +428,7 @@
             action=action.id,
             key=action.key,
             cancels=request.cancels,
+            is_target_fenced=action.is_target_fenced,
             class_name=action.policy.name,
             time_left_ms=max(0, int(action.time_left_s * 1000)),
             allowance=lent,
@@ -446,6 +447,13 @@
     return refusal.reason in (Reason.UNREACHABLE, Reason.ALLOWANCE_SPENT)
 
 
+def _may_go_on(refusal: Refusal) -> bool:
+    """Return whether the caller of a keyed action is offered a new key."""
+    if refusal.reason is Reason.CANCELLED:
+        return False
+    return refusal.verdict is Verdict.NOT_RUN
+
+
 def _not_run(
     reason: Reason, detail: str, retry_after_s: float | None = None
 ) -> Err[Refusal]:
--- a/packages/savoryroute/savoryroute/protocol/callers_http.py
+++ b/packages/savoryroute/savoryroute/protocol/callers_http.py
@@ -49,6 +49,7 @@
 
 
 RequestHandler = Callable[[Request], Awaitable[Outcome]]
+KeyConfirmer = Callable[[str, Refusal], Awaitable[Refusal]]
 KeyMinter = Callable[[str, int], Awaitable[list[str]]]
 
 
@@ -59,6 +60,7 @@
         address: Where to listen.
         handle: Serves one request.
         mint: Mints keys for a service.
+        confirm: Returns a refusal with what the home of a key says of it.
         body_limit: Longest request body of a service in bytes.
         is_upstream_side: Whether the callers are the host's own upstream.
     """
@@ -68,12 +70,14 @@
         address: Address,
         handle: RequestHandler,
         mint: KeyMinter,
+        confirm: KeyConfirmer,
         body_limit: Callable[[str], int],
         is_upstream_side: bool = False,
     ) -> None:
         self._address = address
         self._handle = handle
         self._mint = mint
+        self._confirm = confirm
         self._body_limit = body_limit
         self._is_upstream_side = is_upstream_side
         self._is_leaving = False
@@ -133,7 +137,8 @@
             return await self._mint_keys(http)
         read = await self._read_request(http)
         if isinstance(read, Err):
-            response = problem_response(read.err_value)
+            key = http.headers.get(headers.IDEMPOTENCY_KEY, "")
+            response = problem_response(await self._confirm(key, read.err_value))
             response.force_close()
             return response
         outcome = await self._handle(read.ok_value)
--- a/packages/savoryroute/savoryroute/protocol/frames.py
+++ b/packages/savoryroute/savoryroute/protocol/frames.py
@@ -96,6 +96,8 @@
         action: Identity of the action (idempotency key or trace id).
         key: Idempotency key, or an empty string.
         cancels: Key of the action that this one cancels, or an empty string.
+        is_target_fenced: Whether the home of ``cancels``, another host, has
+            fenced that action or finished it.
         class_name: Class of the whole action.
         time_left_ms: Milliseconds until the deadline.
         allowance: Deliveries to upstreams that this call may cause.
@@ -113,6 +115,7 @@
     action: str
     key: str
     cancels: str
+    is_target_fenced: bool
     class_name: str
     time_left_ms: int
     allowance: int
@@ -180,9 +183,10 @@
         uptime_ms: Milliseconds since the sender started.
         rumours: Membership rumours, each an array as in
             ``state.members.Rumour.pack``.
-        suspects: Fingerprints of requests seen in flight at a crash, each
-            ``[fingerprint, crashes, age_ms]``.
-        revisions: ``[environment, revision, digest]`` of the documents in force.
+        suspects: Requests seen in flight at a crash, rows as in
+            ``state.quarantine.Quarantine.export``.
+        revisions: Documents in force, rows as in
+            ``coordination.distribution.Distribution.revisions``.
     """
 
     uptime_ms: int
@@ -235,10 +239,17 @@
 
 @_frame(9)
 class Fence(Frame):
-    """Ask the home of a key to make sure that it never runs."""
+    """Ask the home of a key to make sure that it never runs.
+
+    Attributes:
+        id: Number of the question, unique within its connection.
+        key: Idempotency key.
+        is_cancellation: Whether the action is to be cancelled from another home.
+    """
 
     id: int
     key: str
+    is_cancellation: bool
 
 
 @_frame(10)
--- a/packages/savoryroute/savoryroute/protocol/peer_session.py
+++ b/packages/savoryroute/savoryroute/protocol/peer_session.py
@@ -103,19 +103,25 @@
         """
         number = self._take_id()
         answer = await self._exchange(number, attrs.evolve(call, id=number))
-        assert isinstance(answer, Answer)
+        if not isinstance(answer, Answer):
+            raise ConnectionClosedError("the peer answered with another frame")
         return answer
 
-    async def fence(self, key: str) -> Verdict:
+    async def fence(self, key: str, is_cancellation: bool) -> Verdict:
         """Ask the peer to fence a key; return what it knows of the key.
 
+        Args:
+            key: Idempotency key whose home is the peer.
+            is_cancellation: Whether the action is to be cancelled.
+
         Raises:
             ConnectionClosedError: The connection is gone.
         """
         number = self._take_id()
-        answer = await self._exchange(number, Fence(number, key))
-        assert isinstance(answer, FenceAnswer)
-        return Verdict(answer.verdict)
+        answer = await self._exchange(number, Fence(number, key, is_cancellation))
+        if isinstance(answer, FenceAnswer) and answer.verdict in set(Verdict):
+            return Verdict(answer.verdict)
+        return Verdict.MAY_HAVE_RUN
 
     async def send(self, frame: Frame) -> None:
         """Send a control frame.
--- a/packages/savoryroute/savoryroute/state/ledger.py
+++ b/packages/savoryroute/savoryroute/state/ledger.py
@@ -9,9 +9,9 @@
 import attrs
 from result import Err
 
-from ..protocol.idempotency_key import IdempotencyKey, mint_key, parse_key
 from ..verdict import Reason, Refusal, Verdict
 from . import ledger_refusals as refusals
+from .idempotency_key import IdempotencyKey, mint_key, parse_key
 from .ledger_entry import (
     Begun,
     Entry,
--- a/packages/savoryroute_lab/savoryroute_lab/placement_study.py
+++ b/packages/savoryroute_lab/savoryroute_lab/placement_study.py
@@ -15,8 +15,8 @@
 import attrs
 from docopt import docopt
 
-from savoryroute.protocol.idempotency_key import parse_key
 from savoryroute.registry import Registry
+from savoryroute.state.idempotency_key import parse_key
 from savoryroute.state.ledger_entry import RecordedAnswer, Replay, Run
 from savoryroute.verdict import Verdict
 
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -249,7 +249,7 @@
     ),
     Mutation(
         "keys: numbers with leading zeros",
-        "protocol/idempotency_key.py",
+        "state/idempotency_key.py",
         "(?P<incarnation>0|[1-9][0-9]{0,18})",
         "(?P<incarnation>[0-9]{1,19})",
         KEYS,
--- a/tests/savoryroute/coordination/test_node.py
+++ b/tests/savoryroute/coordination/test_node.py
@@ -75,6 +75,36 @@
                     self.assertEqual(n_bookings, 1)
 
 
+class CancelledLoadTest(FleetTestCase):
+    async def test_a_booking_sent_again_after_its_cancellation_never_runs(self):
+        async with Fleet({"booking": 3}, document(["booking"])) as fleet:
+            for is_same_home in (True, False):
+                booking = await fleet.key("a-booking-0", "booking")
+                home = booking.split(".")[1]
+                cancel = booking
+                while (
+                    cancel == booking or (cancel.split(".")[1] == home) != is_same_home
+                ):
+                    cancel = await fleet.key("a-booking-1", "booking")
+                cancelled = await fleet.call(
+                    "a-booking-1",
+                    "DELETE",
+                    "/booking/loads/1",
+                    headers={"Idempotency-Key": cancel, "Savoryroute-Cancels": booking},
+                )
+                self.assertEqual(cancelled.verdict, "ran")
+                late = await fleet.call(
+                    "a-booking-2",
+                    "POST",
+                    "/booking/loads/1",
+                    headers={"Idempotency-Key": booking},
+                )
+                self.assertEqual(late.verdict, "not_run")
+                self.assertEqual(late.problem["reason"], "cancelled")
+                self.assertNotIn("idempotency_key", late.problem)
+            self.assertEqual({e.method for e in fleet.executions()}, {"DELETE"})
+
+
 class WholeAnswersTest(FleetTestCase):
     async def test_a_cut_answer_is_never_whole(self):
         async with Fleet({"planner": 2}, document(["planner"])) as fleet:
--- a/tests/savoryroute/protocol/test_callers_http.py
+++ b/tests/savoryroute/protocol/test_callers_http.py
@@ -19,7 +19,11 @@
         port = free_ports(1)[0]
         self.address = Address("127.0.0.1", port)
         self.server = CallersServer(
-            self.address, self.handle, self.mint, lambda service: BODY_LIMIT
+            self.address,
+            self.handle,
+            self.mint,
+            self.confirm,
+            lambda service: BODY_LIMIT,
         )
         await self.server.start()
 
@@ -30,6 +34,9 @@
         self.seen.append(request)
         return Outcome(Ok(Response(200, (), request.body)))
 
+    async def confirm(self, key, refusal):
+        return refusal.as_may_have_run() if key else refusal
+
     async def mint(self, service, n_keys):
         return ["k"] * n_keys if service == "known" else []
 
@@ -116,6 +123,13 @@
         data = b"GET /s/p HTTP/1.1\r\nHost: x\r\ngrpc-timeout: soon\r\n\r\n"
         self.assertEqual(await self.status(data), 400)
 
+    async def test_a_refusal_of_a_keyed_request_is_confirmed_first(self):
+        head = b"POST /s/p HTTP/1.1\r\nHost: x\r\nContent-Length: 9999999\r\n"
+        for fields, verdict in ((b"", b"not_run"), (b"k", b"may_have_run")):
+            key = b"Idempotency-Key: " + fields + b"\r\n" if fields else b""
+            first = await self.exchange(head + key + b"\r\n")
+            self.assertIn(b"Savoryroute-Verdict: " + verdict, first)
+
     async def test_expect_continue_is_answered(self):
         head = b"POST /s/p HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
         first = await self.exchange(head + b"Expect: 100-continue\r\n\r\nab")
--- a/tests/savoryroute/protocol/test_websocket_network.py
+++ b/tests/savoryroute/protocol/test_websocket_network.py
@@ -19,7 +19,7 @@
 
 def call(number: int = 0) -> frames.Call:
     return frames.Call(
-        number, "a", "", "", "c", 1000, 1, 0, False, "", "GET", "/", [], b""
+        number, "a", "", "", False, "c", 1000, 1, 0, False, "", "GET", "/", [], b""
     )
 
 
--- a/tests/savoryroute/protocol/test_idempotency_key.py
+++ b/tests/savoryroute/state/test_idempotency_key.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from savoryroute.protocol.idempotency_key import KEY_LENGTH_MAX, mint_key, parse_key
+from savoryroute.state.idempotency_key import KEY_LENGTH_MAX, mint_key, parse_key
 from savoryroute.verdict import Reason
 
 NONCE = "a" * 26
--- a/tests/savoryroute/state/test_ledger.py
+++ b/tests/savoryroute/state/test_ledger.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from savoryroute.protocol.idempotency_key import mint_key
 from savoryroute.state import ledger as ledgers
+from savoryroute.state.idempotency_key import mint_key
 from savoryroute.state.ledger import Ledger
 from savoryroute.state.ledger_entry import RecordedAnswer, Refuse, Replay, Run, Wait
 from savoryroute.verdict import Reason, Refusal, Verdict
