lab: remove the launcher's folder after a clean run

Cause: every run left a folder of logs and records behind. Ruled out: removing it after a broken promise; the records are then needed. After: test_launcher leaves none.

--- a/packages/savoryroute_lab/savoryroute_lab/demo.py
+++ b/packages/savoryroute_lab/savoryroute_lab/demo.py
@@ -131,7 +131,7 @@
 
     async def run(self) -> int:
         """Run all phases, print the report and return the exit code."""
-        print(f"logs and records: {self._launcher.folder}", flush=True)
+        print(f"logs and records until the end: {self._launcher.folder}", flush=True)
         try:
             await self._launcher.start()
             comparison = await self._compare()
@@ -142,7 +142,10 @@
             await self._launcher.stop()
         findings = judge(self._requests(), self._launcher.executions())
         self._print(comparison, phases, findings)
-        return 0 if findings.is_clean else 1
+        if not findings.is_clean:
+            return 1
+        self._launcher.remove_folder()
+        return 0
 
     def _caller(self, entries: Mapping[str, list[str]], mints_ahead: bool) -> Caller:
         caller = Caller(entries, self._seed, self._has_daemons, mints_ahead)
--- a/packages/savoryroute_lab/savoryroute_lab/launcher.py
+++ b/packages/savoryroute_lab/savoryroute_lab/launcher.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -113,6 +114,10 @@
         if self._session is not None:
             await self._session.close()
 
+    def remove_folder(self) -> None:
+        """Remove logs, settings and records; to be called after ``stop``."""
+        shutil.rmtree(self._folder)
+
     def kill(self, name: str) -> None:
         """End a process abruptly."""
         self._signal(name, signal.SIGKILL)
--- a/tests/savoryroute_lab/test_launcher.py
+++ b/tests/savoryroute_lab/test_launcher.py
@@ -18,6 +18,7 @@
     async def asyncSetUp(self):
         self.wiring = Wiring.new(SMALL)
         self.launcher = Launcher(self.wiring, has_daemons=False)
+        self.addCleanup(self.launcher.remove_folder)
         self.addAsyncCleanup(self.launcher.stop)
         await self.launcher.start()
 
