--- a/packages/savoryroute_lab/savoryroute_lab/report.py
+++ b/packages/savoryroute_lab/savoryroute_lab/report.py
@@ -8,7 +8,7 @@
 
 from .tally import LogicalRequest, Outcome, Tally
 
-__all__ = ["Window", "goodput", "recovery_s", "table"]
+__all__ = ["Window", "goodput", "reasons_line", "recovery_s", "table"]
 
 BIN_S = 0.5
 RECOVERED_SHARE = 0.9
@@ -81,6 +81,12 @@
     return "\n".join(lines)
 
 
+def reasons_line(tally: Tally) -> str:
+    """Return why requests of a class brought no whole answer, most first."""
+    parts = (f"{reason} {count}" for reason, count in tally.reasons.most_common())
+    return f"{tally.class_name} without a whole answer: {', '.join(parts)}"
+
+
 def _cells(tally: Tally) -> list[str]:
     outcomes = tally.outcomes
     return [
--- a/packages/savoryroute_lab/savoryroute_lab/tally.py
+++ b/packages/savoryroute_lab/savoryroute_lab/tally.py
@@ -4,6 +4,7 @@
 
 import enum
 import math
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 import attrs
@@ -126,16 +127,24 @@
     outcomes: dict[Outcome, int] = attrs.field(
         factory=lambda: dict.fromkeys(Outcome, 0)
     )
+    reasons: Counter[str] = attrs.field(factory=Counter)
     latencies_s: list[float] = attrs.field(factory=list)
 
     def add(self, request: LogicalRequest) -> None:
-        """Count one request; latencies are those of whole answers."""
+        """Count one request.
+
+        Latencies are those of whole answers; reasons are those of the last
+        attempts of all others.
+        """
         outcome = request.outcome
         self.n_sent += 1
         self.n_attempts += len(request.attempts)
         self.outcomes[outcome] += 1
         if outcome is Outcome.WHOLE:
             self.latencies_s.append(request.latency_s)
+        elif request.attempts:
+            last = request.attempts[-1]
+            self.reasons[last.reason or f"status {last.status}"] += 1
 
     @property
     def n_whole(self) -> int:
--- a/tests/savoryroute_lab/test_launcher.py
+++ b/tests/savoryroute_lab/test_launcher.py
@@ -46,6 +46,8 @@
         findings = judge(caller.requests, executions)
         self.assertTrue(findings.is_clean)
         self.assertEqual(findings.unended, 1)
+        self.assertEqual(findings.most_unended, 1)
+        self.assertEqual(findings.most_executions, 1)
 
     async def test_settings_and_graceful_stop(self):
         await self.launcher.set_service("catalogue", sheds=True)
