--- a/packages/savoryroute_lab/savoryroute_lab/demo.py
+++ b/packages/savoryroute_lab/savoryroute_lab/demo.py
@@ -144,8 +144,10 @@
             for caller in self._callers:
                 await caller.close()
             await self._launcher.stop()
-        findings = judge(self._requests(), self._launcher.executions())
-        self._print(comparison, phases, findings)
+        executions = self._launcher.executions()
+        findings = judge(self._requests(), executions)
+        n_crashes = sum(execution.path == CRASHING.path for execution in executions)
+        self._print(comparison, phases, findings, n_crashes)
         if not findings.is_clean:
             return 1
         if not self._keeps_folder:
@@ -244,7 +246,11 @@
         return self._wiring.upstream_addresses()
 
     def _print(
-        self, comparison: Comparison, phases: Phases, findings: Findings
+        self,
+        comparison: Comparison,
+        phases: Phases,
+        findings: Findings,
+        n_crashes: int,
     ) -> None:
         requests = self._requests()
         tallies = tally_by_class(requests)
@@ -258,7 +264,8 @@
         summary = _summary(requests, tallies, comparison, phases, findings)
         print(_goodput_line(summary))
         print(_latency_line(summary))
-        print(json.dumps(summary))
+        print(f"executions of the request that crashes its upstream: {n_crashes}")
+        print(json.dumps(summary | {"crashes_of_one_request": n_crashes}))
 
 
 def _summary(
