launcher: wait for a crashed process before asking which have ended

Ruled out: the crash itself; the exit code is now checked as well, which makes the test stricter than before.

--- a/packages/savoryroute_lab/savoryroute_lab/launcher.py
+++ b/packages/savoryroute_lab/savoryroute_lab/launcher.py
@@ -137,6 +137,17 @@
         await self._wait_end(name, time.monotonic() + STOP_TIMEOUT_S)
         return self._process(name).returncode
 
+    async def wait_ended(self, name: str) -> int:
+        """Wait until a process has ended by itself and return its exit code.
+
+        Raises:
+            TimeoutError: It still runs after ``STOP_TIMEOUT_S``.
+        """
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            while self.is_running(name):
+                await asyncio.sleep(READY_POLL_S)
+        return self._process(name).returncode
+
     async def restart(self, name: str) -> None:
         """Start a process that has ended, and wait until it is ready.
 
--- a/tests/savoryroute_lab/test_launcher.py
+++ b/tests/savoryroute_lab/test_launcher.py
@@ -7,6 +7,7 @@
 from savoryroute_lab.launcher import Launcher, upstream_name
 from savoryroute_lab.oracle import judge
 from savoryroute_lab.tally import Outcome
+from savoryroute_lab.upstream import CRASH_EXIT_CODE
 from savoryroute_lab.wiring import Wiring
 
 SMALL = Deployment("r", ("a",), (NAIROBI.service("catalogue"),), NAIROBI.classes, 0.1)
@@ -34,6 +35,8 @@
         self.assertEqual((await caller.send(VIEW)).outcome, Outcome.WHOLE)
         crashed = await caller.send(CRASH)
         self.assertEqual(crashed.outcome, Outcome.MAY_HAVE_RUN)
+        exit_code = await self.launcher.wait_ended(name)
+        self.assertEqual(exit_code, CRASH_EXIT_CODE)
         self.assertEqual(await self.launcher.restart_ended(), [name])
         self.launcher.pause(name)
         self.launcher.resume(name)
