--- a/packages/savoryroute_lab/savoryroute_lab/launcher.py
+++ b/packages/savoryroute_lab/savoryroute_lab/launcher.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -113,6 +114,10 @@
         if self._session is not None:
             await self._session.close()
 
+    def remove_folder(self) -> None:
+        """Remove logs, settings and records; to be called after ``stop``."""
+        shutil.rmtree(self._folder)
+
     def kill(self, name: str) -> None:
         """End a process abruptly."""
         self._signal(name, signal.SIGKILL)
@@ -132,6 +137,17 @@
         await self._wait_end(name, time.monotonic() + STOP_TIMEOUT_S)
         return self._process(name).returncode
 
+    async def wait_ended(self, name: str) -> int:
+        """Wait until a process has ended by itself and return its exit code.
+
+        Raises:
+            TimeoutError: It still runs after ``STOP_TIMEOUT_S``.
+        """
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            while self.is_running(name):
+                await asyncio.sleep(READY_POLL_S)
+        return self._process(name).returncode
+
     async def restart(self, name: str) -> None:
         """Start a process that has ended, and wait until it is ready.
 
