--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import socket
 import unittest
 
 import aiohttp
@@ -15,6 +14,9 @@
 from savoryroute.state.settings import parse_settings
 from savoryroute_lab.platform import Platform
 from savoryroute_lab.upstream import Upstream, UpstreamSettings
+from savoryroute_lab.wiring import free_ports
+
+from .links import Links
 
 __all__ = ["Fleet", "FleetTestCase", "Host", "Reply", "document", "free_ports"]
 
@@ -24,15 +26,6 @@
 READY_S = 10.0
 
 
-def free_ports(n: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(n)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-
-
 def document(services: list[str], version: int = 1, **changes) -> dict:
     """Build a document: reads of rank 2 under /, bookings of rank 0 by POST."""
     routes = [
@@ -101,18 +94,28 @@
 class Fleet:
     """Hosts named ``<domain>-<service>-<n>``, started and stopped together."""
 
-    def __init__(self, services: dict[str, int], plain: dict, domains=("a",)) -> None:
+    def __init__(
+        self,
+        services: dict[str, int],
+        plain: dict,
+        domains=("a",),
+        links: Links | None = None,
+    ) -> None:
         self.platform = Platform()
         self.hosts: dict[str, Host] = {}
         self._plain = plain
         self._services = services
         self._domains = domains
+        self.links = links
 
     async def __aenter__(self) -> Fleet:
+        if self.links is not None:
+            self.links.start()
         await self.platform.start()
+        ports = iter(free_ports(len(PORTS) * sum(self._services.values())))
         for service, n_hosts in self._services.items():
             for number in range(n_hosts):
-                await self._add_host(service, number)
+                await self._add_host(service, number, {p: next(ports) for p in PORTS})
         self.publish_hosts()
         self.publish(self._plain)
         await asyncio.gather(*(self.start_node(name) for name in self.hosts))
@@ -127,11 +130,12 @@
         for host in self.hosts.values():
             await host.upstream.stop()
         await self.platform.stop()
+        if self.links is not None:
+            self.links.stop()
 
-    async def _add_host(self, service: str, number: int) -> None:
+    async def _add_host(self, service: str, number: int, ports: dict[str, int]) -> None:
         domain = self._domains[number % len(self._domains)]
         name = f"{domain}-{service}-{number}"
-        ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
         upstream = Upstream(
             UpstreamSettings(service=service, host=name),
             upstream_side=f"127.0.0.1:{ports['upstream_side']}",
@@ -179,6 +183,8 @@
             "operator_key": OPERATOR_KEY,
         }
         settings = parse_settings(json.dumps(plain), name).unwrap()
+        if self.links is not None:
+            self.links.join(host.ports["peers"], name)
         host.node = Node(settings)
         await host.node.start()
 
@@ -188,6 +194,17 @@
         await self.start_node(name)
         await self.wait_ready(name)
 
+    async def replace_host(self, name: str) -> str:
+        """Put a host of another name at the same addresses; return its name."""
+        await self.hosts[name].node.close()
+        new_name = f"{name}x"
+        self.hosts[name].name = new_name
+        self.hosts = {host.name: host for host in self.hosts.values()}
+        self.publish_hosts()
+        await self.start_node(new_name)
+        await self.wait_ready(new_name)
+        return new_name
+
     async def wait_ready(self, name: str) -> None:
         """Wait until a daemon is ready and sees its upstream."""
         async with asyncio.timeout(READY_S):
--- /dev/null
+++ b/tests/savoryroute/coordination/test_fleet_fuzz.py
@@ -0,0 +1,263 @@
+"""Stateful fuzzing of a whole fleet under failures, against the lab's oracle."""
+
+import asyncio
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from savoryroute_lab.platform import Outage
+from tests.fleet import Fleet, document
+from tests.links import Links
+from tests.world import ALLOWANCE, World
+
+SERVICES = {"planner": 2, "booking": 2, "crews": 2}
+N_HOSTS = sum(SERVICES.values())
+CHAINS = {
+    "GET": ["", "crews:/y", "crews:/y,booking:/z"],
+    "POST": ["", "crews:/y", "POST@crews:/y"],
+}
+MARKS = ["", "", "", "", "drop", "truncate", "truncate_chunked", "stream"]
+UPSTREAM_FAULTS = [
+    {},
+    {"sheds": True},
+    {"slow_factor": 60.0},
+    {"leaving": True},
+    {"load_report": "lying", "lying_utilization": 0.0},
+    {"load_report": "lying", "lying_utilization": 1.0},
+    {"slots": 1},
+]
+# Upstreams keep working for a caller that hung up until they notice.
+CANCEL_GRACE_S = 0.3
+
+hosts = st.integers(0, N_HOSTS - 1)
+picks = st.integers(0, 1000)
+services = st.sampled_from(sorted(SERVICES))
+
+
+def _plain(version: int, **changes) -> dict:
+    plain = document(list(SERVICES), version, **changes)
+    for policy in plain["classes"].values():
+        policy["allowance"] = ALLOWANCE
+    return plain
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Callers, failures and operators at once, in one event loop."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._loop = asyncio.new_event_loop()
+        self._version = 1
+        self._do(self._start())
+
+    def _do(self, coroutine):
+        return self._loop.run_until_complete(coroutine)
+
+    async def _start(self) -> None:
+        self._links = Links()
+        self._fleet = Fleet(SERVICES, _plain(1), ("a", "b"), self._links)
+        await self._fleet.__aenter__()
+        self._world = World(self._fleet)
+        statuses = [await self._fleet.operate(h, "/status") for h in self._fleet.hosts]
+        self._world.published = {status["revision"] for status in statuses}
+
+    def _host(self, number: int) -> str:
+        return list(self._fleet.hosts)[number]
+
+    def _pick(self, pick: int) -> str:
+        names = list(self._world.actions)
+        return names[pick % len(names)]
+
+    def _pick_booking(self, pick: int) -> str:
+        names = [n for n in self._world.actions if not n.startswith("read")]
+        return names[pick % len(names)]
+
+    def _has_booked(self) -> bool:
+        return any(not name.startswith("read") for name in self._world.actions)
+
+    def _new_name(self, kind: str) -> str:
+        return f"{kind}{len(self._world.actions)}"
+
+    @rule(
+        host=hosts,
+        service=services,
+        chain=st.sampled_from(CHAINS["GET"]),
+        mark=st.sampled_from(MARKS),
+        later=st.booleans(),
+    )
+    def read(self, host, service, chain, mark, later):
+        send = self._world.send(
+            self._new_name("read"),
+            self._host(host),
+            service,
+            "GET",
+            later,
+            chain=chain,
+            mark=mark,
+            mark_at="crews" if chain and mark else "",
+        )
+        self._do(send)
+
+    @rule(
+        host=hosts,
+        service=services,
+        chain=st.sampled_from(CHAINS["POST"]),
+        mark=st.sampled_from(MARKS),
+        later=st.booleans(),
+    )
+    def book(self, host, service, chain, mark, later):
+        send = self._world.send(
+            self._new_name("book"),
+            self._host(host),
+            service,
+            "POST",
+            later,
+            chain=chain,
+            mark=mark,
+        )
+        self._do(send)
+
+    @precondition(lambda self: self._world.actions)
+    @rule(pick=picks, host=hosts, later=st.booleans())
+    def send_again(self, pick, host, later):
+        self._do(self._world.send_again(self._pick(pick), self._host(host), later))
+
+    @precondition(lambda self: self._has_booked())
+    @rule(pick=picks, host=hosts)
+    def send_to_all_at_once(self, pick, host):
+        name = self._pick_booking(pick)
+        self._do(self._world.send_again(name, self._host(host), True))
+        self._do(self._world.send_again(name, self._host(host - 1), True))
+
+    @precondition(lambda self: self._has_booked())
+    @rule(pick=picks, host=hosts, later=st.booleans())
+    def send_other_body(self, pick, host, later):
+        name = self._pick_booking(pick)
+        service = self._world.actions[name].send.service
+        send = self._world.send(
+            self._new_name("other"),
+            self._host(host),
+            service,
+            "POST",
+            later,
+            key_of=name,
+            body="other",
+        )
+        self._do(send)
+
+    @precondition(lambda self: self._has_booked())
+    @rule(pick=picks, host=hosts, later=st.booleans())
+    def cancel(self, pick, host, later):
+        name = self._pick_booking(pick)
+        service = self._world.actions[name].send.service
+        send = self._world.send(
+            self._new_name("cancel"),
+            self._host(host),
+            service,
+            "DELETE",
+            later,
+            cancels=name,
+        )
+        self._do(send)
+
+    @rule(host=hosts, fault=st.sampled_from(UPSTREAM_FAULTS))
+    def change_upstream(self, host, fault):
+        self._fleet[self._host(host)].upstream.set(fault)
+
+    @rule(host=hosts)
+    def crash_upstream(self, host):
+        self._fleet[self._host(host)].upstream.crash()
+        self._do(asyncio.sleep(0.01))
+
+    @rule(host=hosts)
+    def restart(self, host):
+        self._do(self._world.restart(self._host(host)))
+
+    @rule(host=hosts)
+    def replace(self, host):
+        self._do(self._world.replace(self._host(host)))
+
+    @rule(one_way=st.booleans())
+    def cut_domains(self, one_way):
+        near = {name for name in self._fleet.hosts if name.startswith("a-")}
+        far = set(self._fleet.hosts) - near
+        self._links.cut(near, far)
+        if not one_way:
+            self._links.cut(far, near)
+
+    @rule(delay_s=st.sampled_from([0.0, 0.05, 0.3]), share=st.sampled_from([0.0, 0.5]))
+    def disturb_frames(self, delay_s, share):
+        self._links.delay_s = delay_s
+        self._links.doubled_share = share
+
+    @rule(host=hosts)
+    def hold_before_forwarding(self, host):
+        upstream = self._fleet[self._host(host)].upstream
+        self._links.hold_upstream(upstream.address)
+
+    @rule(host=hosts)
+    def hold_host(self, host):
+        name = self._host(host)
+        others = set(self._fleet.hosts) - {name}
+        self._links.hold({name}, others)
+        self._links.hold(others, {name})
+
+    @rule()
+    def heal(self):
+        self._links.heal()
+
+    @rule(outage=st.sampled_from(list(Outage)))
+    def fail_platform(self, outage):
+        self._do(self._fleet.platform.set_outage(outage))
+
+    @rule(host=st.one_of(st.none(), hosts), age=st.integers(1, 3))
+    def serve_stale(self, host, age):
+        newest = max(self._world.published)
+        reader = None if host is None else f"savoryroute/{self._host(host)}"
+        self._fleet.platform.set_stale(max(1, newest - age), reader)
+
+    @rule(is_valid=st.booleans())
+    def publish(self, is_valid):
+        self._version += 1
+        changes = {} if is_valid else {"services": {}, "classes": {}}
+        plain = _plain(self._version, **changes)
+        self._world.publish(plain, is_valid)
+
+    @rule(seconds=st.sampled_from([0.05, 0.5]))
+    def wait(self, seconds):
+        self._do(asyncio.sleep(seconds))
+
+    @invariant()
+    def revisions_never_fall(self):
+        self._do(self._world.revisions())
+
+    @invariant()
+    def promises_hold(self):
+        self._world.check()
+
+    def teardown(self):
+        try:
+            self._do(self._end())
+        finally:
+            self._do(self._close())
+            self._loop.close()
+
+    async def _end(self) -> None:
+        """Let all be well again, and re-send everything once more."""
+        await self._world.calm()
+        await self._world.settle()
+        revision = self._world.publish(_plain(self._version + 1))
+        await self._world.wait_revision(revision)
+        for number, name in enumerate(list(self._world.actions)):
+            await self._world.send_again(name, self._host(number % N_HOSTS))
+        await asyncio.sleep(CANCEL_GRACE_S)
+        self._world.check()
+
+    async def _close(self) -> None:
+        await self._world.close()
+        await self._fleet.__aexit__()
+
+
+TestFleet = FleetMachine.TestCase
+TestFleet.settings = settings(max_examples=3, stateful_step_count=18, deadline=None)
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,232 @@
+"""Actions of callers on a fleet, judged by the lab's oracle."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import time
+from collections import Counter
+
+import attrs
+
+from savoryroute_lab.caller import Caller
+from savoryroute_lab.calls import Mark, Plan, parse_steps
+from savoryroute_lab.oracle import judge
+from savoryroute_lab.platform import Outage
+from savoryroute_lab.sends import Send
+from savoryroute_lab.tally import Attempt, LogicalRequest
+from savoryroute_lab.upstream import UpstreamSettings
+
+from .fleet import Fleet
+
+__all__ = ["Action", "World"]
+
+ALLOWANCE = 12
+ATTEMPTS_PER_HOP = 3
+WINDOW_S = 60.0
+CONDITION_S = 25.0
+POLL_S = 0.05
+MINTS_MAX = 200
+
+
+@attrs.define
+class Action:
+    """One action of a caller, with the key that it goes by."""
+
+    send: Send
+    request: LogicalRequest
+    key: str = ""
+    is_cancelled: bool = False
+    pending: list[asyncio.Task] = attrs.field(factory=list)
+
+    @property
+    def last(self) -> Attempt:
+        """The newest attempt."""
+        return self.request.attempts[-1]
+
+
+class World:
+    """A fleet, its callers and everything that they were told."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.actions: dict[str, Action] = {}
+        self._callers: dict[str, Caller] = {}
+        self._revisions: dict[tuple[str, int], int] = {}
+        self._n_lives = len(fleet.hosts)
+        self._started_s = time.monotonic()
+        self.published: set[int] = set()
+
+    async def close(self) -> None:
+        """Close the callers."""
+        for caller in self._callers.values():
+            await caller.close()
+
+    def caller(self, through: str) -> Caller:
+        """Return the caller that sends through one daemon."""
+        host = self.fleet[through]
+        entry = f"127.0.0.1:{host.ports['callers']}"
+        if entry not in self._callers:
+            services = {other.service for other in self.fleet.hosts.values()}
+            self._callers[entry] = Caller(dict.fromkeys(services, [entry]))
+        return self._callers[entry]
+
+    async def key(self, through: str, service: str, home: str = "") -> str:
+        """Return a new key, of a home if one is named."""
+        for _ in range(MINTS_MAX):
+            keys = await self.caller(through).mint(service, 1)
+            if not keys or home in ("", keys[0].split(".")[1]):
+                return keys[0] if keys else ""
+        raise AssertionError(f"no key of {home}")
+
+    async def send(
+        self,
+        name: str,
+        through: str,
+        service: str = "booking",
+        method: str = "POST",
+        later: bool = False,
+        **options,
+    ) -> Action:
+        """Send an action for the first time.
+
+        Args:
+            name: Name to refer to it by.
+            through: Host whose daemon takes it.
+            service: Service called.
+            method: HTTP method; GET alone is idempotent.
+            later: Whether to go on without waiting for its answer.
+            options: ``key_of``, ``home``, ``cancels``, ``body``, ``chain``,
+                ``mark``, ``mark_at``, ``path``, ``timeout_s``.
+        """
+        plan = Plan(
+            parse_steps(options.get("chain", "")),
+            mark=Mark(options.get("mark", "")),
+            mark_at=options.get("mark_at", ""),
+        )
+        cancelled = self.actions.get(options.get("cancels", ""))
+        headers = {"Savoryroute-Cancels": cancelled.key} if cancelled else {}
+        send = Send(
+            name.rstrip("0123456789"),
+            service,
+            options.get("path", "/x/{n}"),
+            method,
+            idempotent=method == "GET",
+            plan=plan,
+            timeout_s=options.get("timeout_s", 1.0),
+            grace_s=2.0,
+            body=options.get("body", "").encode(),
+            headers=headers,
+        )
+        action = Action(send, self.caller(through).prepare(send))
+        if cancelled is not None:
+            cancelled.is_cancelled = True
+            action.request.cancels = cancelled.request.request_id
+        if "key_of" in options:
+            action.key = self.actions[options["key_of"]].key
+        elif method != "GET":
+            action.key = await self.key(through, service, options.get("home", ""))
+        self.actions[name] = action
+        return await self.send_again(name, through, later)
+
+    async def send_again(self, name: str, through: str, later: bool = False) -> Action:
+        """Send an action again, under the key that it goes by."""
+        action = self.actions[name]
+        task = asyncio.create_task(self._attempt(action, through))
+        action.pending.append(task)
+        if later:
+            await asyncio.sleep(POLL_S)
+        else:
+            await task
+        return action
+
+    async def settle(self) -> None:
+        """Wait for all answers."""
+        for action in self.actions.values():
+            await asyncio.gather(*action.pending)
+
+    async def _attempt(self, action: Action, through: str) -> None:
+        caller, key = self.caller(through), action.key
+        request = attrs.evolve(action.request, attempts=[])
+        await caller.send(action.send, key, request)
+        action.request.attempts.extend(request.attempts)
+        action.request.ended_s = max(action.request.ended_s, request.ended_s)
+        next_key = request.attempts[-1].next_key
+        if next_key and not action.is_cancelled and action.key == key:
+            action.key = next_key
+
+    async def restart(self, host: str) -> None:
+        """Lose a daemon's memory."""
+        self._n_lives += 1
+        await self.fleet.restart_node(host)
+
+    async def replace(self, host: str) -> str:
+        """Put another host at the same addresses."""
+        self._n_lives += 1
+        return await self.fleet.replace_host(host)
+
+    def publish(self, plain: dict, is_valid: bool = True) -> int:
+        """Publish a document, which comes into force if it is valid."""
+        revision = self.fleet.publish(plain)
+        if is_valid:
+            self.published.add(revision)
+        return revision
+
+    async def calm(self) -> None:
+        """End all faults."""
+        self.fleet.links.heal()
+        await self.fleet.platform.set_outage(Outage.NONE)
+        self.fleet.platform.set_stale(None)
+        for host in self.fleet.hosts.values():
+            upstream = host.upstream
+            usual = UpstreamSettings(upstream.settings.service, upstream.settings.host)
+            upstream.set(attrs.asdict(usual))
+
+    async def wait_revision(self, revision: int) -> None:
+        """Wait until every daemon decides by a revision."""
+        async with asyncio.timeout(CONDITION_S):
+            while set((await self.revisions()).values()) != {revision}:
+                await asyncio.sleep(POLL_S)
+
+    async def revisions(self) -> dict[str, int]:
+        """Return the revision in force at each daemon; none may have fallen."""
+        found = {}
+        for host in self.fleet.hosts:
+            status = await self.fleet.operate(host, "/status")
+            life = host, status["incarnation"]
+            found[host] = status["revision"]
+            before = self._revisions.get(life, 0)
+            assert before <= status["revision"], f"{host}: {before} to {status}"
+            assert not found[host] or found[host] in self.published, f"{host}: {status}"
+            self._revisions[life] = found[host]
+        return found
+
+    def check(self) -> None:
+        """Compare what callers were told with what the upstreams ran."""
+        executions = self.fleet.executions()
+        requests = [action.request for action in self.actions.values()]
+        findings = judge(requests, executions)
+        assert findings.is_clean, self._explain(findings, executions)
+        booked = [e for e in executions if e.key and e.method != "GET"]
+        for key, n_runs in Counter(e.key for e in booked).items():
+            assert n_runs == 1, f"{key} ran {n_runs} times"
+        self._check_attempts(executions)
+
+    def _check_attempts(self, executions: list) -> None:
+        """Hold executions of each action to the bound in attempts.md."""
+        windows = math.ceil((time.monotonic() - self._started_s) / WINDOW_S)
+        roots = Counter(e.request_id.split(".")[0] for e in executions)
+        by_service = Counter((e.request_id, e.service) for e in executions)
+        for action in self.actions.values():
+            name = action.request.request_id
+            n_sent = len(action.request.attempts) + len(action.pending)
+            assert roots[name] <= n_sent * ALLOWANCE, f"{name} ran {roots[name]} times"
+            most = self._n_lives * ATTEMPTS_PER_HOP * windows
+            assert by_service[name, action.send.service] <= most, name
+
+    def _explain(self, findings, executions: list) -> str:
+        bad = {*findings.wrong, *findings.ran_twice, *findings.not_run_but_ran}
+        bad |= set(findings.ran_cancelled)
+        told = [a.request for a in self.actions.values() if a.request.request_id in bad]
+        ran = [e for e in executions if e.request_id in bad]
+        return f"{findings}\ntold: {told}\nran: {ran}"
