coordination: smaller modules for actions, attempts, document in force, status

A sub-key that its home fenced is forgotten, so that the upstream's re-send gets a new one; a refusal by a leaving host costs no retry budget.

--- a/packages/savoryroute/savoryroute/coordination/admission.py
+++ b/packages/savoryroute/savoryroute/coordination/admission.py
@@ -11,7 +11,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from ..verdict import Reason, Refusal, Verdict
+from ..verdict import Reason, Refusal
 from .limits import ConcurrencyLimit
 from .pressure import LevelController
 from .retry_after import spread_retry_after_s
@@ -156,7 +156,9 @@
         if self._is_leaving:
             return Err(_leaving())
         if time_left_s <= 0.0:
-            return Err(_not_run(Reason.DEADLINE, "the deadline has passed", None))
+            return Err(
+                Refusal.not_run(Reason.DEADLINE, "the deadline has passed", None)
+            )
         if is_spill_over:
             return self._admit_spill_over(rank)
         self._controller.on_arrival(rank, self._clock())
@@ -285,7 +287,7 @@
         n_backlog = len(self._queue) + self._refused.value(self._clock())
         rate_per_s = self._rate.per_s
         retry_after_s = spread_retry_after_s(n_backlog, rate_per_s, self._random)
-        return _not_run(reason, detail, retry_after_s, is_load=True)
+        return Refusal.not_run(reason, detail, retry_after_s, is_load=True)
 
     def _start(self, rank: int) -> Permit:
         self._advance()
@@ -340,12 +342,6 @@
     return entry.order
 
 
-def _not_run(
-    reason: Reason, detail: str, retry_after_s: float | None, is_load: bool = False
-) -> Refusal:
-    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after_s, is_load)
-
-
 def _leaving() -> Refusal:
     detail = "the upstream is leaving"
-    return _not_run(Reason.LEAVING, detail, LEAVING_RETRY_AFTER_S)
+    return Refusal.not_run(Reason.LEAVING, detail, LEAVING_RETRY_AFTER_S)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/attempts.py
@@ -0,0 +1,172 @@
+"""Single attempts of an action: sent, learned from, paid for."""
+
+from __future__ import annotations
+
+import time
+
+from result import Err, Ok, Result
+
+from ..protocol.frames import Answer, Call
+from ..protocol.request import Response
+from ..state.decisions import DecisionLog
+from ..verdict import Reason, Refusal, Verdict
+from .action import Action
+from .delivery import Delivery, result_of
+from .pause import PauseDetector
+from .placement import Choice, Placement
+from .pressure import PressureKey, PressureMap
+from .retries import RetryBudget, may_retry
+
+__all__ = ["RETRY_DELAY_S", "Attempts"]
+
+RETRY_DELAY_S = 0.02
+
+
+class Attempts:
+    """Sender of attempts, with the retry budgets that they draw on."""
+
+    def __init__(
+        self,
+        delivery: Delivery,
+        placement: Placement,
+        pressure: PressureMap,
+        pause: PauseDetector,
+        decisions: DecisionLog,
+    ) -> None:
+        self._delivery = delivery
+        self._placement = placement
+        self._pressure = pressure
+        self._pause = pause
+        self._decisions = decisions
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def note_first_try(self, action: Action) -> None:
+        """Earn the share of a retry that a first try is worth."""
+        self._budget(action).note_first_try()
+
+    def may_try_again(self, action: Action, refusal: Refusal, n_attempts: int) -> bool:
+        """Return whether one more attempt may be made, and pay for it.
+
+        Args:
+            action: The action.
+            refusal: How the last attempt ended.
+            n_attempts: Attempts made so far.
+        """
+        policy = action.document.retries
+        is_allowed = may_retry(
+            refusal,
+            action.route.is_idempotent,
+            n_attempts,
+            policy.attempts_per_hop,
+            bool(action.key),
+        )
+        if not is_allowed or action.time_left_s <= RETRY_DELAY_S:
+            return False
+        if refusal.reason is Reason.NO_UPSTREAM:
+            return False
+        if action.n_lost >= action.document.quarantine.crashes:
+            return False
+        if refusal.reason is Reason.LEAVING:
+            return True
+        if not self._budget(action).try_retry():
+            self._decisions.note(action.id, "not retried", "the budget is spent")
+            return False
+        return True
+
+    async def send(self, action: Action, choice: Choice) -> Result[Response, Refusal]:
+        """Send one attempt to a host and take note of how it went.
+
+        Args:
+            action: The action; its allowance pays for the attempt.
+            choice: Where to send it.
+        """
+        self._pause.check()
+        lent = action.allowance.lend()
+        if lent == 0:
+            detail = "the action has used up its attempts"
+            return Err(Refusal.not_run(Reason.ALLOWANCE_SPENT, detail))
+        host = choice.member.host
+        call = self._to_call(action, choice, lent)
+        self._decisions.note(action.id, "placed", host)
+        self._placement.begin(host)
+        started_s = time.monotonic()
+        answer: Answer | None = None
+        try:
+            sent = await self._delivery.send(choice.member, call)
+            if isinstance(sent, Ok):
+                answer = sent.ok_value
+        finally:
+            latency_s = time.monotonic() - started_s
+            self._placement.end(host, answer, latency_s)
+        if answer is None:
+            refusal = sent.err_value
+            if refusal.verdict is Verdict.NOT_RUN:
+                action.allowance.give_back(lent)
+            result: Result[Response, Refusal] = sent
+        else:
+            action.allowance.give_back(min(lent, answer.allowance_left))
+            self._learn(action, answer)
+            result = result_of(answer)
+        self._note_failure(action, host, result)
+        return result
+
+    def _learn(self, action: Action, answer: Answer) -> None:
+        """Take note of the level that an answer carries."""
+        key = PressureKey(action.request.service, action.policy.name)
+        self._pressure.note(key, answer.level, time.monotonic())
+        if action.hop is not None:
+            action.hop.note_level(answer.level)
+
+    def _note_failure(
+        self, action: Action, host: str, result: Result[Response, Refusal]
+    ) -> None:
+        """Keep what a failed attempt tells about the host and the request."""
+        if isinstance(result, Ok):
+            deep = result.ok_value.deep_refusal
+            if deep is not None and action.hop is not None:
+                action.hop.refusal = deep
+            return
+        refusal = result.err_value
+        self._decisions.note(
+            action.id, f"{refusal.reason}: {refusal.verdict}", refusal.detail
+        )
+        if refusal.is_load and action.hop is not None:
+            action.hop.refusal = refusal
+        if refusal.reason is Reason.CONNECTION_LOST:
+            action.n_lost += 1
+        self._placement.eject_if_failing(
+            host, action.request.service, action.document.ejection
+        )
+
+    def _budget(self, action: Action) -> RetryBudget:
+        """Return the retry budget of the service that the action is for."""
+        service = action.request.service
+        budget = self._budgets.get(service)
+        if budget is None:
+            policy = action.document.retries
+            budget = RetryBudget(
+                policy.budget_ratio, policy.budget_minimum_per_s, time.monotonic
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _to_call(self, action: Action, choice: Choice, lent: int) -> Call:
+        """Return the frame of one attempt."""
+        request = action.request
+        return Call(
+            id=0,
+            action=action.id,
+            key=action.key,
+            cancels=request.cancels,
+            is_target_fenced=action.is_target_fenced,
+            class_name=action.policy.name,
+            time_left_ms=max(0, int(action.time_left_s * 1000)),
+            allowance=lent,
+            depth=action.depth,
+            is_spill_over=choice.is_spill_over,
+            traceparent=action.traceparent,
+            method=request.method,
+            target=request.target,
+            headers=list(request.headers),
+            body=request.body,
+        )
--- a/packages/savoryroute/savoryroute/coordination/hops.py
+++ b/packages/savoryroute/savoryroute/coordination/hops.py
@@ -56,9 +56,15 @@
         """Return the key of a call made before with this content, or None."""
         return self._sub_keys.get((own_key, fingerprint))
 
-    def keep_sub_key(self, own_key: str, fingerprint: bytes, key: str) -> None:
-        """Remember under which key a call of this hop runs."""
-        self._sub_keys[own_key, fingerprint] = key
+    def keep_sub_key(self, own_key: str, fingerprint: bytes, key: str) -> str:
+        """Remember under which key a call of this hop runs; the first one stays."""
+        return self._sub_keys.setdefault((own_key, fingerprint), key)
+
+    def forget_sub_key(self, key: str) -> None:
+        """Forget a key that is fenced, so that a re-send gets a new one."""
+        for content, kept in list(self._sub_keys.items()):
+            if kept == key:
+                del self._sub_keys[content]
 
     def note_level(self, level: float) -> None:
         """Take note of the level that an answer carried."""
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/in_force.py
@@ -0,0 +1,137 @@
+"""The document that this daemon decides by, and what follows from a new one."""
+
+from __future__ import annotations
+
+from ..state.audit import AuditKind, AuditTrail
+from ..state.document import Document
+from ..state.policies import EjectionPolicy, ServicePolicy
+from ..state.quarantine import Quarantine
+from .admission import AdmissionGate
+from .limits import make_limit
+from .shadow import ShadowGate
+
+__all__ = ["PRODUCTION", "TRIAL", "DocumentInForce"]
+
+PRODUCTION = "production"
+TRIAL = "trial"
+
+BODY_BYTES_DEFAULT = 1024 * 1024
+UNLIMITED = 1_000_000
+
+
+class DocumentInForce:
+    """Holder of the document in force.
+
+    The production document is enforced. Where there is none, the trial document
+    routes requests, but nothing is refused for load.
+
+    Args:
+        host: Name of this host.
+        service: Service of its upstream.
+        gate: Gate to set up by the document.
+        quarantine: Quarantine to set up by the document.
+        shadow: Where the trial document is judged.
+        audit: Trail of changes.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        service: str,
+        gate: AdmissionGate,
+        quarantine: Quarantine,
+        shadow: ShadowGate,
+        audit: AuditTrail,
+    ) -> None:
+        self._host = host
+        self._service = service
+        self._gate = gate
+        self._quarantine = quarantine
+        self._shadow = shadow
+        self._audit = audit
+        self._document: Document | None = None
+        self._revision = 0
+        self._is_enforced = False
+        self._gate_policy: tuple[ServicePolicy, bool] | None = None
+
+    @property
+    def document(self) -> Document | None:
+        """Document in force, or None."""
+        return self._document
+
+    @property
+    def revision(self) -> int:
+        """Revision of the platform, 0 for none."""
+        return self._revision
+
+    @property
+    def is_enforced(self) -> bool:
+        """Whether requests are refused for load."""
+        return self._is_enforced
+
+    @property
+    def ejection(self) -> EjectionPolicy | None:
+        """Bounds of ejection, or None without a document."""
+        return None if self._document is None else self._document.ejection
+
+    def body_limit(self, service: str) -> int:
+        """Return the longest request body of a service in bytes."""
+        document = self._document
+        if document is None or service not in document.services:
+            return BODY_BYTES_DEFAULT
+        return document.services[service].request_bytes
+
+    def take(
+        self, environment: str, document: Document, revision: int, plain: dict
+    ) -> None:
+        """Take a document that came into force in its environment.
+
+        Args:
+            environment: ``production`` or ``trial``; others are ignored.
+            document: The document.
+            revision: Revision of the platform.
+            plain: Plain form of the document, not used here.
+        """
+        if environment not in (PRODUCTION, TRIAL):
+            return
+        if environment == TRIAL:
+            self._shadow.set_document(document)
+        if environment == PRODUCTION or not self._is_enforced:
+            self._put_in_force(environment, document, revision)
+
+    def start_cold(self) -> None:
+        """Set up the gate for an upstream that has just started."""
+        self._gate_policy = None
+        self._set_up_gate()
+
+    def _put_in_force(
+        self, environment: str, document: Document, revision: int
+    ) -> None:
+        """Decide by this document from now on."""
+        self._document = document
+        self._revision = revision
+        self._is_enforced = environment == PRODUCTION
+        self._quarantine.set_policy(
+            document.quarantine.crashes, document.quarantine.duration_s
+        )
+        self._set_up_gate()
+
+    def _set_up_gate(self) -> None:
+        """Set up the gate anew if the policy of the own service changed."""
+        document = self._document
+        policy = None if document is None else document.services.get(self._service)
+        if policy is None or (policy, self._is_enforced) == self._gate_policy:
+            return
+        self._gate_policy = (policy, self._is_enforced)
+        change = "no limit: the trial document is not enforced"
+        limit = make_limit("fixed", 1, UNLIMITED, UNLIMITED)
+        queue_length = UNLIMITED
+        if self._is_enforced:
+            change = f"{policy.limit.kind} limit, at most {policy.slots}"
+            limit = make_limit(
+                policy.limit.kind, policy.limit.minimum, policy.slots, policy.slots
+            )
+            queue_length = policy.queue_length
+        self._gate.reconfigure(limit, queue_length)
+        evidence = f"revision {self._revision}"
+        self._audit.record(AuditKind.LIMIT, self._host, change, evidence)
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -206,7 +206,7 @@
             return Err(refusal)
         if not await self._wait_for_place(delivery):
             detail = "another suspect of crashing the upstream is in flight"
-            return Err(_not_run(Reason.OVERLOAD, detail, SUSPECT_RETRY_AFTER_S))
+            return Err(Refusal.not_run(Reason.OVERLOAD, detail, SUSPECT_RETRY_AFTER_S))
         try:
             return await self._admit(delivery, document)
         finally:
@@ -224,20 +224,24 @@
         """Return why a call must not run, or None."""
         call = delivery.call
         if document is None or self._service not in document.services:
-            return _not_run(Reason.NOT_READY, "no document names this service", 1.0)
+            return Refusal.not_run(
+                Reason.NOT_READY, "no document names this service", 1.0
+            )
         if self._is_leaving:
-            return _not_run(Reason.LEAVING, "the host is leaving")
+            return Refusal.not_run(Reason.LEAVING, "the host is leaving")
         if call.class_name not in document.classes:
             detail = f"class {call.class_name!r:.40} is not in the document"
-            return _not_run(Reason.BAD_REQUEST, detail)
+            return Refusal.not_run(Reason.BAD_REQUEST, detail)
         if delivery.time_left_s <= 0:
-            return _not_run(Reason.DEADLINE, "the deadline passed before the run")
+            return Refusal.not_run(
+                Reason.DEADLINE, "the deadline passed before the run"
+            )
         quarantined = self._quarantine.check(delivery.fingerprint)
         if quarantined is not None:
             return quarantined
         if call.allowance < 1:
             detail = "the action has used up its attempts"
-            return _not_run(Reason.ALLOWANCE_SPENT, detail)
+            return Refusal.not_run(Reason.ALLOWANCE_SPENT, detail)
         return None
 
     async def _admit(
@@ -273,7 +277,7 @@
         counted = f"{call.action} {delivery.fingerprint.hex()}"
         if not self._counter.count_delivery(counted, maximum):
             detail = f"delivered {maximum} times here within a minute"
-            return Err(_not_run(Reason.ALLOWANCE_SPENT, detail))
+            return Err(Refusal.not_run(Reason.ALLOWANCE_SPENT, detail))
         service = document.services[self._service]
         hop = self._hops.open(
             action=call.action,
@@ -411,9 +415,3 @@
     if isinstance(outcome, LostAnswer):
         return Err(outcome.as_refusal())
     return Ok(Response(outcome.status, outcome.headers, outcome.body))
-
-
-def _not_run(
-    reason: Reason, detail: str, retry_after_s: float | None = None
-) -> Refusal:
-    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after_s)
--- a/packages/savoryroute/savoryroute/coordination/node.py
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -8,7 +8,6 @@
 import secrets
 import time
 
-import attrs
 from result import Err
 
 from ..protocol.callers_http import CallersServer, Outcome
@@ -20,22 +19,24 @@
 from ..state.attempt_counter import ActionCounter
 from ..state.audit import AuditEntry, AuditKind, AuditTrail
 from ..state.decisions import DecisionLog
-from ..state.document import Document
 from ..state.ledger import Ledger
 from ..state.members import Evidence, Member, MemberTable
 from ..state.metrics import Metrics
-from ..state.policies import EjectionPolicy, ServicePolicy
 from ..state.quarantine import Quarantine
 from ..state.settings import Settings
 from ..transport.platform_client import HttpPlatform
 from ..verdict import Refusal, Verdict
+from .action import ActionOpener
 from .admission import AdmissionGate
+from .attempts import Attempts
 from .control import Control
 from .delivery import Delivery
 from .hops import HopTable
+from .in_force import DocumentInForce
 from .inbound import Inbound
 from .keys import KeyRing
 from .limits import make_limit
+from .node_status import NodeStatus
 from .outbound import Outbound
 from .pause import PauseDetector
 from .placement import Placement
@@ -46,7 +47,6 @@
 __all__ = ["Node"]
 
 ACTION_WINDOW_S = 60.0
-BODY_BYTES_DEFAULT = 1024 * 1024
 CLOSE_TIMEOUT_S = 0.2
 DRAIN_LISTEN_S = 3.0
 DRAIN_MAX_S = 60.0
@@ -56,9 +56,6 @@
 QUEUE_DEFAULT = 32
 CRASHES_DEFAULT = 2
 QUARANTINE_DEFAULT_S = 60.0
-PRODUCTION = "production"
-TRIAL = "trial"
-UNLIMITED = 1_000_000
 
 _logger = logging.getLogger(__name__)
 
@@ -71,14 +68,9 @@
         self._incarnation = secrets.randbits(INCARNATION_BITS) + 1
         self._started_s = time.monotonic()
         self._rng = random.Random(self._incarnation)
-        self._document: Document | None = None
-        self._is_enforced = False
         self._is_stopping = False
-        self._gate_policy: tuple[ServicePolicy, bool] | None = None
-        self._revision = 0
         self._audit = AuditTrail(on_record=_log_audit)
         self._shadow = ShadowGate(settings.service)
-        self._metrics = Metrics(self._read_gauges)
         self._decisions = DecisionLog()
         self._table = MemberTable(settings.host, self._on_member)
         self._hops = HopTable()
@@ -90,6 +82,14 @@
         self._gate = AdmissionGate(
             make_limit("fixed", 1, SLOTS_DEFAULT, SLOTS_DEFAULT), QUEUE_DEFAULT
         )
+        self._in_force = DocumentInForce(
+            settings.host,
+            settings.service,
+            self._gate,
+            self._quarantine,
+            self._shadow,
+            self._audit,
+        )
         self._client = UpstreamClient(settings.upstream, 0)
         self._inbound = Inbound(
             settings.service,
@@ -101,7 +101,7 @@
             self._hops,
             self._pause,
             self._decisions,
-            self._get_document,
+            lambda: self._in_force.document,
             self._on_crash,
             self._shadow,
         )
@@ -126,18 +126,23 @@
             self._network,
             self._placement,
             self._table,
-            self._get_ejection,
+            lambda: self._in_force.ejection,
         )
+        pressure = PressureMap()
         self._outbound = Outbound(
-            self._get_document,
-            Delivery(settings.host, self._network, self._inbound.run),
+            ActionOpener(lambda: self._in_force.document),
+            Attempts(
+                Delivery(settings.host, self._network, self._inbound.run),
+                self._placement,
+                pressure,
+                self._pause,
+                self._decisions,
+            ),
             self._placement,
-            PressureMap(),
+            pressure,
             self._hops,
             self._keys,
             self._quarantine,
-            self._pause,
-            self._decisions,
             self._rng,
         )
         self._callers = CallersServer(
@@ -145,25 +150,16 @@
             self._serve_caller,
             self._keys.mint,
             self._keys.confirm,
-            self._body_limit,
+            self._in_force.body_limit,
         )
         self._upstream_side = CallersServer(
             settings.upstream_side,
             self._outbound.from_upstream,
             self._keys.mint,
             self._keys.confirm,
-            self._body_limit,
+            self._in_force.body_limit,
             is_upstream_side=True,
         )
-        self._operators = OperatorsServer(
-            settings.operators,
-            settings.operator_key,
-            self._status,
-            self._not_ready,
-            self._audit,
-            self._decisions,
-            self._metrics,
-        )
         self._watch = UpstreamWatch(
             self._client, self._audit, settings.host, self._on_health
         )
@@ -176,13 +172,37 @@
             self._network,
             self._platform,
             self._pause,
-            self._on_document,
+            self._in_force.take,
             seeds=[str(address) for address in settings.seeds],
             get_suspects=self._quarantine.export,
             on_suspects=self._on_suspects,
             on_audit=self._on_document_audit,
             rng=self._rng,
         )
+        self._status = NodeStatus(
+            host=settings.host,
+            incarnation=self._incarnation,
+            uptime_s=self._uptime_s,
+            in_force=self._in_force,
+            distribution=self._control.distribution,
+            gate=self._gate,
+            inbound=self._inbound,
+            ledger=self._ledger,
+            quarantine=self._quarantine,
+            table=self._table,
+            network=self._network,
+            shadow=self._shadow,
+        )
+        self._metrics = Metrics(self._status.gauges)
+        self._operators = OperatorsServer(
+            settings.operators,
+            settings.operator_key,
+            self._status.to_plain,
+            self._status.not_ready,
+            self._audit,
+            self._decisions,
+            self._metrics,
+        )
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
@@ -243,108 +263,11 @@
             uptime_ms=int(self._uptime_s() * 1000),
         )
 
-    def _get_document(self) -> Document | None:
-        return self._document
-
-    def _get_ejection(self) -> EjectionPolicy | None:
-        return None if self._document is None else self._document.ejection
-
-    def _body_limit(self, service: str) -> int:
-        document = self._document
-        if document is None or service not in document.services:
-            return BODY_BYTES_DEFAULT
-        return document.services[service].request_bytes
-
-    def _not_ready(self) -> str:
-        """Return why the daemon is not ready, or an empty string."""
-        if self._document is None or not self._control.distribution.is_ready:
-            return "no document: neither the platform nor a peer has given one"
-        if self._inbound.is_leaving:
-            return "leaving"
-        return ""
-
-    def _status(self) -> dict:
-        """Return what operators see of this daemon."""
-        return {
-            "host": self._settings.host,
-            "incarnation": self._incarnation,
-            "uptime_s": round(self._uptime_s(), 3),
-            "not_ready": self._not_ready(),
-            "revision": self._revision,
-            "version": self._document.version if self._document else None,
-            "n_in_flight": self._gate.n_in_flight,
-            "n_queued": self._gate.n_queued,
-            "limit": self._gate.limit,
-            "level": self._gate.level,
-            "enforced": self._is_enforced,
-            "digest": self._control.distribution.digest(PRODUCTION).hex(),
-            "trial": self._trial_status(),
-            "quarantine": list(map(attrs.asdict, self._quarantine.entries())),
-            "members": {m.host: str(m.status) for m in self._table.members},
-        }
-
-    def _trial_status(self) -> dict | None:
-        """Return what operators see of the trial document, or None."""
-        document = self._shadow.document
-        if document is None:
-            return None
-        distribution = self._control.distribution
-        return {
-            "version": document.version,
-            "revision": distribution.revision(TRIAL),
-            "digest": distribution.digest(TRIAL).hex(),
-            "would": self._shadow.counts,
-        }
-
-    def _on_document(
-        self, environment: str, document: Document, revision: int, plain: dict
-    ) -> None:
-        """Take a document into force."""
-        if environment not in (PRODUCTION, TRIAL):
-            return
-        if environment == TRIAL:
-            self._shadow.set_document(document)
-        if environment == PRODUCTION or not self._is_enforced:
-            self._put_in_force(environment, document, revision)
-
-    def _put_in_force(
-        self, environment: str, document: Document, revision: int
-    ) -> None:
-        """Decide by this document from now on."""
-        self._document = document
-        self._revision = revision
-        self._is_enforced = environment == PRODUCTION
-        self._quarantine.set_policy(
-            document.quarantine.crashes, document.quarantine.duration_s
-        )
-        self._take_policy(document.services.get(self._settings.service))
-
-    def _take_policy(self, policy: ServicePolicy | None) -> None:
-        """Set up the gate anew if the policy of the own service changed."""
-        if policy is None or (policy, self._is_enforced) == self._gate_policy:
-            return
-        self._gate_policy = (policy, self._is_enforced)
-        if self._is_enforced:
-            limit = make_limit(
-                policy.limit.kind, policy.limit.minimum, policy.slots, policy.slots
-            )
-            self._gate.reconfigure(limit, policy.queue_length)
-        else:
-            limit = make_limit("fixed", 1, UNLIMITED, UNLIMITED)
-            self._gate.reconfigure(limit, UNLIMITED)
-        change = f"{policy.limit.kind} limit, at most {policy.slots}"
-        if not self._is_enforced:
-            change = "no limit: the trial document is not enforced"
-        self._audit.record(
-            AuditKind.LIMIT, self._settings.host, change, f"revision {self._revision}"
-        )
-
     def _on_health(self, health: UpstreamHealth) -> None:
         """Follow the upstream: leaving, gone, or back and cold."""
         self._inbound.is_leaving = health.is_leaving or self._is_stopping
-        if health.is_reachable and self._document is not None:
-            self._gate_policy = None
-            self._take_policy(self._document.services.get(self._settings.service))
+        if health.is_reachable:
+            self._in_force.start_cold()
 
     async def _serve_caller(self, request: Request) -> Outcome:
         """Serve a caller and count what came of it."""
@@ -367,21 +290,6 @@
         fields = {"action": action, "reason": refusal.reason}
         _logger.log(level, "%s: %s", refusal.verdict, refusal.detail, extra=fields)
 
-    def _read_gauges(self) -> dict[str, float]:
-        """Return the gauges of a scrape."""
-        return {
-            "in_flight": self._gate.n_in_flight,
-            "queued": self._gate.n_queued,
-            "limit": self._gate.limit,
-            "level": self._gate.level,
-            "document_revision": self._revision,
-            "ledger_records": self._ledger.n_records,
-            "ledger_bytes": self._ledger.n_bytes,
-            "quarantine_suspects": len(self._quarantine),
-            "links": len(self._network.hosts),
-            "ready": not self._not_ready(),
-        }
-
     def _on_crash(self, n_lost: int) -> None:
         """Tell peers at once which requests were lost together."""
         self._audit.record(
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/node_status.py
@@ -0,0 +1,108 @@
+"""What operators see of a daemon."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from ..protocol.websocket_network import WebSocketNetwork
+from ..state.ledger import Ledger
+from ..state.members import MemberTable
+from ..state.quarantine import Quarantine
+from .admission import AdmissionGate
+from .distribution import Distribution
+from .in_force import PRODUCTION, TRIAL, DocumentInForce
+from .inbound import Inbound
+from .shadow import ShadowGate
+
+__all__ = ["NodeStatus"]
+
+
+@attrs.frozen
+class NodeStatus:
+    """Reader of the parts of one daemon.
+
+    Attributes:
+        host: Name of the host.
+        incarnation: Number drawn at this start.
+        uptime_s: Returns the seconds since the start.
+        in_force: The document in force.
+        distribution: Where documents come from.
+        gate: Gate before the upstream.
+        inbound: Guard of the upstream.
+        ledger: Records of keyed actions.
+        quarantine: Suspects of crashing upstreams.
+        table: Members of the fleet.
+        network: Links to peers.
+        shadow: Judge of the trial document.
+    """
+
+    host: str
+    incarnation: int
+    uptime_s: Callable[[], float]
+    in_force: DocumentInForce
+    distribution: Distribution
+    gate: AdmissionGate
+    inbound: Inbound
+    ledger: Ledger
+    quarantine: Quarantine
+    table: MemberTable
+    network: WebSocketNetwork
+    shadow: ShadowGate
+
+    def not_ready(self) -> str:
+        """Return why the daemon is not ready, or an empty string."""
+        if self.in_force.document is None or not self.distribution.is_ready:
+            return "no document: neither the platform nor a peer has given one"
+        if self.inbound.is_leaving:
+            return "leaving"
+        return ""
+
+    def to_plain(self) -> dict:
+        """Return the status as JSON carries it."""
+        document = self.in_force.document
+        return {
+            "host": self.host,
+            "incarnation": self.incarnation,
+            "uptime_s": round(self.uptime_s(), 3),
+            "not_ready": self.not_ready(),
+            "revision": self.in_force.revision,
+            "version": None if document is None else document.version,
+            "digest": self.distribution.digest(PRODUCTION).hex(),
+            "enforced": self.in_force.is_enforced,
+            "trial": self._trial(),
+            "n_in_flight": self.gate.n_in_flight,
+            "n_queued": self.gate.n_queued,
+            "limit": self.gate.limit,
+            "level": self.gate.level,
+            "quarantine": list(map(attrs.asdict, self.quarantine.entries())),
+            "members": {m.host: str(m.status) for m in self.table.members},
+        }
+
+    def gauges(self) -> dict[str, float]:
+        """Return the gauges of a scrape by name."""
+        return {
+            "in_flight": self.gate.n_in_flight,
+            "queued": self.gate.n_queued,
+            "limit": self.gate.limit,
+            "level": self.gate.level,
+            "document_revision": self.in_force.revision,
+            "ledger_records": self.ledger.n_records,
+            "ledger_bytes": self.ledger.n_bytes,
+            "quarantine_suspects": len(self.quarantine),
+            "links": len(self.network.hosts),
+            "ready": not self.not_ready(),
+        }
+
+    def _trial(self) -> dict | None:
+        """Return what the trial document would do, or None without one."""
+        document = self.shadow.document
+        if document is None:
+            return None
+        return {
+            "version": document.version,
+            "revision": self.distribution.revision(TRIAL),
+            "digest": self.distribution.digest(TRIAL).hex(),
+            "would": self.shadow.counts,
+        }
--- a/packages/savoryroute/savoryroute/verdict.py
+++ b/packages/savoryroute/savoryroute/verdict.py
@@ -67,6 +67,17 @@
     from_deep: bool = False
     status: int = 0
 
+    @classmethod
+    def not_run(
+        cls,
+        reason: Reason,
+        detail: str,
+        retry_after_s: float | None = None,
+        is_load: bool = False,
+    ) -> Refusal:
+        """Return a refusal of a request that did not run and never will."""
+        return cls(Verdict.NOT_RUN, reason, detail, retry_after_s, is_load)
+
     def as_may_have_run(self) -> Refusal:
         """Return the same refusal with the verdict ``MAY_HAVE_RUN``."""
         return attrs.evolve(self, verdict=Verdict.MAY_HAVE_RUN)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import socket
 import unittest
 
 import aiohttp
@@ -14,9 +13,11 @@
 from savoryroute.coordination.node import Node
 from savoryroute.state.settings import parse_settings
 from savoryroute_lab.platform import Platform
-from savoryroute_lab.upstream import Upstream, UpstreamSettings
+from savoryroute_lab.upstream import Upstream
+from savoryroute_lab.upstream_settings import UpstreamSettings
+from savoryroute_lab.wiring import free_ports
 
-__all__ = ["Fleet", "FleetTestCase", "Host", "Reply", "document", "free_ports"]
+__all__ = ["Fleet", "FleetTestCase", "Host", "Reply", "document"]
 
 FLEET_KEY = "fleet-key-of-tests"
 OPERATOR_KEY = "operator-key-of-tests"
@@ -24,15 +25,6 @@
 READY_S = 10.0
 
 
-def free_ports(n: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(n)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-
-
 def document(services: list[str], version: int = 1, **changes) -> dict:
     """Build a document: reads of rank 2 under /, bookings of rank 0 by POST."""
     routes = [
@@ -109,7 +101,7 @@
         self._domains = domains
 
     async def __aenter__(self) -> Fleet:
-        await self.platform.start()
+        await self.platform.start(*free_ports(2))
         for service, n_hosts in self._services.items():
             for number in range(n_hosts):
                 await self._add_host(service, number)
@@ -131,12 +123,13 @@
     async def _add_host(self, service: str, number: int) -> None:
         domain = self._domains[number % len(self._domains)]
         name = f"{domain}-{service}-{number}"
-        ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
+        *chosen, port, control_port = free_ports(len(PORTS) + 2)
+        ports = dict(zip(PORTS, chosen, strict=True))
         upstream = Upstream(
             UpstreamSettings(service=service, host=name),
             upstream_side=f"127.0.0.1:{ports['upstream_side']}",
         )
-        await upstream.start()
+        await upstream.start(port, control_port)
         self.hosts[name] = Host(name, service, domain, ports, upstream)
 
     def __getitem__(self, name: str) -> Host:
--- a/tests/savoryroute/protocol/test_callers_http.py
+++ b/tests/savoryroute/protocol/test_callers_http.py
@@ -7,7 +7,8 @@
 from savoryroute.protocol.callers_http import CallersServer, Outcome
 from savoryroute.protocol.request import Request, Response
 from savoryroute.state.address import Address
-from tests.fleet import FleetTestCase, free_ports
+from savoryroute_lab.wiring import free_ports
+from tests.fleet import FleetTestCase
 
 BODY_LIMIT = 1000
 
--- a/tests/savoryroute/protocol/test_websocket_network.py
+++ b/tests/savoryroute/protocol/test_websocket_network.py
@@ -10,7 +10,8 @@
 from savoryroute.protocol.websocket_network import WebSocketNetwork
 from savoryroute.state.address import Address
 from savoryroute.verdict import Verdict
-from tests.fleet import FLEET_KEY, FleetTestCase, free_ports
+from savoryroute_lab.wiring import free_ports
+from tests.fleet import FLEET_KEY, FleetTestCase
 
 
 def hello(host: str, port: int) -> frames.Hello:
