limits: undo a decrease that did not lower the latency

Cause: the gradient limit halved concurrency although a slow further service, not its own concurrency, made the latency rise. Ruled out: a faster baseline drift alone, which hides true congestion.

--- a/packages/savoryroute/savoryroute/coordination/limits.py
+++ b/packages/savoryroute/savoryroute/coordination/limits.py
@@ -29,10 +29,11 @@
 BASELINE_WEIGHT = 0.05
 BASELINE_DECAY = 0.95
 BASELINE_EXCESS = 2.0
-LIMIT_WEIGHT = 0.5
 LATENCY_FLOOR_FRACTION = 0.5
 DROP_WEIGHT = 0.5
 LONGEST_CALM = 5
+TRIAL_WINDOWS = 2
+HELPING_FRACTION = 0.5
 
 
 @attrs.define
@@ -184,16 +185,34 @@
         self._limit = self._clamp(self._limit + step)
 
 
+@attrs.define
+class _Trial:
+    """Decrease whose effect on the latency is awaited.
+
+    The first window after the decrease still holds requests that started before it.
+    """
+
+    limit_before: float
+    latency_before_s: float
+    n_windows: int = 0
+
+    def has_helped(self, limit: float, latency_s: float) -> bool:
+        """Return whether the latency fell by half as much as the limit, or more."""
+        fall = 1.0 - limit / self.limit_before
+        return latency_s <= self.latency_before_s * (1.0 - fall * HELPING_FRACTION)
+
+
 @LIMITS.register("gradient")
 @attrs.define
 class GradientLimit(ConcurrencyLimit):
     """Limit that follows the ratio of usual to current latency, and the drops.
 
     Latency that rises for another cause than this limit, a slower mix of requests or
-    a slow further service, is no reason to run fewer requests. So the baseline drifts
-    towards the current latency, only a busy upstream is judged, and latency alone
-    takes the limit no lower than half the slots. Below that only drops count, in
-    proportion to their share, so that single failures cost next to nothing.
+    a slow further service, is no reason to run fewer requests. So each decrease is a
+    trial: where the latency does not fall with the concurrency, the current latency
+    becomes the baseline and the limit grows back. Latency alone takes the limit no
+    lower than half the slots. Below that only drops count, in proportion to their
+    share, so that single failures cost next to nothing.
 
     Growth is the square root of the limit a round trip, doubled with each further
     calm one, so that a limit that fell is back within seconds.
@@ -208,6 +227,7 @@
     _n_calm: int = attrs.field(init=False, default=0)
     _baseline_s: float | None = attrs.field(init=False, default=None)
     _window: _Window = attrs.field(init=False, factory=_Window)
+    _trial: _Trial | None = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self) -> None:
         self._limit = self._cold_limit()
@@ -228,19 +248,34 @@
             self._adjust(window)
 
     def _adjust(self, window: _Window) -> None:
-        gradient = self._gradient(window.latency_s)
         is_busy = window.n_busiest >= self._limit * BUSY_FRACTION
+        if self._trial is not None and not window.n_dropped:
+            if not self._judge_trial(self._trial, window):
+                return
+        gradient = self._gradient(window.latency_s)
         if window.n_dropped or gradient < 1.0:
             self._is_slow_start = False
             self._n_calm = 0
-        self._shrink_by_drops(window.drop_fraction)
+        if window.n_dropped:
+            self._trial = None
+            self._limit = self._after_drops(window.drop_fraction)
         if not is_busy or self._is_slow_start:
             return
         if gradient < 1.0:
-            self._shrink_by_latency(gradient)
+            self._shrink_by_latency(gradient, window)
         elif window.drop_fraction < DROP_WEIGHT:
             self._grow()
 
+    def _judge_trial(self, trial: _Trial, window: _Window) -> bool:
+        """Return whether the trial is over."""
+        trial.n_windows += 1
+        if trial.n_windows < TRIAL_WINDOWS:
+            return False
+        self._trial = None
+        if not trial.has_helped(self._limit, window.latency_s):
+            self._baseline_s = max(self._baseline_s, window.latency_s)
+        return True
+
     def _gradient(self, latency_s: float | None) -> float:
         if latency_s is None:
             return 1.0
@@ -257,16 +292,17 @@
         self._baseline_s = baseline_s + (latency_s - baseline_s) * BASELINE_WEIGHT
         return self._baseline_s
 
-    def _shrink_by_drops(self, drop_fraction: float) -> None:
-        self._limit = self._clamp(self._limit * (1.0 - drop_fraction * DROP_WEIGHT))
+    def _after_drops(self, drop_fraction: float) -> float:
+        return self._clamp(self._limit * (1.0 - drop_fraction * DROP_WEIGHT))
 
     def _grow(self) -> None:
         self._n_calm += 1
         headroom = math.sqrt(self._limit) * 2.0 ** min(self._n_calm - 1, LONGEST_CALM)
         self._limit = self._clamp(self._limit + min(headroom, self._limit))
 
-    def _shrink_by_latency(self, gradient: float) -> None:
-        target = self._limit * gradient + math.sqrt(self._limit)
+    def _shrink_by_latency(self, gradient: float, window: _Window) -> None:
         floor = min(self._limit, self.slots * LATENCY_FLOOR_FRACTION)
-        target = max(target, floor)
-        self._limit = self._clamp(self._limit + (target - self._limit) * LIMIT_WEIGHT)
+        target = self._clamp(max(self._limit * gradient, floor))
+        if target < self._limit and not window.n_dropped:
+            self._trial = _Trial(self._limit, window.latency_s)
+        self._limit = target
