--- a/packages/savoryroute/savoryroute/coordination/limits.py
+++ b/packages/savoryroute/savoryroute/coordination/limits.py
@@ -31,7 +31,10 @@
 BASELINE_EXCESS = 2.0
 LATENCY_FLOOR_FRACTION = 0.5
 DROP_WEIGHT = 0.5
-LONGEST_CALM = 5
+MOST_DROPPED_FRACTION = 0.5
+TOLERATED_SHED_FRACTION = 0.05
+QUICK_FRACTION = 0.5
+SMALLEST_STEP = 1.0
 TRIAL_WINDOWS = 2
 HELPING_FRACTION = 0.5
 
@@ -114,6 +117,7 @@
     size: int = MINIMUM_WINDOW_ANSWERS
     n_answers: int = 0
     n_dropped: int = 0
+    n_quickly_dropped: int = 0
     n_busiest: int = 0
     _latency_sum_s: float = 0.0
 
@@ -125,6 +129,14 @@
     def drop_fraction(self) -> float:
         return self.n_dropped / self.n_answers
 
+    @property
+    def n_slowly_dropped(self) -> int:
+        return self.n_dropped - self.n_quickly_dropped
+
+    @property
+    def is_shedding(self) -> bool:
+        return self.n_quickly_dropped > TOLERATED_SHED_FRACTION * self.n_answers
+
     @property
     def latency_s(self) -> float | None:
         n_served = self.n_answers - self.n_dropped
@@ -211,20 +223,25 @@
     a slow further service, is no reason to run fewer requests. So each decrease is a
     trial: where the latency does not fall with the concurrency, the current latency
     becomes the baseline and the limit grows back. Latency alone takes the limit no
-    lower than half the slots. Below that only drops count, in proportion to their
-    share, so that single failures cost next to nothing.
+    lower than half the slots.
+
+    Each quick drop takes the limit down by one at once, so that an upstream that
+    sheds is not sent the best of the queue in vain. A round trip with few of them
+    gives them back: single failures are no sign of load. Slow drops, the timeouts,
+    shrink it by half their share after each round trip.
 
-    Growth is the square root of the limit a round trip, doubled with each further
-    calm one, so that a limit that fell is back within seconds.
+    Growth starts at one a round trip after quick drops, else at the square root of
+    the limit, and doubles with each further calm one, so that a limit that fell is
+    back within seconds and one at its true height is probed gently.
 
     Sources: ``Gradient2Limit`` of Netflix concurrency-limits for the gradient and its
     drifting baseline; DCTCP (Alizadeh and others, 2010) for the decrease in
-    proportion to the marked share; slow start after Jacobson (1988).
+    proportion to the drops; slow start after Jacobson (1988).
     """
 
     _limit: float = attrs.field(init=False)
     _is_slow_start: bool = attrs.field(init=False, default=True)
-    _n_calm: int = attrs.field(init=False, default=0)
+    _step: float = attrs.field(init=False, default=SMALLEST_STEP)
     _baseline_s: float | None = attrs.field(init=False, default=None)
     _window: _Window = attrs.field(init=False, factory=_Window)
     _trial: _Trial | None = attrs.field(init=False, default=None)
@@ -240,31 +257,50 @@
     def on_answer(self, latency_s: float, n_in_flight: int, is_dropped: bool) -> None:
         """Collect one answer and adjust the limit after each round trip."""
         self._window.add(latency_s, n_in_flight, is_dropped)
-        is_busy = n_in_flight >= self._limit * BUSY_FRACTION
-        if self._is_slow_start and is_busy and not is_dropped:
-            self._limit = self._clamp(self._limit + 1.0)
+        if n_in_flight >= self._limit * BUSY_FRACTION:
+            self._step_on_answer(latency_s, is_dropped)
         if self._window.is_full:
             window, self._window = self._window, _Window()
             self._adjust(window)
 
+    def _step_on_answer(self, latency_s: float, is_dropped: bool) -> None:
+        if is_dropped and self._is_quick(latency_s):
+            self._window.n_quickly_dropped += 1
+            self._limit = self._clamp(self._limit - 1.0)
+        elif self._is_slow_start and not is_dropped:
+            self._limit = self._clamp(self._limit + 1.0)
+
+    def _is_quick(self, latency_s: float) -> bool:
+        return self._baseline_s is None or latency_s < self._baseline_s * QUICK_FRACTION
+
     def _adjust(self, window: _Window) -> None:
         is_busy = window.n_busiest >= self._limit * BUSY_FRACTION
-        if self._trial is not None and not window.n_dropped:
-            if not self._judge_trial(self._trial, window):
-                return
-        gradient = self._gradient(window.latency_s)
-        if window.n_dropped or gradient < 1.0:
-            self._is_slow_start = False
-            self._n_calm = 0
         if window.n_dropped:
-            self._trial = None
-            self._limit = self._after_drops(window.drop_fraction)
+            self._shrink_by_drops(window)
+        if self._trial is not None and not self._judge_trial(self._trial, window):
+            return
+        gradient = self._gradient(window.latency_s)
+        if gradient < 1.0:
+            self._end_calm(math.sqrt(self._limit))
         if not is_busy or self._is_slow_start:
             return
         if gradient < 1.0:
             self._shrink_by_latency(gradient, window)
-        elif window.drop_fraction < DROP_WEIGHT:
-            self._grow()
+        elif window.drop_fraction < MOST_DROPPED_FRACTION:
+            self._grow(window)
+
+    def _shrink_by_drops(self, window: _Window) -> None:
+        self._trial = None
+        if window.is_shedding:
+            self._end_calm(SMALLEST_STEP)
+        elif window.n_slowly_dropped:
+            self._end_calm(math.sqrt(self._limit))
+        decrease = DROP_WEIGHT * window.n_slowly_dropped / window.n_answers
+        self._limit = self._clamp(self._limit * (1.0 - decrease))
+
+    def _end_calm(self, step: float) -> None:
+        self._is_slow_start = False
+        self._step = step
 
     def _judge_trial(self, trial: _Trial, window: _Window) -> bool:
         """Return whether the trial is over."""
@@ -292,17 +328,15 @@
         self._baseline_s = baseline_s + (latency_s - baseline_s) * BASELINE_WEIGHT
         return self._baseline_s
 
-    def _after_drops(self, drop_fraction: float) -> float:
-        return self._clamp(self._limit * (1.0 - drop_fraction * DROP_WEIGHT))
-
-    def _grow(self) -> None:
-        self._n_calm += 1
-        headroom = math.sqrt(self._limit) * 2.0 ** min(self._n_calm - 1, LONGEST_CALM)
-        self._limit = self._clamp(self._limit + min(headroom, self._limit))
+    def _grow(self, window: _Window) -> None:
+        if window.is_shedding:
+            return
+        self._limit = self._clamp(self._limit + window.n_quickly_dropped + self._step)
+        self._step = min(self._step * 2.0, self._limit)
 
     def _shrink_by_latency(self, gradient: float, window: _Window) -> None:
         floor = min(self._limit, self.slots * LATENCY_FLOOR_FRACTION)
         target = self._clamp(max(self._limit * gradient, floor))
-        if target < self._limit and not window.n_dropped:
+        if target < self._limit:
             self._trial = _Trial(self._limit, window.latency_s)
         self._limit = target
