--- a/packages/savoryroute/savoryroute/coordination/limits.py
+++ b/packages/savoryroute/savoryroute/coordination/limits.py
@@ -228,7 +228,8 @@
     Each quick drop takes the limit down by one at once, so that an upstream that
     sheds is not sent the best of the queue in vain. A round trip with few of them
     gives them back: single failures are no sign of load. Slow drops, the timeouts,
-    shrink it by half their share after each round trip.
+    shrink it by half their share after each round trip, below half the slots only
+    where most are dropped.
 
     Growth starts at one a round trip after quick drops, else at the square root of
     the limit, and doubles with each further calm one, so that a limit that fell is
@@ -296,7 +297,10 @@
         elif window.n_slowly_dropped:
             self._end_calm(math.sqrt(self._limit))
         decrease = DROP_WEIGHT * window.n_slowly_dropped / window.n_answers
-        self._limit = self._clamp(self._limit * (1.0 - decrease))
+        target = self._limit * (1.0 - decrease)
+        if window.drop_fraction < MOST_DROPPED_FRACTION:
+            target = max(target, self._latency_floor)
+        self._limit = self._clamp(target)
 
     def _end_calm(self, step: float) -> None:
         self._is_slow_start = False
@@ -334,9 +338,12 @@
         self._limit = self._clamp(self._limit + window.n_quickly_dropped + self._step)
         self._step = min(self._step * 2.0, self._limit)
 
+    @property
+    def _latency_floor(self) -> float:
+        return min(self._limit, self.slots * LATENCY_FLOOR_FRACTION)
+
     def _shrink_by_latency(self, gradient: float, window: _Window) -> None:
-        floor = min(self._limit, self.slots * LATENCY_FLOOR_FRACTION)
-        target = self._clamp(max(self._limit * gradient, floor))
+        target = self._clamp(max(self._limit * gradient, self._latency_floor))
         if target < self._limit:
             self._trial = _Trial(self._limit, window.latency_s)
         self._limit = target
