--- a/tests/savoryroute/coordination/test_admission.py
+++ b/tests/savoryroute/coordination/test_admission.py
@@ -45,7 +45,7 @@
 class GateMachine(RuleBasedStateMachine):
     """Arrivals, answers, hang-ups, time and new documents in any order."""
 
-    @initialize(slots=st.integers(1, 3), queue_length=st.integers(0, 4))
+    @initialize(slots=st.sampled_from([1, 2, 3, 6]), queue_length=st.integers(0, 4))
     def start(self, slots, queue_length):
         self.loop = VirtualClockLoop()
         limit = FixedLimit(1, slots, slots)
