--- a/tests/savoryroute/coordination/test_admission.py
+++ b/tests/savoryroute/coordination/test_admission.py
@@ -22,7 +22,7 @@
 from savoryroute_lab.virtual_clock import VirtualClockLoop
 
 LATENCY_S = 0.25
-RANKS = st.integers(0, 7)
+RANKS = st.sampled_from([0, 3, 7])
 WAITS_S = st.sampled_from([0.0, 0.125, 0.5, 1.0, 4.0, 16.0])
 
 
