--- a/packages/savoryroute/savoryroute/coordination/membership.py
+++ b/packages/savoryroute/savoryroute/coordination/membership.py
@@ -249,10 +249,12 @@
 
     async def _keep_overlay(self) -> None:
         """Follow the chosen peers, for ever."""
+        version = -1
         while True:
-            usable = self._table.usable()
-            chosen = self._overlay.choose(usable)
-            for host in chosen:
+            if self._table.version != version:
+                version = self._table.version
+                self._overlay.choose(self._table.usable())
+            for host in self._overlay.chosen:
                 self._follow(host)
             if not self.peers:
                 await self._connect_to_seeds()
@@ -381,7 +383,7 @@
         while True:
             await asyncio.sleep(self._jittered(SWEEP_INTERVAL_S))
             deadline_s = _now() - SUSPICION_S
-            for member in self._table.suspects():
+            for member in self._table.of_status(MemberStatus.SUSPECT):
                 since_s = self._table.suspected_at_s(member.host)
                 is_due = since_s is not None and since_s < deadline_s
                 if is_due and member.host not in self._expiring:
@@ -450,9 +452,9 @@
     def _lost_by_domain(self) -> list[Member]:
         """Return a random lost host of each failure domain."""
         lost: dict[str, list[Member]] = {}
-        for member in self._table.members:
-            is_lost = member.status in (MemberStatus.UNREACHABLE, MemberStatus.GONE)
-            if is_lost and self._table.is_listed(member.host):
+        unreachable = self._table.of_status(MemberStatus.UNREACHABLE)
+        for member in unreachable + self._table.of_status(MemberStatus.GONE):
+            if self._table.is_listed(member.host):
                 lost.setdefault(member.failure_domain, []).append(member)
         return [self._rng.choice(members) for members in lost.values()]
 
--- a/packages/savoryroute/savoryroute/coordination/pause.py
+++ b/packages/savoryroute/savoryroute/coordination/pause.py
@@ -9,8 +9,8 @@
 
 __all__ = ["PauseDetector"]
 
-TICK_INTERVAL_S = 0.1
-PAUSE_MIN_S = 0.5
+TICK_INTERVAL_S = 0.2
+PAUSE_MIN_S = 0.45
 
 
 class PauseDetector:
--- a/packages/savoryroute/savoryroute/state/members.py
+++ b/packages/savoryroute/savoryroute/state/members.py
@@ -20,7 +20,6 @@
 
 import enum
 import time
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -167,7 +166,7 @@
     heard_at_s: float | None = None
     suspected_at_s: float | None = None
     silent_uptime_ms: int | None = None
-    superseded: deque[int] = attrs.Factory(lambda: deque(maxlen=N_SUPERSEDED))
+    superseded: tuple[int, ...] = ()
 
 
 class MemberTable:
@@ -185,6 +184,15 @@
         self._entries: dict[str, _Entry] = {}
         self._by_service: dict[str, dict[str, None]] = {}
         self._by_domain: dict[str, dict[str, None]] = {}
+        self._by_status: dict[MemberStatus, dict[str, None]] = {
+            status: {} for status in MemberStatus
+        }
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Number that grows with each change."""
+        return self._version
 
     @property
     def members(self) -> list[Member]:
@@ -245,10 +253,9 @@
         entry = self._entries.get(host)
         return entry.suspected_at_s if entry else None
 
-    def suspects(self) -> list[Member]:
-        """Return all suspected members."""
-        found = self.members
-        return [item for item in found if item.status is MemberStatus.SUSPECT]
+    def of_status(self, status: MemberStatus) -> list[Member]:
+        """Return all members of a status."""
+        return [self._entries[host].member for host in self._by_status[status]]
 
     def rumour_of(self, host: str) -> Rumour | None:
         """Return what this daemon would tell of a host, or None."""
@@ -515,7 +522,8 @@
     ) -> None:
         """Replace the known incarnation by one that started later."""
         if entry.member.incarnation:
-            entry.superseded.append(entry.member.incarnation)
+            superseded = (*entry.superseded, entry.member.incarnation)
+            entry.superseded = superseded[-N_SUPERSEDED:]
         entry.is_direct = False
         entry.has_left = False
         entry.is_leaving_by_list = False
@@ -553,6 +561,7 @@
         entry.member = member
         is_suspect = member.status is MemberStatus.SUSPECT
         entry.suspected_at_s = self._clock() if is_suspect else None
+        self._by_status[old.status].pop(old.host, None)
         if member.service != old.service:
             self._by_service[old.service].pop(old.host, None)
         if member.failure_domain != old.failure_domain:
@@ -562,6 +571,8 @@
 
     def _index(self, member: Member) -> None:
         """File a member under its service and failure domain."""
+        self._version += 1
+        self._by_status[member.status][member.host] = None
         self._by_service.setdefault(member.service, {})[member.host] = None
         self._by_domain.setdefault(member.failure_domain, {})[member.host] = None
 
--- a/packages/savoryroute_lab/savoryroute_lab/memory_fleet.py
+++ b/packages/savoryroute_lab/savoryroute_lab/memory_fleet.py
@@ -15,7 +15,13 @@
 from savoryroute.coordination.pause import PauseDetector
 from savoryroute.protocol.frames import Hello
 from savoryroute.protocol.memory_network import MemoryNetwork, Switchboard
-from savoryroute.state.members import Evidence, Member, MemberTable
+from savoryroute.state.members import (
+    Evidence,
+    Member,
+    MemberStatus,
+    MemberTable,
+    Rumour,
+)
 from savoryroute.transport.platform_client import MemoryPlatform
 
 from .virtual_loop import PROCESS, VirtualLoop
@@ -117,20 +123,20 @@
         """Have the next published list call a host leaving."""
         self._is_listed_leaving.add(host)
 
-    async def start_all(self) -> None:
-        """Start all nodes."""
+    async def start_all(self, is_warm: bool = False) -> None:
+        """Start all nodes; warm ones know of each other before."""
         for host, _ in self.names:
-            await self.start(host)
+            self._build(host)
+        if is_warm:
+            self._introduce()
+        for node in list(self.nodes.values()):
+            await self._start(node)
 
     async def start(self, host: str) -> Node:
         """Start a host's daemon with empty memory, in place of a former one."""
         await self.stop(host)
-        context = contextvars.copy_context()
-        context.run(PROCESS.set, host)
-        node = context.run(self._make, host, context)
-        self.nodes[host] = node
-        await self._run_in(context, node.network.start())
-        await self._run_in(context, node.control.start())
+        node = self._build(host)
+        await self._start(node)
         return node
 
     async def stop(self, host: str) -> None:
@@ -165,6 +171,26 @@
         """Return the address at which a host takes peers."""
         return self._address(host)
 
+    def _build(self, host: str) -> Node:
+        """Build a host's daemon in a context of its own."""
+        context = contextvars.copy_context()
+        context.run(PROCESS.set, host)
+        node = context.run(self._make, host, context)
+        self.nodes[host] = node
+        return node
+
+    async def _start(self, node: Node) -> None:
+        """Start a daemon's tasks."""
+        await self._run_in(node.context, node.network.start())
+        await self._run_in(node.context, node.control.start())
+
+    def _introduce(self) -> None:
+        """Tell every table of every daemon."""
+        for node in self.nodes.values():
+            rumour = Rumour(_member_of(node.network.own_hello), 0)
+            for other in self.nodes.values():
+                other.table.hear(rumour)
+
     def _pairs(self, one: str, other: str) -> list[tuple[str, str]]:
         """Return all pairs of hosts of two failure domains."""
         return [
@@ -254,6 +280,19 @@
         return f"10.{index // 65536}.{index // 256 % 256}.{index % 256}:1"
 
 
+def _member_of(hello: Hello) -> Member:
+    """Return the sender of a first frame as a member."""
+    return Member(
+        hello.host,
+        hello.service,
+        hello.failure_domain,
+        hello.region,
+        hello.peers,
+        hello.incarnation,
+        MemberStatus.ALIVE,
+    )
+
+
 def document_text(version: int, environment: str = "production") -> str:
     """Return the text of a small valid document."""
     plain = {
--- /dev/null
+++ b/tests/savoryroute/coordination/test_distribution.py
@@ -0,0 +1,368 @@
+"""Tests of the distribution of documents, on in-memory fleets."""
+
+import asyncio
+import unittest
+
+import cbor2
+import hypothesis
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from savoryroute.coordination.document_store import CODECS, DocumentStore, Outcome
+from savoryroute.protocol.frames import DocumentFrame
+from savoryroute.state.document import plain_digest
+from savoryroute_lab.memory_fleet import MemoryFleet, document_text
+from savoryroute_lab.virtual_loop import VirtualLoop, run_virtual
+
+KEY = "documents/production"
+PRODUCTION = "production"
+SETTLE_S = 12.0
+N_DOMAINS = 3
+N_HOSTS = 3
+HOSTS = [f"h{domain}-{n}" for domain in range(N_DOMAINS) for n in range(N_HOSTS)]
+PAIRS = [("d0", "d1"), ("d0", "d2"), ("d1", "d2")]
+
+
+class DistributionMachine(RuleBasedStateMachine):
+    """Faults and publications in any order, against the simple rule.
+
+    Oracle: the highest valid revision that any node or the reachable platform has
+    is in force at all nodes connected to it within SETTLE_S; no node ever goes
+    back, nor a restarted one behind what a reachable ready peer had when it began.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.runner = asyncio.Runner(loop_factory=VirtualLoop)
+        self.version = 0
+        self.valid = {}
+        self.cuts = set()
+        self.cut_readers = set()
+        self.is_down = False
+        self.has_stale = False
+        self.runner.run(self.set_up())
+
+    async def set_up(self):
+        self.fleet = MemoryFleet(N_DOMAINS, N_HOSTS, seed=7)
+        self.fleet.publish_hosts()
+        self.publish_valid()
+        await self.fleet.start_all(is_warm=True)
+        await asyncio.sleep(5)
+
+    def publish_valid(self):
+        self.version += 1
+        text = document_text(self.version)
+        revision = self.fleet.platform.publish(KEY, text)
+        self.valid[revision] = self.version
+
+    def teardown(self):
+        self.runner.run(self.fleet.stop_all())
+        self.runner.close()
+
+    def wait(self, seconds):
+        self.runner.run(asyncio.sleep(seconds))
+        self.check_never_back()
+
+    def check_never_back(self):
+        for node in self.fleet.nodes.values():
+            revisions = [
+                item.revision
+                for item in node.in_force
+                if item.environment == PRODUCTION
+            ]
+            assert revisions == sorted(set(revisions)), (node.host, revisions)
+            assert set(revisions) <= set(self.valid), (node.host, revisions)
+
+    def revision(self, host):
+        return self.fleet.nodes[host].control.distribution.revision(PRODUCTION)
+
+    def is_connected(self, one, other):
+        domains = (one[:2].replace("h", "d"), other[:2].replace("h", "d"))
+        return tuple(sorted(domains)) not in self.cuts
+
+    def best_peer_revision(self, host):
+        peers = [other for other in HOSTS if other != host]
+        return max(
+            self.revision(other) for other in peers if self.is_connected(host, other)
+        )
+
+    @initialize()
+    def check_start(self):
+        self.check_settled()
+
+    @rule()
+    def publish(self):
+        self.runner.run(self.in_loop(self.publish_valid))
+
+    @rule()
+    def two_operators(self):
+        self.runner.run(self.in_loop(self.publish_valid))
+        self.runner.run(self.in_loop(self.publish_valid))
+
+    @rule(text=st.sampled_from(["{", "{}", document_text(1, "trial")]))
+    def publish_invalid(self, text):
+        async def act():
+            self.fleet.platform.publish(KEY, text)
+
+        self.runner.run(act())
+
+    @rule(is_down=st.booleans())
+    def outage(self, is_down):
+        self.is_down = is_down
+
+        async def act():
+            self.fleet.platform.set_down(is_down)
+
+        self.runner.run(act())
+
+    @rule(host=st.sampled_from(HOSTS), is_stale=st.booleans())
+    def stale_replica(self, host, is_stale):
+        async def act():
+            revision = max(self.fleet.platform.revision - 2, 0) if is_stale else None
+            self.fleet.platform.set_stale(host, revision)
+
+        self.has_stale = self.has_stale or is_stale
+        self.runner.run(act())
+
+    @rule(pair=st.sampled_from(PAIRS))
+    def cut(self, pair):
+        self.cuts.add(pair)
+        self.fleet.cut_domains(*pair)
+
+    @rule(pair=st.sampled_from(PAIRS))
+    def heal(self, pair):
+        self.cuts.discard(pair)
+        self.fleet.heal_domains(*pair)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def restart(self, host):
+        self.runner.run(self.restart_one(host))
+
+    @rule(domain=st.sampled_from(range(N_DOMAINS)))
+    def restart_domain(self, domain):
+        self.runner.run(self.restart_all(domain))
+
+    @rule(seconds=st.floats(0.01, 20.0))
+    def pass_time(self, seconds):
+        self.wait(seconds)
+
+    @rule()
+    def settle(self):
+        async def act():
+            self.fleet.switchboard.heal_all()
+            self.fleet.platform.set_down(False)
+            for host in HOSTS:
+                self.fleet.platform.set_stale(host, None)
+
+        self.cuts.clear()
+        self.runner.run(act())
+        self.wait(SETTLE_S)
+        self.check_settled()
+
+    async def in_loop(self, function):
+        function()
+
+    async def restart_one(self, host):
+        known = self.best_peer_revision(host)
+        node = await self.fleet.start(host)
+        await self.check_ready(node, known)
+
+    async def restart_all(self, domain):
+        hosts = [f"h{domain}-{number}" for number in range(N_HOSTS)]
+        for host in hosts:
+            await self.fleet.stop(host)
+        others = [host for host in HOSTS if host in self.fleet.nodes]
+        known = max(
+            (self.revision(it) for it in others if self.is_connected(hosts[0], it)),
+            default=0,
+        )
+        nodes = [await self.fleet.start(host) for host in hosts]
+        for node in nodes:
+            await self.check_ready(node, known)
+
+    async def check_ready(self, node, known):
+        control = node.control.distribution
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            if control.is_ready:
+                break
+        if control.is_ready:
+            assert control.revision(PRODUCTION) >= known, (node.host, known)
+        else:
+            assert not known, (node.host, "not ready although a peer knows", known)
+
+    def check_settled(self):
+        newest = max(self.valid)
+        held = {host: self.revision(host) for host in HOSTS}
+        latest = max(held.values())
+        assert set(held.values()) == {latest}, held
+        if self.fleet.platform.revision == newest:
+            assert latest == newest, (held, newest)
+
+
+DistributionMachine.TestCase.settings = hypothesis.settings(
+    max_examples=25, stateful_step_count=12, deadline=None
+)
+DistributionMachineTest = DistributionMachine.TestCase
+
+
+async def _started(n_domains=3, n_hosts=3, seed=1):
+    """Return a fleet with version 1 in force."""
+    fleet = MemoryFleet(n_domains, n_hosts, seed)
+    fleet.publish_hosts()
+    fleet.platform.publish(KEY, document_text(1))
+    await fleet.start_all(is_warm=True)
+    await asyncio.sleep(5)
+    return fleet
+
+
+def _revisions(fleet):
+    """Return the production revisions in force."""
+    nodes = fleet.nodes.values()
+    return {node.control.distribution.revision(PRODUCTION) for node in nodes}
+
+
+class DistributionTest(unittest.TestCase):
+    def test_change_is_in_force_within_three_seconds(self):
+        async def scenario():
+            fleet = await _started(5, 7)
+            revision = fleet.platform.publish(KEY, document_text(2))
+            await asyncio.sleep(3)
+            self.assertEqual(_revisions(fleet), {revision})
+            await fleet.stop_all()
+
+        run_virtual(scenario())
+
+    def test_change_survives_loss_of_a_third_of_all_frames(self):
+        async def scenario():
+            fleet = await _started(3, 4)
+            fleet.switchboard.drop_fraction = 0.33
+            fleet.switchboard.duplicate_fraction = 0.2
+            revision = fleet.platform.publish(KEY, document_text(2))
+            await asyncio.sleep(12)
+            self.assertEqual(_revisions(fleet), {revision})
+            await fleet.stop_all()
+
+        run_virtual(scenario())
+
+    def test_domain_without_platform_hears_from_another(self):
+        async def scenario():
+            fleet = await _started()
+            for host in fleet.in_domain("d2"):
+                fleet.platform.set_cut(host, True)
+            revision = fleet.platform.publish(KEY, document_text(2))
+            await asyncio.sleep(3)
+            self.assertEqual(_revisions(fleet), {revision})
+            await fleet.stop_all()
+
+        run_virtual(scenario())
+
+    def test_reads_in_an_outage_do_not_grow_with_the_fleet(self):
+        async def reads_per_s(n_hosts):
+            fleet = await _started(2, n_hosts)
+            fleet.platform.set_down(True)
+            await asyncio.sleep(60)
+            before = sum(fleet.platform.n_reads.values())
+            await asyncio.sleep(60)
+            count = sum(fleet.platform.n_reads.values()) - before
+            await fleet.stop_all()
+            return count / 60
+
+        few, many = run_virtual(reads_per_s(4)), run_virtual(reads_per_s(16))
+        self.assertLess(many, 1.5 * few)
+
+    def test_restart_with_stale_replica_takes_the_peers_document(self):
+        async def scenario():
+            fleet = await _started()
+            old = fleet.platform.revision
+            revision = fleet.platform.publish(KEY, document_text(2))
+            await asyncio.sleep(3)
+            fleet.platform.set_stale("h0-1", old)
+            node = await fleet.start("h0-1")
+            await node.control.distribution.wait_ready()
+            self.assertEqual(node.control.distribution.revision(PRODUCTION), revision)
+            await fleet.stop_all()
+
+        run_virtual(scenario())
+
+    def test_invalid_revision_is_skipped_and_audited(self):
+        async def scenario():
+            fleet = await _started()
+            valid = fleet.platform.revision
+            fleet.platform.publish(KEY, "{}")
+            await asyncio.sleep(3)
+            self.assertEqual(_revisions(fleet), {valid})
+            audits = [entry for node in fleet.nodes.values() for entry in node.audit]
+            self.assertTrue(any("skipped" in change for _, change, _ in audits))
+            await fleet.stop_all()
+
+        run_virtual(scenario())
+
+    def test_hostile_peer_changes_nothing(self):
+        async def scenario():
+            fleet = await _started()
+            valid = fleet.platform.revision
+            target = fleet.nodes["h0-1"].control
+            junk = cbor2.dumps({"environment": PRODUCTION})
+            digest = plain_digest({"environment": PRODUCTION})
+            payloads = [b"\xff", cbor2.dumps([]), junk, cbor2.dumps([[0, ["x"], 1]])]
+            for base in (0, valid, 12345):
+                for payload in payloads:
+                    frame = DocumentFrame(PRODUCTION, 999, base, digest, payload)
+                    await target.handle_control("h0-0", frame)
+            hostile = [[PRODUCTION, "x", b"", 0], "x", [PRODUCTION, 10**6, b"", 0]]
+            target.distribution.note_revisions("h0-0", hostile)
+            await asyncio.sleep(10)
+            self.assertEqual(_revisions(fleet), {valid})
+            newer = fleet.platform.publish(KEY, document_text(2))
+            await asyncio.sleep(3)
+            self.assertEqual(_revisions(fleet), {newer})
+            await fleet.stop_all()
+
+        run_virtual(scenario())
+
+    def test_long_cut_is_made_up_by_differences(self):
+        async def scenario():
+            fleet = await _started()
+            for host in fleet.in_domain("d0"):
+                fleet.platform.set_cut(host, True)
+            fleet.cut_domains("d0", "d1")
+            fleet.cut_domains("d0", "d2")
+            for version in range(2, 72):
+                revision = fleet.platform.publish(KEY, document_text(version))
+                await asyncio.sleep(5)
+            fleet.switchboard.heal_all()
+            await asyncio.sleep(12)
+            self.assertEqual(_revisions(fleet), {revision})
+            await fleet.stop_all()
+
+        run_virtual(scenario())
+
+
+class DocumentStoreTest(unittest.TestCase):
+    def setUp(self):
+        self.one, self.other = DocumentStore(CODECS[0]), DocumentStore(CODECS[0])
+
+    def test_chain_of_differences_leads_to_the_same_document(self):
+        self.one.offer_text(document_text(1), 1)
+        self.other.offer_frame(self.one.whole(), "peer")
+        for revision in range(2, 9):
+            self.one.offer_text(document_text(revision), revision)
+        frames = self.one.frames_since(self.other.revision)
+        outcomes = {self.other.offer_frame(frame, "peer") for frame in frames}
+        self.assertEqual(outcomes, {Outcome.APPLIED})
+        self.assertEqual(self.other.plain, self.one.plain)
+        self.assertEqual(self.other.digest, self.one.digest)
+
+    def test_older_revision_is_never_taken(self):
+        self.one.offer_text(document_text(1), 5)
+        self.other.offer_text(document_text(2), 4)
+        outcome = self.one.offer_frame(self.other.whole(), "peer")
+        self.assertEqual(outcome, Outcome.OLD)
+        self.assertEqual(self.one.offer_text(document_text(3), 5), Outcome.OLD)
+
+    def test_unknown_base_gets_the_whole(self):
+        self.one.offer_text(document_text(1), 1)
+        self.one.offer_text(document_text(2), 2)
+        frames = self.one.frames_since(0)
+        self.assertEqual([frame.base_revision for frame in frames], [0])
