membership: probes on open links, tests of faults

Cause: a black-holed open link counted as an answer to a probe, so a cut-off domain's hosts were taken for gone or alive; a reused link's first frame counted as fresh evidence.

--- a/packages/savoryroute/savoryroute/coordination/membership.py
+++ b/packages/savoryroute/savoryroute/coordination/membership.py
@@ -38,6 +38,7 @@
 LINK_LOST_JITTER_S = 0.3
 SWEEP_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 3.0
+PROBE_ANSWER_S = 1.5
 DOMAIN_FRESH_S = 2.5
 DOMAIN_PROBES = 3
 DOMAIN_VERDICT_S = 5.0
@@ -322,7 +323,8 @@
         return True
 
     async def _connect(self, peers_address: str) -> Hello | None:
-        """Open a link and merge its first frame."""
+        """Open a link and merge its first frame, unless it was open."""
+        open_before = set(self._network.hosts)
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
                 result = await self._network.connect(peers_address)
@@ -331,7 +333,7 @@
         if result.is_err():
             return None
         hello = result.ok_value
-        if hello.host != self._host:
+        if hello.host != self._host and hello.host not in open_before:
             self._note_hello(hello)
         return hello
 
@@ -437,17 +439,28 @@
             if member.host not in (host, self._host)
         ]
         probed = self._rng.sample(others, min(DOMAIN_PROBES, len(others)))
-        for member in probed:
-            if await self._connect(member.peers_address) is not None:
-                return True
-        return False
+        probes = [self._probe(member) for member in probed]
+        return any(await asyncio.gather(*probes))
+
+    async def _probe(self, member: Member) -> bool:
+        """Return whether a host answers, on a link that is open or a new one."""
+        host = member.host
+        if self._network.hello(host) is None:
+            return await self._connect(member.peers_address) is not None
+        asked_at_s = _now()
+        await self._network.send(host, self._next_heartbeat(_Peer(host)))
+        await asyncio.sleep(PROBE_ANSWER_S)
+        is_heard = (self._table.heard_at_s(host) or 0.0) > asked_at_s
+        if not is_heard:
+            self._network.disconnect(host)
+        return is_heard
 
     async def _probe_lost(self) -> None:
         """Try one lost host of each failure domain from time to time, for ever."""
         while True:
             await asyncio.sleep(self._jittered(PROBE_INTERVAL_S))
             for member in self._lost_by_domain():
-                await self._connect(member.peers_address)
+                await self._probe(member)
 
     def _lost_by_domain(self) -> list[Member]:
         """Return a random lost host of each failure domain."""
--- a/packages/savoryroute/savoryroute/protocol/memory_network.py
+++ b/packages/savoryroute/savoryroute/protocol/memory_network.py
@@ -157,14 +157,28 @@
         other = self._switchboard.find(peers_address)
         if other is None or other is self:
             return Err(ConnectionClosedError("refused"))
-        if self._switchboard.is_cut(self._own_hello.host, other.own_hello.host):
-            await asyncio.sleep(CONNECT_TIMEOUT_S)
+        if not await self._is_answering(other):
             return Err(ConnectionClosedError("timeout"))
         open_link = self._links.get(other.own_hello.host)
         if open_link is None:
             open_link = self._open(other)
         return Ok(open_link.hellos[other.own_hello.host])
 
+    async def _is_answering(self, other: MemoryNetwork) -> bool:
+        """Return whether a process can be reached and runs, in time."""
+        if self._switchboard.is_cut(self._own_hello.host, other.own_hello.host):
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            return False
+        answered = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(answered.set, context=other._context)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await answered.wait()
+        except TimeoutError:
+            return False
+        return self._switchboard.find(other.own_hello.peers) is other
+
     async def send(self, host: str, frame: Frame) -> bool:
         """Send a control frame; return whether there was a link to send it on."""
         link = self._links.get(host)
@@ -207,6 +221,9 @@
     def _open(self, other: MemoryNetwork) -> _Link:
         """Open a link and tell both ends."""
         mine, theirs = self._make_hello(), other._make_hello()
+        former = other._links.get(mine.host)
+        if former is not None:
+            other._close(former)
         link = _Link((self, other), {mine.host: mine, theirs.host: theirs})
         self._links[theirs.host] = link
         other._links[mine.host] = link
@@ -215,11 +232,12 @@
         return link
 
     def _close(self, link: _Link) -> None:
-        """Close a link; each end that can hear of it is told."""
-        if not link.is_open:
-            return
+        """Close a link; the other end is told unless it is cut off."""
         link.is_open = False
+        names = [end.own_hello.host for end in link.ends]
         for end in link.ends:
+            if end is not self and self._switchboard.is_cut(*names):
+                continue
             host = link.other(end).own_hello.host
             if end._links.get(host) is link:
                 del end._links[host]
--- a/packages/savoryroute_lab/savoryroute_lab/virtual_loop.py
+++ b/packages/savoryroute_lab/savoryroute_lab/virtual_loop.py
@@ -53,6 +53,11 @@
         for callback, args, context in self._paused.pop(process, []):
             super().call_soon(callback, *args, context=context)
 
+    def resume_all(self) -> None:
+        """Resume all paused processes."""
+        for process in list(self._paused):
+            self.resume(process)
+
     def call_soon(
         self,
         callback: Callable,
@@ -90,4 +95,13 @@
 def run_virtual(coroutine: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine in a loop of its own, in virtual time."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
-        return runner.run(coroutine)
+        return runner.run(_resumed_at_end(coroutine))
+
+
+async def _resumed_at_end(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine and resume all processes that it left paused."""
+    loop = asyncio.get_running_loop()
+    try:
+        return await coroutine
+    finally:
+        loop.resume_all()  # type: ignore[attr-defined]
