--- a/packages/savoryroute/savoryroute/coordination/control.py
+++ b/packages/savoryroute/savoryroute/coordination/control.py
@@ -13,6 +13,7 @@
 from ..transport.platform_client import PlatformReader
 from .distribution import AuditHandler, Distribution, DocumentHandler
 from .membership import Membership, SuspectsHandler
+from .overlay import Overlay
 from .pause import PauseDetector
 
 __all__ = ["Control"]
@@ -33,6 +34,7 @@
         on_suspects: See ``Membership``.
         on_link: Called when a link goes up or down, after membership.
         on_audit: See ``Distribution``.
+        overlay: See ``Membership``.
         rng: Source of jitter.
     """
 
@@ -50,6 +52,7 @@
         on_suspects: SuspectsHandler = lambda host, suspects: None,
         on_link: Callable[[Hello, bool], None] = lambda hello, is_up: None,
         on_audit: AuditHandler = lambda subject, change, evidence: None,
+        overlay: Overlay | None = None,
         rng: random.Random | None = None,
     ) -> None:
         own = make_hello()
@@ -67,6 +70,7 @@
                 host, found
             ),
             on_suspects=on_suspects,
+            overlay=overlay,
             rng=rng,
         )
         self._distribution = Distribution(
--- a/packages/savoryroute/savoryroute/coordination/membership.py
+++ b/packages/savoryroute/savoryroute/coordination/membership.py
@@ -74,6 +74,7 @@
         on_revisions: Called with host and ``revisions`` of each heartbeat that
             has some.
         on_suspects: Called with host and ``suspects`` likewise.
+        overlay: Choice of peers, in place of the usual one.
         rng: Source of jitter.
     """
 
@@ -88,6 +89,7 @@
         get_suspects: Callable[[], list[Any]] = list,
         on_revisions: RevisionsHandler = lambda host, revisions: None,
         on_suspects: SuspectsHandler = lambda host, suspects: None,
+        overlay: Overlay | None = None,
         rng: random.Random | None = None,
     ) -> None:
         own = make_hello()
@@ -103,7 +105,7 @@
         self._on_revisions = on_revisions
         self._on_suspects = on_suspects
         self._rng = rng or random.Random()
-        self._overlay = Overlay(own.host, own.failure_domain)
+        self._overlay = overlay or Overlay(own.host, own.failure_domain)
         self._rumours = RumourQueue(self._rng)
         self._peers: dict[str, _Peer] = {}
         self._callers_of_us: dict[str, float] = {}
--- a/packages/savoryroute/savoryroute/coordination/overlay.py
+++ b/packages/savoryroute/savoryroute/coordination/overlay.py
@@ -14,9 +14,24 @@
 
 
 class Overlay:
-    """Peers chosen by rendezvous hashing, most in the own failure domain."""
+    """Peers chosen by rendezvous hashing, most in the own failure domain.
 
-    def __init__(self, host: str, failure_domain: str) -> None:
+    Args:
+        host: Name of this host.
+        failure_domain: Failure domain of this host.
+        n_own_domain: Peers chosen in the own failure domain.
+        n_other_domains: Peers chosen in all others.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        failure_domain: str,
+        n_own_domain: int = N_OWN_DOMAIN,
+        n_other_domains: int = N_OTHER_DOMAINS,
+    ) -> None:
+        self._n_own_domain = n_own_domain
+        self._n_other_domains = n_other_domains
         self._host = host
         self._failure_domain = failure_domain
         self._weights: dict[str, int] = {}
@@ -36,8 +51,8 @@
                 continue
             is_own = member.failure_domain == self._failure_domain
             (own if is_own else others).append(member.host)
-        chosen = self._highest(own, N_OWN_DOMAIN)
-        chosen += self._highest(others, N_OTHER_DOMAINS)
+        chosen = self._highest(own, self._n_own_domain)
+        chosen += self._highest(others, self._n_other_domains)
         self._chosen = frozenset(chosen)
         return self._chosen
 
--- a/packages/savoryroute_lab/savoryroute_lab/memory_fleet.py
+++ b/packages/savoryroute_lab/savoryroute_lab/memory_fleet.py
@@ -12,6 +12,7 @@
 import attrs
 
 from savoryroute.coordination.control import Control
+from savoryroute.coordination.overlay import Overlay
 from savoryroute.coordination.pause import PauseDetector
 from savoryroute.protocol.frames import Hello
 from savoryroute.protocol.memory_network import MemoryNetwork, Switchboard
@@ -76,11 +77,18 @@
         n_hosts: Hosts in each.
         seed: Seed of all that is random.
         n_services: Services that the hosts are spread over.
+        is_all_to_all: Whether each daemon heartbeats with all others.
     """
 
     def __init__(
-        self, n_domains: int, n_hosts: int, seed: int, n_services: int = 2
+        self,
+        n_domains: int,
+        n_hosts: int,
+        seed: int,
+        n_services: int = 2,
+        is_all_to_all: bool = False,
     ) -> None:
+        self._is_all_to_all = is_all_to_all
         self._seed = seed
         self._rng = random.Random(seed)
         self._n_services = n_services
@@ -243,6 +251,7 @@
             PauseDetector(clock=loop.time),
             on_document,
             seeds=seeds,
+            overlay=self._overlay(host),
             on_audit=lambda *entry: audit.append(entry),
             rng=rng,
         )
@@ -266,6 +275,13 @@
         """Run a coroutine in a node's context."""
         await self.loop.create_task(coroutine, context=context)
 
+    def _overlay(self, host: str) -> Overlay | None:
+        """Return the choice of peers, None for the usual one."""
+        if not self._is_all_to_all:
+            return None
+        n_hosts = len(self.names)
+        return Overlay(host, self._domain[host], n_hosts, n_hosts)
+
     def _seeds(self) -> list[tuple[str, str]]:
         """Return the hosts that every daemon begins with."""
         return self.names[:: max(1, len(self.names) // N_SEEDS)][:N_SEEDS]
@@ -293,12 +309,14 @@
     )
 
 
-def document_text(version: int, environment: str = "production") -> str:
-    """Return the text of a small valid document."""
+def document_text(
+    version: int, environment: str = "production", n_services: int = 1
+) -> str:
+    """Return the text of a valid document; versions differ in one value."""
     plain = {
         "environment": environment,
         "version": version,
         "classes": {"order": {"rank": 0, "timeout_ms": 1000 + version}},
-        "services": {"s0": {"slots": 4}},
+        "services": {f"s{index}": {"slots": 4} for index in range(n_services)},
     }
     return json.dumps(plain)
