distribution: pushes do not wait on announcements, restarts wait for a fetch

Cause: a peer announcing a revision that it cannot give held back pushes; a restart could be ready while a newer whole was under way; a delayed rumour of a former incarnation could displace a linked host.

--- a/packages/savoryroute/savoryroute/coordination/distribution.py
+++ b/packages/savoryroute/savoryroute/coordination/distribution.py
@@ -37,6 +37,7 @@
 AGE_MAX_MS = 3_600_000
 START_PEERS = 3
 START_LIMIT_S = 3.0
+START_FETCH_LIMIT_S = 10.0
 START_STEP_S = 0.2
 START_READ_JITTER_S = 0.5
 CONFIRM_LIMIT_S = 1.5
@@ -294,6 +295,7 @@
 
     async def _fetch(self, channel: _Channel) -> None:
         """Ask announcing peers, highest first, until none has anything newer."""
+        before = channel.store.revision
         try:
             while channel.announced:
                 host = max(channel.announced, key=channel.announced.__getitem__)
@@ -304,6 +306,8 @@
                     channel.announced.pop(host, None)
         finally:
             channel.fetch = None
+        if channel.store.revision > before:
+            self._announce()
 
     async def _fetch_from(self, channel: _Channel, host: str) -> bool:
         """Ask one peer; return whether anything came of it."""
@@ -329,8 +333,7 @@
         if environment == HOSTS:
             self._table.merge_list(store.document)
         self._on_document(environment, store.document, store.revision, store.plain)
-        highest = max(channel.announced.values(), default=0)
-        if highest <= store.revision:
+        if channel.fetch is None:
             await self._push(store, source)
 
     async def _push(self, store: DocumentStore, source: str) -> None:
@@ -418,8 +421,8 @@
     async def _ask_peers(self, n_wanted: int, limit_s: float) -> None:
         """Ask peers until ``n_wanted`` that have a document told of theirs.
 
-        Ends early when all known peers answered, late after ``limit_s`` seconds.
-        Each newer document is taken before this ends, or within the limit.
+        Stops to ask early when all known peers answered, late after ``limit_s``
+        seconds. Then waits for the newer documents that they have.
         """
         self._answers.clear()
         asked: set[str] = set()
@@ -429,6 +432,8 @@
                 while not self._has_answers(asked, n_wanted):
                     self._ask_more(asked, n_wanted)
                     await asyncio.sleep(START_STEP_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_FETCH_LIMIT_S):
                 while any(channel.fetch for channel in self._channels.values()):
                     await asyncio.sleep(START_STEP_S)
 
--- a/packages/savoryroute/savoryroute/state/members.py
+++ b/packages/savoryroute/savoryroute/state/members.py
@@ -5,8 +5,9 @@
 1. Incarnations are random numbers and have no order of their own. The one that
    started last is the present one. Its start is estimated on the local clock as
    the time of the evidence minus the uptime it states, and the lowest estimate is
-   kept, since delays only make an estimate later. An incarnation once superseded
-   never comes back. A Hello on a link beats what is known from hearsay only.
+   kept, since delays only make an estimate later. A Hello on a link beats what is
+   known from hearsay only; an incarnation that a Hello superseded never comes
+   back; hearsay does not supersede a host that was itself heard a moment ago.
 2. Within one incarnation the host's own uptime counts the evidence. A suspicion
    states the uptime last heard; an uptime later by more than a heartbeat
    refutes it.
@@ -40,6 +41,7 @@
 
 LIST_LAG_S = 60.0
 REFUTE_MARGIN_MS = 1500
+DIRECT_FRESH_S = 3.0
 N_SUPERSEDED = 8
 TEXT_MAX = 256
 NUMBER_MAX = 2**63 - 1
@@ -392,7 +394,7 @@
     def _hear_of_other_incarnation(self, entry: _Entry, rumour: Rumour) -> News:
         """Believe in another incarnation if it started later."""
         told = rumour.member
-        if told.incarnation in entry.superseded:
+        if told.incarnation in entry.superseded or self._is_fresh(entry):
             return News.KNOWN
         if told.status is MemberStatus.SUSPECT and entry.member.incarnation:
             return News.KNOWN
@@ -403,6 +405,12 @@
         entry.has_left = told.status is MemberStatus.LEAVING
         return News.NEW
 
+    def _is_fresh(self, entry: _Entry) -> bool:
+        """Return whether a host itself was heard a moment ago."""
+        if entry.heard_at_s is None:
+            return False
+        return self._clock() - entry.heard_at_s < DIRECT_FRESH_S
+
     def _hear_of_same_incarnation(self, entry: _Entry, rumour: Rumour) -> News:
         """Merge a rumour of the incarnation that is known."""
         told = rumour.member.status
@@ -523,7 +531,7 @@
         self, entry: _Entry, member: Member, uptime_ms: int, evidence: Evidence
     ) -> None:
         """Replace the known incarnation by one that started later."""
-        if entry.member.incarnation:
+        if evidence is Evidence.HELLO and entry.member.incarnation:
             superseded = (*entry.superseded, entry.member.incarnation)
             entry.superseded = superseded[-N_SUPERSEDED:]
         entry.is_direct = False
--- a/tests/savoryroute/state/test_members.py
+++ b/tests/savoryroute/state/test_members.py
@@ -49,6 +49,14 @@
         self.table.note_hello(_member(5), 90_000)
         self.assertEqual(self.incarnation(), 5)
 
+    def test_delayed_rumour_does_not_displace_a_linked_host(self):
+        self.table.note_hello(_member(5), 18_000)
+        self.assertEqual(self.hear(4, ALIVE, 10_000), News.KNOWN)
+        self.now_s += 30
+        self.assertEqual(self.hear(4, ALIVE, 10_000), News.NEW)
+        self.table.note_hello(_member(5), 48_000)
+        self.assertEqual(self.incarnation(), 5)
+
     def test_leaving_is_final_for_its_incarnation(self):
         self.table.note_hello(_member(5), 1_000)
         self.assertTrue(self.table.note_goodbye("a", 5))
