distribution: name readers by the platform's key

Cause: is_reader hashed the environment's name, the loop the key, so the property named other hosts than those that read. Measured: test_all_readers_of_a_domain_fail_at_once passed with the true readers killed.

--- a/packages/savoryroute/savoryroute/coordination/control.py
+++ b/packages/savoryroute/savoryroute/coordination/control.py
@@ -99,6 +99,11 @@
         """The documents in force."""
         return self._distribution
 
+    @property
+    def pause(self) -> PauseDetector:
+        """Detector of pauses of this process."""
+        return self._pause
+
     async def start(self) -> None:
         """Start everything."""
         await self._pause.start()
--- a/packages/savoryroute/savoryroute/coordination/distribution.py
+++ b/packages/savoryroute/savoryroute/coordination/distribution.py
@@ -137,7 +137,7 @@
     @property
     def is_reader(self) -> bool:
         """Whether this host is to read the production document."""
-        return self._role.is_reader(PRODUCTION)
+        return self._role.is_reader(self._channels[PRODUCTION].store.codec.key)
 
     def revision(self, environment: str) -> int:
         """Return the revision in force, 0 for none."""
--- a/tests/savoryroute/coordination/test_distribution.py
+++ b/tests/savoryroute/coordination/test_distribution.py
@@ -37,9 +37,6 @@
         self.version = 0
         self.valid = {}
         self.cuts = set()
-        self.cut_readers = set()
-        self.is_down = False
-        self.has_stale = False
         self.runner.run(self.set_up())
 
     async def set_up(self):
@@ -108,8 +105,6 @@
 
     @rule(is_down=st.booleans())
     def outage(self, is_down):
-        self.is_down = is_down
-
         async def act():
             self.fleet.platform.set_down(is_down)
 
@@ -121,7 +116,14 @@
             revision = max(self.fleet.platform.revision - 2, 0) if is_stale else None
             self.fleet.platform.set_stale(host, revision)
 
-        self.has_stale = self.has_stale or is_stale
+        self.runner.run(act())
+
+    @rule(domain=st.sampled_from(range(N_DOMAINS)), is_cut=st.booleans())
+    def cut_platform(self, domain, is_cut):
+        async def act():
+            for host in self.fleet.in_domain(f"d{domain}"):
+                self.fleet.platform.set_cut(host, is_cut)
+
         self.runner.run(act())
 
     @rule(pair=st.sampled_from(PAIRS))
@@ -153,6 +155,7 @@
             self.fleet.platform.set_down(False)
             for host in HOSTS:
                 self.fleet.platform.set_stale(host, None)
+                self.fleet.platform.set_cut(host, False)
 
         self.cuts.clear()
         self.runner.run(act())
@@ -233,6 +236,39 @@
 
         run_virtual(scenario())
 
+    def test_large_change_is_asked_for_and_in_force_within_the_bound(self):
+        async def scenario():
+            fleet = await _started(3, 5)
+            text = document_text(2, n_services=400)
+            revision = fleet.platform.publish(KEY, text)
+            await asyncio.sleep(3)
+            self.assertEqual(_revisions(fleet), {revision})
+            node = await fleet.start("h0-1")
+            await node.control.distribution.wait_ready()
+            self.assertEqual(node.control.distribution.revision(PRODUCTION), revision)
+            await fleet.stop_all()
+
+        run_virtual(scenario())
+
+    def test_all_readers_of_a_domain_fail_at_once(self):
+        async def scenario():
+            fleet = await _started(2, 5)
+            fleet.cut_domains("d0", "d1")
+            readers = [
+                host
+                for host in fleet.in_domain("d0")
+                if fleet.nodes[host].control.distribution.is_reader
+            ]
+            self.assertEqual(len(readers), 2)
+            for host in readers:
+                await fleet.stop(host)
+            revision = fleet.platform.publish(KEY, document_text(2))
+            await asyncio.sleep(12)
+            self.assertEqual(_revisions(fleet), {revision})
+            await fleet.stop_all()
+
+        run_virtual(scenario())
+
     def test_change_survives_loss_of_a_third_of_all_frames(self):
         async def scenario():
             fleet = await _started(3, 4)
--- a/tests/savoryroute/coordination/test_membership.py
+++ b/tests/savoryroute/coordination/test_membership.py
@@ -127,6 +127,9 @@
             await asyncio.sleep(0.0)
             before = len(fleet.changes)
             await asyncio.sleep(8)
+            pause = fleet.nodes["h1-2"].control.pause
+            self.assertGreaterEqual(pause.n_pauses, 1)
+            self.assertTrue(pause.check())
             self.assertEqual(_views(fleet, "h1-2"), {ALIVE})
             condemned = [
                 change
