--- a/packages/savoryroute/savoryroute/coordination/distribution.py
+++ b/packages/savoryroute/savoryroute/coordination/distribution.py
@@ -181,9 +181,7 @@
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def wait_ready(self) -> None:
         """Wait until the production document may be acted upon."""
@@ -199,7 +197,7 @@
             await self._handle_request(host, frame)
             return True
         if isinstance(frame, DocumentFrame):
-            await self._handle_document(host, frame)
+            self._handle_document(host, frame)
             return True
         return False
 
@@ -250,7 +248,7 @@
         for answer in store.frames_since(frame.have_revision):
             await self._network.send(host, answer)
 
-    async def _handle_document(self, host: str, frame: DocumentFrame) -> None:
+    def _handle_document(self, host: str, frame: DocumentFrame) -> None:
         """Merge a document, difference or answer without news."""
         channel = self._channels.get(frame.environment)
         if channel is None:
@@ -258,19 +256,19 @@
         self._answers.setdefault(frame.environment, {})[host] = frame.revision
         if frame.payload:
             outcome = channel.store.offer_frame(frame, host)
-            await self._follow_up(channel, host, frame, outcome)
+            self._follow_up(channel, host, frame, outcome)
         elif frame.revision > channel.store.revision:
             self._note_announced(channel, host, frame.revision)
         channel.answered.set()
 
-    async def _follow_up(
+    def _follow_up(
         self, channel: _Channel, host: str, frame: DocumentFrame, outcome: Outcome
     ) -> None:
         """Act on what became of an offered frame."""
         if outcome is Outcome.APPLIED:
             channel.wants_whole = False
             channel.announced.pop(host, None)
-            await self._put_in_force(channel, f"peer {host}", host)
+            self._put_in_force(channel, f"peer {host}", host)
         elif outcome is Outcome.BASE_UNKNOWN:
             channel.wants_whole = channel.fetch is not None
             self._note_announced(channel, host, frame.revision)
@@ -323,9 +321,7 @@
                 await channel.answered.wait()
         return store.revision > before or channel.wants_whole
 
-    async def _put_in_force(
-        self, channel: _Channel, evidence: str, source: str = ""
-    ) -> None:
+    def _put_in_force(self, channel: _Channel, evidence: str, source: str = "") -> None:
         """Tell of a document that came into force, here and to neighbours."""
         store = channel.store
         environment = store.codec.environment
@@ -334,9 +330,9 @@
             self._table.merge_list(store.document)
         self._on_document(environment, store.document, store.revision, store.plain)
         if channel.fetch is None:
-            await self._push(store, source)
+            self._push(store, source)
 
-    async def _push(self, store: DocumentStore, source: str) -> None:
+    def _push(self, store: DocumentStore, source: str) -> None:
         """Push the latest difference, or announce it where it is large."""
         step = store.latest_step
         if step is None or len(step.payload) > PUSH_BYTES_MAX:
@@ -344,7 +340,7 @@
             return
         for host in self._neighbours():
             if host != source:
-                await self._network.send(host, step)
+                self._spawn(self._network.send(host, step))
 
     async def _follow_platform(self, channel: _Channel) -> None:
         """Watch the platform while this host is a reader, for ever."""
@@ -376,15 +372,15 @@
             await asyncio.sleep(self._rng.uniform(0.5, 1.0) * channel.backoff_s)
             channel.backoff_s = min(2 * channel.backoff_s, BACKOFF_MAX_S)
             return
-        await self._merge_read(channel, result.ok_value)
+        self._merge_read(channel, result.ok_value)
 
     async def _read_once(self, channel: _Channel) -> None:
         """Read once; a platform that does not answer changes nothing."""
         result = await self._platform.read(channel.store.codec.key)
         if result.is_ok():
-            await self._merge_read(channel, result.ok_value)
+            self._merge_read(channel, result.ok_value)
 
-    async def _merge_read(self, channel: _Channel, value: PlatformValue | None) -> None:
+    def _merge_read(self, channel: _Channel, value: PlatformValue | None) -> None:
         """Merge what the platform answered."""
         channel.backoff_s = BACKOFF_MIN_S
         channel.fresh_at_s = _now()
@@ -393,7 +389,7 @@
         channel.seen_revision = value.revision
         outcome = channel.store.offer_text(value.text, value.revision)
         if outcome is Outcome.APPLIED:
-            await self._put_in_force(channel, "platform")
+            self._put_in_force(channel, "platform")
         elif outcome is Outcome.INVALID:
             change = f"revision {value.revision} of the platform skipped"
             self._audit(channel, change, str(channel.store.error))
@@ -428,7 +424,7 @@
         asked: set[str] = set()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
-                await self._ask_seeds(asked)
+                self._ask_seeds()
                 while not self._has_answers(asked, n_wanted):
                     self._ask_more(asked, n_wanted)
                     await asyncio.sleep(START_STEP_S)
@@ -437,7 +433,7 @@
                 while any(channel.fetch for channel in self._channels.values()):
                     await asyncio.sleep(START_STEP_S)
 
-    async def _ask_seeds(self, asked: set[str]) -> None:
+    def _ask_seeds(self) -> None:
         """Ask the peers in the settings."""
         for seed in self._seeds:
             self._spawn(self._ask(seed))
--- a/packages/savoryroute/savoryroute/coordination/document_store.py
+++ b/packages/savoryroute/savoryroute/coordination/document_store.py
@@ -93,6 +93,7 @@
         self._document: Any = None
         self._steps: deque[DocumentFrame] = deque()
         self._step_bytes = 0
+        self._whole: DocumentFrame | None = None
         self._error: DocumentError | None = None
 
     @property
@@ -183,8 +184,9 @@
         """Return the whole document in force as a frame."""
         if self._plain is None:
             return self._nothing_newer()
-        payload = cbor2.dumps(self._plain)
-        return self._frame(0, payload)
+        if self._whole is None:
+            self._whole = self._frame(0, cbor2.dumps(self._plain))
+        return self._whole
 
     def _nothing_newer(self) -> DocumentFrame:
         """Return the frame that only tells the revision in force."""
@@ -230,6 +232,7 @@
         old_revision, old_plain = self._revision, self._plain
         self._revision, self._digest = revision, digest
         self._document, self._plain = document, plain
+        self._whole = None
         if step is None and old_plain is not None:
             payload = cbor2.dumps(make_difference(old_plain, plain))
             step = self._frame(old_revision, payload)
--- a/packages/savoryroute/savoryroute/coordination/membership.py
+++ b/packages/savoryroute/savoryroute/coordination/membership.py
@@ -140,9 +140,7 @@
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def handle_control(self, host: str, frame: Frame) -> bool:
         """Handle a control frame; return whether it was one of membership."""
@@ -172,8 +170,9 @@
         self._is_leaving = True
         self._table.note_goodbye(self._host, self._incarnation)
         self._tell(self._host)
-        for host in self._network.hosts:
-            await self._network.send(host, Goodbye(self._host, self._incarnation))
+        goodbye = Goodbye(self._host, self._incarnation)
+        sends = [self._network.send(host, goodbye) for host in self._network.hosts]
+        await asyncio.gather(*sends, return_exceptions=True)
 
     def forgive_silence(self) -> None:
         """Start to wait for heartbeats afresh, after a pause of this process."""
--- a/packages/savoryroute/savoryroute/protocol/frames.py
+++ b/packages/savoryroute/savoryroute/protocol/frames.py
@@ -182,7 +182,9 @@
             ``state.members.Rumour.pack``.
         suspects: Fingerprints of requests seen in flight at a crash, each
             ``[fingerprint, crashes, age_ms]``.
-        revisions: ``[environment, revision, digest]`` of the documents in force.
+        revisions: ``[environment, revision, digest, age_ms]`` of the documents in
+            force, with the first bytes of the digest and the time since the latest
+            known contact with the platform; may be left out.
     """
 
     uptime_ms: int
