membership: rumours bounded by a token bucket; readers begin after the start

Cause: the heal of a failure domain of 35 hosts in 140 cost 4,211.6 bytes/s a daemon over 25 s and grew with the failure domain; a restarted daemon that knew nobody took itself for a reader, which doubled its reads. Before: 309 platform calls in 25 s at the restart of 35 hosts.

--- a/packages/savoryroute/savoryroute/coordination/distribution.py
+++ b/packages/savoryroute/savoryroute/coordination/distribution.py
@@ -126,6 +126,7 @@
         }
         self._answers: dict[str, dict[str, int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._asked = asyncio.Event()
         self._ready = asyncio.Event()
         self._is_running = False
 
@@ -343,7 +344,12 @@
                 self._spawn(self._network.send(host, step))
 
     async def _follow_platform(self, channel: _Channel) -> None:
-        """Watch the platform while this host is a reader, for ever."""
+        """Watch the platform while this host is a reader, for ever.
+
+        Begins when peers were asked, since a daemon that knows of no others would
+        take itself for a reader.
+        """
+        await self._asked.wait()
         while True:
             if self._role.is_reader(channel.store.codec.key):
                 await self._watch_once(channel)
@@ -401,6 +407,7 @@
             for channel in self._channels.values()
         ]
         await self._ask_peers(START_PEERS, START_LIMIT_S)
+        self._asked.set()
         for read in reads:
             if read is not None:
                 await read
--- a/packages/savoryroute/savoryroute/coordination/membership.py
+++ b/packages/savoryroute/savoryroute/coordination/membership.py
@@ -106,7 +106,7 @@
         self._on_suspects = on_suspects
         self._rng = rng or random.Random()
         self._overlay = overlay or Overlay(own.host, own.failure_domain)
-        self._rumours = RumourQueue(self._rng)
+        self._rumours = RumourQueue(_now)
         self._peers: dict[str, _Peer] = {}
         self._callers_of_us: dict[str, float] = {}
         self._domain_verdicts: dict[str, tuple[float, bool]] = {}
@@ -238,8 +238,9 @@
         if rumour is None:
             return
         self._rumours.put(rumour, len(self._table), source)
-        for peer in self._peers.values():
-            peer.flush.set()
+        if self._rumours.may_send:
+            for peer in self._peers.values():
+                peer.flush.set()
 
     def _note_hello(self, hello: Hello) -> None:
         """Merge the first frame of a peer."""
--- a/packages/savoryroute/savoryroute/coordination/rumours.py
+++ b/packages/savoryroute/savoryroute/coordination/rumours.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import math
-import random
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 
-from ..state.members import Rumour
+from ..state.members import MemberStatus, Rumour
 
 __all__ = ["RumourQueue"]
 
 RETRANSMIT_FACTOR = 3
 N_QUEUED_MAX = 2048
+SENT_PER_S = 40.0
+SENT_BURST = 40.0
 
 
 @attrs.define
@@ -26,15 +28,27 @@
 
 
 class RumourQueue:
-    """The latest rumour of each host, until it was sent often enough."""
+    """The latest rumour of each host, until it was sent often enough.
 
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+    A token bucket bounds how many leave in a second, so that the loss of a whole
+    failure domain does not exceed the traffic that control may use.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
         self._queue: dict[str, _Queued] = {}
+        self._tokens = SENT_BURST
+        self._filled_at_s = 0.0
 
     def __len__(self) -> int:
         return len(self._queue)
 
+    @property
+    def may_send(self) -> bool:
+        """Whether the bucket allows to send one now."""
+        self._fill()
+        return self._tokens >= 1.0
+
     def put(self, rumour: Rumour, n_members: int, source: str = "") -> None:
         """Queue a rumour in place of older ones of the same host.
 
@@ -51,13 +65,32 @@
             del self._queue[next(iter(self._queue))]
 
     def take(self, peer: str, n: int) -> list[Any]:
-        """Return up to ``n`` packed rumours for a peer, least sent first."""
+        """Return up to ``n`` packed rumours for a peer.
+
+        Those of leaving hosts go first, then those sent least.
+        """
+        self._fill()
+        n = min(n, int(self._tokens))
         fresh = [item for item in self._queue.values() if peer not in item.known_to]
-        fresh.sort(key=lambda item: item.n_left, reverse=True)
+        fresh.sort(key=_urgency, reverse=True)
         taken = fresh[:n]
+        self._tokens -= len(taken)
         for item in taken:
             item.known_to.add(peer)
             item.n_left -= 1
             if item.n_left <= 0:
                 del self._queue[item.rumour.member.host]
         return [item.rumour.pack() for item in taken]
+
+    def _fill(self) -> None:
+        """Add the tokens of the time that went by."""
+        now = self._clock()
+        added = (now - self._filled_at_s) * SENT_PER_S
+        self._tokens = min(SENT_BURST, self._tokens + added)
+        self._filled_at_s = now
+
+
+def _urgency(item: _Queued) -> tuple[bool, int]:
+    """Return the order in which rumours are sent."""
+    is_leaving = item.rumour.member.status is MemberStatus.LEAVING
+    return is_leaving, item.n_left
