membership: rumours expire after 30 s

Cause: with fewer peers than transmissions a rumour stayed queued for ever: each heartbeat scanned the queue, and a new peer got uptimes too old to tell an order. After: test_it_expires_although_peers_are_few. Measured: test_rumours 4 passed.

--- a/packages/savoryroute/savoryroute/coordination/rumours.py
+++ b/packages/savoryroute/savoryroute/coordination/rumours.py
@@ -14,6 +14,7 @@
 
 RETRANSMIT_FACTOR = 3
 N_QUEUED_MAX = 2048
+AGE_MAX_S = 30.0
 SENT_PER_S = 40.0
 SENT_BURST = 40.0
 
@@ -23,6 +24,7 @@
     """One rumour with the peers that know it from here."""
 
     rumour: Rumour
+    put_at_s: float
     n_left: int
     known_to: set[str]
 
@@ -60,7 +62,7 @@
         n_left = RETRANSMIT_FACTOR * math.ceil(math.log10(n_members + 2))
         host = rumour.member.host
         self._queue.pop(host, None)
-        self._queue[host] = _Queued(rumour, n_left, {source})
+        self._queue[host] = _Queued(rumour, self._clock(), n_left, {source})
         while len(self._queue) > N_QUEUED_MAX:
             del self._queue[next(iter(self._queue))]
 
@@ -70,6 +72,7 @@
         Those of leaving hosts go first, then those sent least.
         """
         self._fill()
+        self._expire()
         n = min(n, int(self._tokens))
         fresh = [item for item in self._queue.values() if peer not in item.known_to]
         fresh.sort(key=_urgency, reverse=True)
@@ -82,6 +85,15 @@
                 del self._queue[item.rumour.member.host]
         return [item.rumour.pack() for item in taken]
 
+    def _expire(self) -> None:
+        """Drop rumours whose uptimes are too old to tell an order of starts."""
+        earliest_s = self._clock() - AGE_MAX_S
+        while self._queue:
+            host = next(iter(self._queue))
+            if self._queue[host].put_at_s >= earliest_s:
+                return
+            del self._queue[host]
+
     def _fill(self) -> None:
         """Add the tokens of the time that went by."""
         now = self._clock()
--- /dev/null
+++ b/tests/savoryroute/coordination/test_rumours.py
@@ -0,0 +1,49 @@
+"""Tests of the queue of rumours."""
+
+import unittest
+
+from savoryroute.coordination import rumours
+from savoryroute.coordination.rumours import RumourQueue
+from savoryroute.state.members import Member, MemberStatus, Rumour
+
+
+def _rumour(host, status=MemberStatus.ALIVE):
+    return Rumour(Member(host, "s", "d", "r", "10.0.0.1:1", 1, status), 10)
+
+
+class RumourQueueTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 1000.0
+        self.queue = RumourQueue(lambda: self.now_s)
+
+    def test_each_peer_hears_it_once_and_the_source_never(self):
+        self.queue.put(_rumour("a"), 100, "b")
+        self.assertEqual(self.queue.take("b", 5), [])
+        self.assertEqual(len(self.queue.take("c", 5)), 1)
+        self.assertEqual(self.queue.take("c", 5), [])
+
+    def test_it_is_sent_to_a_bounded_number_of_peers(self):
+        self.queue.put(_rumour("a"), 1100)
+        n_sent = sum(len(self.queue.take(f"p{n}", 5)) for n in range(100))
+        self.assertEqual(n_sent, 12)
+        self.assertEqual(len(self.queue), 0)
+
+    def test_it_expires_although_peers_are_few(self):
+        self.queue.put(_rumour("a"), 1100)
+        self.queue.take("b", 5)
+        self.now_s += rumours.AGE_MAX_S + 1
+        self.assertEqual(self.queue.take("c", 5), [])
+        self.assertEqual(len(self.queue), 0)
+
+    def test_rate_is_bounded_and_leaving_goes_first(self):
+        for number in range(500):
+            self.queue.put(_rumour(f"h{number}"), 1100)
+        self.queue.put(_rumour("x", MemberStatus.LEAVING), 1100)
+        self.assertEqual(self.queue.take("p", 1)[0][0], "x")
+        n_sent = 1
+        for second in range(10):
+            for peer in range(10):
+                n_sent += len(self.queue.take(f"p{second}-{peer}", 6))
+            self.now_s += 1
+        self.assertLessEqual(n_sent, rumours.SENT_BURST + 10 * rumours.SENT_PER_S)
+        self.assertGreater(n_sent, 9 * rumours.SENT_PER_S)
