pressure: keep levels by shape of request, not by class alone

Cause: plan views and catalogue views that never call crews were refused at the first hop for the level that the others of their class met there, while planner, printshop and catalogue stood idle. Ruled out: a level per path (numbers differ), the limits (crews ran 76 requests in 6 s of 72 possible before the change), the callers (lag 3 ms). It helps only where path or names of the query tell the chains apart.

--- a/packages/savoryroute/savoryroute/coordination/outbound.py
+++ b/packages/savoryroute/savoryroute/coordination/outbound.py
@@ -25,7 +25,7 @@
 from .keys import KeyRing
 from .pause import PauseDetector
 from .placement import Choice, Placement
-from .pressure import PressureKey, PressureMap
+from .pressure import PressureKey, PressureMap, request_shape
 from .retries import RetryBudget, may_retry
 from .retry_after import spread_retry_after_s
 
@@ -320,7 +320,7 @@
 
     def _is_admitted_below(self, action: _Action) -> bool:
         """Return whether the chain below is likely to admit a new action."""
-        key = PressureKey(action.request.service, action.policy.name)
+        key = _pressure_key(action)
         now_s = time.monotonic()
         return self._pressure.admits(key, action.policy.rank, now_s, self._rng)
 
@@ -360,7 +360,7 @@
 
     def _learn(self, action: _Action, answer: Answer) -> None:
         """Take note of the level that an answer carries."""
-        key = PressureKey(action.request.service, action.policy.name)
+        key = _pressure_key(action)
         self._pressure.note(key, answer.level, time.monotonic())
         if action.hop is not None:
             action.hop.note_level(answer.level)
@@ -440,6 +440,13 @@
         )
 
 
+def _pressure_key(action: _Action) -> PressureKey:
+    """Return the key of the chain that an action goes down."""
+    request = action.request
+    shape = request_shape(request.target)
+    return PressureKey(request.service, action.policy.name, shape)
+
+
 def _is_own_word(refusal: Refusal) -> bool:
     """Return whether this daemon itself refused, and not the home of the key."""
     return refusal.reason in (Reason.UNREACHABLE, Reason.ALLOWANCE_SPENT)
--- a/packages/savoryroute/savoryroute/coordination/pressure.py
+++ b/packages/savoryroute/savoryroute/coordination/pressure.py
@@ -12,6 +12,7 @@
     "PressureKey",
     "PressureMap",
     "refusal_probability",
+    "request_shape",
 ]
 
 HIGHEST_LEVEL = 8.0
@@ -27,6 +28,8 @@
 
 HOLD_S = 0.5
 RECOVERY_PER_S = 4.0
+SHAPE_MEMORY_S = 30.0
+N_SHAPES_MAX = 4096
 
 
 def refusal_probability(rank: int, level: float) -> float:
@@ -129,6 +132,26 @@
             self._level = float(rank)
 
 
+def request_shape(target: str) -> str:
+    """Return what requests for the same resource have in common.
+
+    Requests of one class may take different ways down the chain. Their path, with
+    ``*`` for each segment that has a digit, and the names of their query tell these
+    apart.
+
+    Args:
+        target: Path and query.
+    """
+    path, _, query = target.partition("?")
+    segments = ("*" if _has_digit(part) else part for part in path.split("/"))
+    names = {part.partition("=")[0] for part in query.split("&") if part}
+    return "/".join(segments) + "?" + "&".join(sorted(names))
+
+
+def _has_digit(text: str) -> bool:
+    return any(character.isdigit() for character in text)
+
+
 @attrs.frozen
 class PressureKey:
     """Chain that a level is known for.
@@ -136,10 +159,17 @@
     Attributes:
         service: Name of the service called.
         class_name: Class of the action.
+        shape: Shape of the request, or an empty string for all of the class.
     """
 
     service: str
     class_name: str
+    shape: str = ""
+
+    @property
+    def of_class(self) -> PressureKey:
+        """Key of all requests of the class."""
+        return PressureKey(self.service, self.class_name)
 
 
 @attrs.frozen
@@ -147,41 +177,51 @@
     level: float
     noted_s: float
 
+    def level_at(self, now: float) -> float:
+        """Return the level, which recovers after the note."""
+        calm_s = max(0.0, now - self.noted_s - HOLD_S)
+        return min(HIGHEST_LEVEL, self.level + calm_s * RECOVERY_PER_S)
+
 
 class PressureMap:
-    """Levels that a daemon learned from replies, by service and class.
+    """Levels that a daemon learned from replies.
+
+    The level of a request's own shape counts where one is known, so that requests
+    that need no service under pressure are not refused for the others of their
+    class. A shape without replies of late has the level of its class.
 
     The last reply counts: over several upstreams of a service the levels alternate,
     so that requests are refused in proportion to the upstreams under pressure.
     """
 
     def __init__(self) -> None:
-        self._notes: dict[PressureKey, _Note] = {}
+        self._by_class: dict[PressureKey, _Note] = {}
+        self._by_shape: dict[PressureKey, _Note] = {}
 
     def note(self, key: PressureKey, level: float, now: float) -> None:
         """Learn the level on a reply.
 
         Args:
-            key: Service and class called.
+            key: Service, class and shape called.
             level: Lowest level along the chain, from 0 to 8.
             now: Time of the reply in seconds.
         """
-        if level >= HIGHEST_LEVEL:
-            self._notes.pop(key, None)
-        else:
-            self._notes[key] = _Note(max(level, 0.0), now)
+        note = _Note(min(max(level, 0.0), HIGHEST_LEVEL), now)
+        self._by_class[key.of_class] = note
+        if not key.shape:
+            return
+        # Newest last, so that the oldest gives way.
+        self._by_shape.pop(key, None)
+        self._by_shape[key] = note
+        if len(self._by_shape) > N_SHAPES_MAX:
+            del self._by_shape[next(iter(self._by_shape))]
 
     def level(self, key: PressureKey, now: float) -> float:
         """Return the level, which recovers after the last reply."""
-        note = self._notes.get(key)
-        if note is None:
-            return HIGHEST_LEVEL
-        calm_s = max(0.0, now - note.noted_s - HOLD_S)
-        level = note.level + calm_s * RECOVERY_PER_S
-        if level < HIGHEST_LEVEL:
-            return level
-        del self._notes[key]
-        return HIGHEST_LEVEL
+        note = self._by_shape.get(key)
+        if note is None or now - note.noted_s > SHAPE_MEMORY_S:
+            note = self._by_class.get(key.of_class)
+        return HIGHEST_LEVEL if note is None else note.level_at(now)
 
     def admits(
         self, key: PressureKey, rank: int, now: float, randomness: random.Random
--- a/packages/savoryroute_lab/savoryroute_lab/bench/figures.py
+++ b/packages/savoryroute_lab/savoryroute_lab/bench/figures.py
@@ -34,6 +34,7 @@
         after: Timely share in the last bin-lengths of the observation.
         whole: Whole answers during the trigger, by class.
         oracle: Whole answers of the oracle during the trigger, by class.
+        endings: How often attempts of the trigger ended in which way.
         recovery_s: Seconds to recovery, or None for none in the observation.
     """
 
@@ -42,6 +43,7 @@
     after: float
     whole: Mapping[str, float]
     oracle: Mapping[str, float]
+    endings: Mapping[str, int]
     recovery_s: float | None
 
     @property
@@ -87,6 +89,7 @@
         after=timeline.timely_share(last),
         whole=timeline.whole_by_class(trigger),
         oracle=_oracle(run, timeline),
+        endings=timeline.endings(trigger),
         recovery_s=recovery_s(timeline, former, recovery),
     )
 
--- a/packages/savoryroute_lab/savoryroute_lab/bench/page.py
+++ b/packages/savoryroute_lab/savoryroute_lab/bench/page.py
@@ -120,6 +120,7 @@
         "cpu_mean": round(item.run.cpu.mean, 2),
         "cpu_was_full": item.run.cpu.was_full,
         "whole": {name: item.whole.get(name, 0) for name in names},
+        "endings": dict(item.endings),
         "oracle": {name: round(item.oracle[name], 1) for name in names},
     }
 
--- a/tests/savoryroute/coordination/test_pressure.py
+++ b/tests/savoryroute/coordination/test_pressure.py
@@ -8,10 +8,12 @@
 
 from savoryroute.coordination.pressure import (
     HIGHEST_LEVEL,
+    N_SHAPES_MAX,
     LevelController,
     PressureKey,
     PressureMap,
     refusal_probability,
+    request_shape,
 )
 
 KEY = PressureKey("planner", "plan_view")
@@ -93,3 +95,44 @@
         pressure.note(KEY, 0.0, 0.0)
         other = PressureKey("planner", "order")
         self.assertEqual(pressure.level(other, 0.0), HIGHEST_LEVEL)
+
+
+class ShapeTests(unittest.TestCase):
+    def test_numbers_and_values_do_not_matter(self):
+        one = request_shape("/plans/17/walls/w3?depth=2&crews=yes")
+        other = request_shape("/plans/9/walls/w4?crews=no&depth=11")
+        self.assertEqual(one, other)
+
+    def test_resources_and_names_of_the_query_matter(self):
+        targets = ["/plans/17", "/orders/17", "/plans/17/walls", "/plans/17?crews=1"]
+        self.assertEqual(len({request_shape(target) for target in targets}), 4)
+
+    def test_requests_off_the_slow_way_are_not_refused_for_the_others(self):
+        pressure = PressureMap()
+        deep = PressureKey("planner", "plan_view", "/plans/*?crews")
+        alone = PressureKey("planner", "plan_view", "/plans/*?")
+        pressure.note(alone, HIGHEST_LEVEL, 0.0)
+        pressure.note(deep, 1.0, 0.1)
+        self.assertEqual(pressure.level(deep, 0.2), 1.0)
+        self.assertEqual(pressure.level(alone, 0.2), HIGHEST_LEVEL)
+
+    def test_a_reply_to_another_shape_does_not_lift_the_refusal(self):
+        pressure = PressureMap()
+        deep = PressureKey("planner", "plan_view", "/plans/*?crews")
+        alone = PressureKey("planner", "plan_view", "/plans/*?")
+        pressure.note(deep, 1.0, 0.0)
+        pressure.note(alone, HIGHEST_LEVEL, 0.1)
+        self.assertEqual(pressure.level(deep, 0.2), 1.0)
+
+    def test_an_unknown_shape_has_the_level_of_its_class(self):
+        pressure = PressureMap()
+        pressure.note(PressureKey("planner", "plan_view", "/plans/*?"), 1.0, 0.0)
+        other = PressureKey("planner", "plan_view", "/walls/*?")
+        self.assertEqual(pressure.level(other, 0.1), 1.0)
+        self.assertEqual(pressure.level(other, 60.0), HIGHEST_LEVEL)
+
+    def test_memory_is_bounded(self):
+        pressure = PressureMap()
+        for number in range(N_SHAPES_MAX + 10):
+            pressure.note(PressureKey("planner", "v", f"/{number}"), 1.0, 0.0)
+        self.assertEqual(len(pressure._by_shape), N_SHAPES_MAX)
