--- a/packages/savoryroute/savoryroute/coordination/action.py
+++ b/packages/savoryroute/savoryroute/coordination/action.py
@@ -16,6 +16,7 @@
 from ..verdict import Reason, Refusal
 from .allowance import Allowance
 from .hops import Hop
+from .pressure import PressureKey, request_shape
 
 __all__ = ["Action", "ActionOpener"]
 
@@ -64,6 +65,12 @@
         """Seconds until the deadline."""
         return self.deadline_s - time.monotonic()
 
+    @property
+    def pressure_key(self) -> PressureKey:
+        """Key of the chain that the action goes down."""
+        shape = request_shape(self.request.target)
+        return PressureKey(self.request.service, self.policy.name, shape)
+
 
 class ActionOpener:
     """Finder of route, class, deadline and allowance by the document in force."""
--- a/packages/savoryroute/savoryroute/coordination/attempts.py
+++ b/packages/savoryroute/savoryroute/coordination/attempts.py
@@ -14,7 +14,7 @@
 from .delivery import Delivery, result_of
 from .pause import PauseDetector
 from .placement import Choice, Placement
-from .pressure import PressureKey, PressureMap
+from .pressure import PressureMap
 from .retries import RetryBudget, may_retry
 
 __all__ = ["RETRY_DELAY_S", "Attempts"]
@@ -112,8 +112,7 @@
 
     def _learn(self, action: Action, answer: Answer) -> None:
         """Take note of the level that an answer carries."""
-        key = PressureKey(action.request.service, action.policy.name)
-        self._pressure.note(key, answer.level, time.monotonic())
+        self._pressure.note(action.pressure_key, answer.level, time.monotonic())
         if action.hop is not None:
             action.hop.note_level(answer.level)
 
--- a/packages/savoryroute/savoryroute/coordination/outbound.py
+++ b/packages/savoryroute/savoryroute/coordination/outbound.py
@@ -18,7 +18,7 @@
 from .hops import HopTable
 from .keys import KeyRing
 from .placement import Choice, Placement
-from .pressure import PressureKey, PressureMap
+from .pressure import PressureMap
 from .retry_after import spread_retry_after_s
 
 __all__ = ["Outbound"]
@@ -213,8 +213,8 @@
 
     def _is_admitted_below(self, action: Action) -> bool:
         """Return whether the chain below is likely to admit a new action."""
-        key = PressureKey(action.request.service, action.policy.name)
         now_s = time.monotonic()
+        key = action.pressure_key
         return self._pressure.admits(key, action.policy.rank, now_s, self._rng)
 
 
