--- a/packages/savoryroute_lab/savoryroute_lab/launcher.py
+++ b/packages/savoryroute_lab/savoryroute_lab/launcher.py
@@ -59,6 +59,7 @@
         wiring: Addresses of the deployment.
         upstream_settings: Further members of ``UpstreamSettings`` for all.
         has_daemons: Whether daemons run; without, upstreams call each other.
+        wrappers: Options of the interpreter by process, as for a profiler.
     """
 
     def __init__(
@@ -66,10 +67,12 @@
         wiring: Wiring,
         upstream_settings: Mapping[str, object] | None = None,
         has_daemons: bool = True,
+        wrappers: Mapping[str, list[str]] | None = None,
     ) -> None:
         self._wiring = wiring
         self._upstream_settings = dict(upstream_settings or {})
         self._has_daemons = has_daemons
+        self._wrappers = dict(wrappers or {})
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="savoryroute-lab-"))
         self._children: dict[str, _Child] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -166,6 +169,10 @@
         await self._start_all(ended)
         return ended
 
+    def pid(self, name: str) -> int:
+        """Return the process id of a process that was started."""
+        return self._process(name).pid
+
     def is_running(self, name: str) -> bool:
         """Return whether a process has not ended."""
         process = self._children[name].process
@@ -252,7 +259,8 @@
         path.write_text(json.dumps(settings, indent=1))
         port = self._wiring.ports[upstream.host].operators
         name = daemon_name(upstream.host)
-        command = [*_module("savoryroute.daemon"), str(path)]
+        wrapper = self._wrappers.get(name, [])
+        command = [sys.executable, *wrapper, "-m", "savoryroute.daemon", str(path)]
         self._children[name] = _Child(command, f"http://{LOOPBACK}:{port}/readyz")
         return name
 
