placement: what a host told fades, and an unknown host does not draw all work

Cause: load and latency of the last answer counted for ever, so a host that had been full or slow once was passed over while others were known to be better; a host without any answer looked idle and took every attempt until its first answer. Ruled out: probing by extra requests, which are attempts that nobody asked for. Before: test_what_a_host_told_long_ago_fades and test_an_unknown_host_does_not_draw_all_work fail.

--- a/packages/savoryroute/savoryroute/coordination/placement.py
+++ b/packages/savoryroute/savoryroute/coordination/placement.py
@@ -18,7 +18,11 @@
 
 EJECT_AFTER_FAILURES = 5
 EJECTION_DOUBLINGS_MAX = 5
+IDLE_LOAD = 0.05
+LATENCY_FLOOR_S = 0.02
 LATENCY_WEIGHT = 0.2
+REPORT_HALF_LIFE_S = 1.0
+UNKNOWN_LOAD = 0.25
 SPILL_LOAD_MAX = 0.8
 UNAVAILABLE_S = 0.5
 FULL_LOAD = 1.0
@@ -41,6 +45,7 @@
         ejected_until_s: Monotonic time of the end of an ejection.
         unavailable_until_s: Monotonic time until which it takes no work.
         returned_s: Monotonic time of the last return from an ejection.
+        reported_s: Monotonic time of the last answer.
     """
 
     n_mine: int = 0
@@ -54,23 +59,32 @@
     ejected_until_s: float = 0.0
     unavailable_until_s: float = 0.0
     returned_s: float = float("-inf")
+    reported_s: float = float("-inf")
 
-    @property
-    def load(self) -> float:
-        """Requests at the host over its limit; 0 for an unknown limit."""
+    def load(self, now_s: float) -> float:
+        """Return requests at the host over its limit; own ones for none known.
+
+        What the last answer told fades, so that a host once full is tried again.
+        """
         if not self.limit:
-            return 0.01 * self.n_mine
+            return UNKNOWN_LOAD * self.n_mine
         n_new = max(0, self.n_mine - self.n_mine_at_report)
-        return (self.n_reported + self.n_queued + n_new) / self.limit
+        n_told = (self.n_reported + self.n_queued) * self._weight(now_s)
+        return (n_told + n_new) / self.limit
 
     def cost(self, now_s: float) -> float:
-        """Figure to compare hosts by: load, weighted by latency.
+        """Return the figure to compare hosts by: load, weighted by latency.
 
         A host back from an ejection looks loaded at first, so that it does not
-        draw all work at once.
+        draw all work at once. Latency fades like load without new answers.
         """
         ramp = max(0.0, 1.0 - (now_s - self.returned_s) / RETURN_S)
-        return (self.load + ramp + 0.05) * (self.latency_s + 0.001)
+        latency_s = self.latency_s * self._weight(now_s)
+        return (self.load(now_s) + ramp + IDLE_LOAD) * (latency_s + LATENCY_FLOOR_S)
+
+    def _weight(self, now_s: float) -> float:
+        """Return how much the last answer still counts, from 0 to 1."""
+        return 0.5 ** ((now_s - self.reported_s) / REPORT_HALF_LIFE_S)
 
 
 @attrs.frozen
@@ -145,7 +159,7 @@
         has_near = any(m.failure_domain == self._failure_domain for m in members)
         open_near = [m for m in near if m.host not in tried]
         best = self._better_of_two(open_near)
-        if best is not None and self.record(best.host).load < FULL_LOAD:
+        if best is not None and self._load_of(best) < FULL_LOAD:
             return Choice(best, False)
         if may_spill_over or not has_near:
             far = self._far_choice(usable, tried, has_near)
@@ -172,6 +186,7 @@
             record.n_reported = answer.n_in_flight
             record.n_queued = answer.n_queued
             record.limit = answer.limit
+            record.reported_s = self._clock()
         if answer is not None and answer.verdict == Verdict.RAN:
             self._note_success(record, latency_s)
         elif answer is not None and answer.reason == Reason.LEAVING:
@@ -210,6 +225,9 @@
             record.latency_s = latency_s
         record.latency_s += LATENCY_WEIGHT * (latency_s - record.latency_s)
 
+    def _load_of(self, member: Member) -> float:
+        return self.record(member.host).load(self._clock())
+
     def _is_out(self, host: str) -> bool:
         record = self._records.get(host)
         if record is None:
@@ -252,6 +270,6 @@
             if m.failure_domain != self._failure_domain and m.host not in tried
         ]
         if has_near:
-            far = [m for m in far if self.record(m.host).load < SPILL_LOAD_MAX]
+            far = [m for m in far if self._load_of(m) < SPILL_LOAD_MAX]
         best = self._better_of_two(far)
         return None if best is None else Choice(best, has_near)
