admission: rates and latencies follow the upstream both ways

Causes, each with a test that failed before: - the level was cut below the refused rank: one refusal of the only request in an interval took the level to 0, and first hops refused every class; - the measured rate counted busy time only, so that after a slow spell the gate refused by the slow rate for many seconds; - usual latencies came from answers in time alone, by a slow mean: requests went on to start with too little time left and were cut off; - an upstream that waited for a slow further service was taken for slow itself. Ruled out: callers (lag below 25 ms), processors (0.5 to 0.8 busy, machine shared). The shortfall of protected classes in the trigger's first second remains.

--- a/packages/savoryroute/savoryroute/coordination/admission.py
+++ b/packages/savoryroute/savoryroute/coordination/admission.py
@@ -36,18 +36,32 @@
         """Whether the permit was given back."""
         return self._is_released
 
-    def release(self, latency_s: float | None, is_dropped: bool) -> None:
+    def release(
+        self, latency_s: float | None, is_dropped: bool, own_s: float | None = None
+    ) -> None:
         """Give the permit back; later calls do nothing.
 
         Args:
             latency_s: Seconds at the upstream, or None where nothing was learned:
                 the caller hung up, or the request never started.
             is_dropped: Whether the upstream failed, timed out or shed it.
+            own_s: Seconds of these that the upstream did not spend waiting for
+                further services; None for all.
         """
         if self._is_released:
             return
         self._is_released = True
-        self._gate._release(self._rank, latency_s, is_dropped)
+        self._gate._release(self._rank, latency_s, is_dropped, own_s)
+
+    def cut_off(self, latency_s: float) -> None:
+        """Give the permit back for a run that was cut off before its end.
+
+        Args:
+            latency_s: Seconds at the upstream so far.
+        """
+        if not self._is_released:
+            self._gate._usual.add_at_least(self._rank, latency_s)
+        self.release(None, False)
 
 
 @attrs.define(eq=False)
@@ -292,13 +306,22 @@
         self._n_in_flight += 1
         return Permit(self, rank)
 
-    def _release(self, rank: int, latency_s: float | None, is_dropped: bool) -> None:
+    def _release(
+        self,
+        rank: int,
+        latency_s: float | None,
+        is_dropped: bool,
+        own_s: float | None,
+    ) -> None:
         self._advance()
         if self._n_in_flight >= self.limit:
             self._rate.count()
         if latency_s is not None:
-            self._limit.on_answer(latency_s, self._n_in_flight, is_dropped)
-            if not is_dropped:
+            seen_s = latency_s if own_s is None else own_s
+            self._limit.on_answer(seen_s, self._n_in_flight, is_dropped)
+            if is_dropped:
+                self._usual.add_at_least(rank, latency_s)
+            else:
                 self._usual.add(rank, latency_s)
         self._n_in_flight -= 1
         self._dispatch()
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -282,11 +282,16 @@
         started_s = time.monotonic()
         try:
             result = await self._client.send(_to_upstream(call, hop, service))
+        except asyncio.CancelledError:
+            permit.cut_off(time.monotonic() - started_s)
+            raise
         finally:
             self._hops.close(hop)
         latency_s = time.monotonic() - started_s
         result = _after_upstream(result, hop, service)
-        permit.release(latency_s, _is_dropped(result))
+        if _is_late_below(result, hop):
+            permit.cut_off(latency_s)
+        permit.release(latency_s, _is_dropped(result), latency_s - hop.called_s)
         self._note_crash(delivery, result)
         return result
 
@@ -387,6 +392,16 @@
     return result.err_value.reason in (Reason.OVERLOAD, Reason.DEADLINE)
 
 
+def _is_late_below(result: Result[Response, Refusal], hop: Hop) -> bool:
+    """Return whether the time ran out while further services were at work.
+
+    That is no sign of too many requests at this upstream.
+    """
+    if isinstance(result, Ok) or result.err_value.reason is not Reason.DEADLINE:
+        return False
+    return hop.n_calls > 0
+
+
 def _replayed(outcome: Outcome) -> Result[Response, Refusal]:
     """Return the result of a recorded outcome."""
     if isinstance(outcome, Refusal):
--- a/packages/savoryroute/savoryroute/coordination/outbound.py
+++ b/packages/savoryroute/savoryroute/coordination/outbound.py
@@ -125,11 +125,14 @@
         task = asyncio.current_task()
         assert task is not None
         hop.adopt(task)
-        hop.n_calls += 1
-        action = self._open(request, hop)
-        if isinstance(action, Err):
-            return Outcome(action)
-        return await self._serve(action.ok_value)
+        hop.begin_call()
+        try:
+            action = self._open(request, hop)
+            if isinstance(action, Err):
+                return Outcome(action)
+            return await self._serve(action.ok_value)
+        finally:
+            hop.end_call()
 
     def _open(self, request: Request, hop: Hop | None) -> Result[_Action, Refusal]:
         """Find the route and class of a request."""
--- a/packages/savoryroute/savoryroute/coordination/pressure.py
+++ b/packages/savoryroute/savoryroute/coordination/pressure.py
@@ -130,6 +130,8 @@
                 return
             excess -= n_arrived[rank]
             self._level = float(rank)
+            if excess <= 0.0:
+                return
 
 
 def request_shape(target: str) -> str:
--- a/packages/savoryroute/savoryroute/coordination/service_rate.py
+++ b/packages/savoryroute/savoryroute/coordination/service_rate.py
@@ -11,14 +11,16 @@
 RATE_MEMORY_S = 2.0
 SHORTEST_BUSY_S = 1e-3
 COUNT_MEMORY_S = 1.0
-LATENCY_WEIGHT = 0.1
+LATENCY_WEIGHT = 0.25
 
 
 @attrs.define
 class ServiceRate:
     """Answers per second of a saturated upstream, by exponential decay.
 
-    Only time during which all capacity was in use counts.
+    Only time during which all capacity was in use counts. Idle time makes what was
+    measured before it count less, so that the rate of a slow spell does not
+    outlast it where saturation has become rare.
     """
 
     _last_s: float
@@ -34,10 +36,11 @@
         """
         elapsed_s = max(0.0, now - self._last_s)
         self._last_s = now
+        kept = math.exp(-elapsed_s / RATE_MEMORY_S)
+        self._n_answers *= kept
+        self._busy_s *= kept
         if is_saturated:
-            self._n_answers, self._busy_s = self._decayed(elapsed_s)
-        elif elapsed_s > RATE_MEMORY_S:
-            self._n_answers, self._busy_s = 0.0, 0.0
+            self._busy_s += RATE_MEMORY_S * (1.0 - kept)
 
     def count(self) -> None:
         """Count one answer of a saturated upstream."""
@@ -50,11 +53,6 @@
             return None
         return self._n_answers / self._busy_s
 
-    def _decayed(self, elapsed_s: float) -> tuple[float, float]:
-        kept = math.exp(-elapsed_s / RATE_MEMORY_S)
-        busy_s = self._busy_s * kept + RATE_MEMORY_S * (1.0 - kept)
-        return self._n_answers * kept, busy_s
-
 
 @attrs.define
 class RecentCount:
@@ -74,17 +72,47 @@
         return self._count * math.exp(-elapsed_s / COUNT_MEMORY_S)
 
 
+@attrs.define
+class _Estimate:
+    mean_s: float
+    deviation_s: float = 0.0
+
+    @property
+    def usual_s(self) -> float:
+        return self.mean_s + self.deviation_s
+
+    def add(self, latency_s: float) -> None:
+        error_s = latency_s - self.mean_s
+        self.mean_s += error_s * LATENCY_WEIGHT
+        self.deviation_s += (abs(error_s) - self.deviation_s) * LATENCY_WEIGHT
+
+
 @attrs.define
 class UsualLatency:
-    """Usual service time in seconds, by rank."""
+    """Service time in seconds that most answers keep within, by rank.
+
+    Source: mean and mean deviation as in the round-trip estimate of Jacobson,
+    Congestion Avoidance and Control (1988).
+    """
 
-    _by_rank: dict[int, float] = attrs.field(factory=dict)
+    _by_rank: dict[int, _Estimate] = attrs.field(factory=dict)
 
     def add(self, rank: int, latency_s: float) -> None:
         """Learn from one answer."""
-        usual_s = self._by_rank.get(rank, latency_s)
-        self._by_rank[rank] = usual_s + (latency_s - usual_s) * LATENCY_WEIGHT
+        estimate = self._by_rank.setdefault(rank, _Estimate(latency_s))
+        estimate.add(latency_s)
+
+    def add_at_least(self, rank: int, latency_s: float) -> None:
+        """Learn from one run that was cut off, and would have taken longer.
+
+        Without these only quick answers would count, and requests would go on to
+        start that have too little time left.
+        """
+        estimate = self._by_rank.get(rank)
+        if estimate is not None and latency_s > estimate.mean_s:
+            estimate.add(latency_s)
 
     def of(self, rank: int) -> float:
         """Return the usual service time, 0 where none was measured."""
-        return self._by_rank.get(rank, 0.0)
+        estimate = self._by_rank.get(rank)
+        return 0.0 if estimate is None else estimate.usual_s
--- a/tests/savoryroute/coordination/test_admission.py
+++ b/tests/savoryroute/coordination/test_admission.py
@@ -267,6 +267,33 @@
 
         self.loop.run_until_complete(scenario())
 
+    def test_time_spent_below_takes_no_slots_from_the_limit(self):
+        async def scenario():
+            gate = self.gate("gradient", slots=64)
+            group = await self.saturate(gate, 400)
+            for _ in range(200):
+                permit = (await gate.admit(0, True, 9.0, 9.0)).unwrap()
+                permit.release(2.0, False, own_s=0.1)
+            self.assertEqual(gate.limit, 64)
+            await group
+
+        self.loop.run_until_complete(scenario())
+
+    def test_runs_cut_off_keep_back_what_has_too_little_time(self):
+        async def scenario():
+            gate = self.gate()
+            await self.call(gate, 0, 9.0)
+            for _ in range(20):
+                permit = (await gate.admit(0, True, 9.0, 9.0)).unwrap()
+                await asyncio.sleep(1.0)
+                permit.cut_off(1.0)
+            running = (await gate.admit(0, True, 9.0, 9.0)).unwrap()
+            late = await gate.admit(0, True, 9.0, 0.5)
+            self.assertIs(late.unwrap_err().reason, Reason.DEADLINE)
+            running.release(None, False)
+
+        self.loop.run_until_complete(scenario())
+
     def test_drain_refuses_those_waiting_and_lets_running_end(self):
         async def scenario():
             gate = self.gate()
--- a/tests/savoryroute/coordination/test_pressure.py
+++ b/tests/savoryroute/coordination/test_pressure.py
@@ -34,6 +34,12 @@
 
 
 class LevelControllerTests(unittest.TestCase):
+    def test_cuts_no_rank_below_the_last_refused_one(self):
+        controller = LevelController(0.0)
+        controller.on_arrival(3, 0.05)
+        controller.on_refusal(0.05)
+        self.assertEqual(controller.level(0.15), 3.0)
+
     def test_cuts_just_the_excess_from_the_worst_rank(self):
         controller = LevelController(0.0)
         for rank in [0] * 20 + [3] * 80:
