--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -33,6 +33,7 @@
 from .hops import Hop, HopTable
 from .pause import PauseDetector
 from .pressure import HIGHEST_LEVEL
+from .shadow import ShadowGate
 
 __all__ = ["Inbound"]
 
@@ -84,6 +85,7 @@
         decisions: DecisionLog,
         document: Callable[[], Document | None],
         on_crash: Callable[[int], None],
+        shadow: ShadowGate,
     ) -> None:
         self._service = service
         self._gate = gate
@@ -95,6 +97,7 @@
         self._pause = pause
         self._decisions = decisions
         self._document = document
+        self._shadow = shadow
         self._is_leaving = False
         self._n_open = 0
         self._running: set[asyncio.Task] = set()
@@ -119,7 +122,7 @@
 
     def fence(self, frame: Fence) -> Verdict:
         """Make sure that a key never runs here from now on, if that can be."""
-        return self._ledger.fence(frame.key)
+        return self._ledger.fence(frame.key, frame.is_cancellation)
 
     async def run(self, call: Call) -> Answer:
         """Return the final answer to a call."""
@@ -154,7 +157,9 @@
     async def _run_keyed(self, delivery: _Delivery) -> Result[Response, Refusal]:
         """Run a call at most once under its key."""
         call = delivery.call
-        begun = self._ledger.begin(call.key, delivery.fingerprint, call.cancels)
+        begun = self._ledger.begin(
+            call.key, delivery.fingerprint, call.cancels, call.is_target_fenced
+        )
         if isinstance(begun, Refuse):
             return Err(begun.refusal)
         if isinstance(begun, Replay):
@@ -201,7 +206,7 @@
             return Err(refusal)
         if not await self._wait_for_place(delivery):
             detail = "another suspect of crashing the upstream is in flight"
-            return Err(_not_run(Reason.OVERLOAD, detail, SUSPECT_RETRY_AFTER_S))
+            return Err(Refusal.not_run(Reason.OVERLOAD, detail, SUSPECT_RETRY_AFTER_S))
         try:
             return await self._admit(delivery, document)
         finally:
@@ -219,20 +224,24 @@
         """Return why a call must not run, or None."""
         call = delivery.call
         if document is None or self._service not in document.services:
-            return _not_run(Reason.NOT_READY, "no document names this service", 1.0)
+            return Refusal.not_run(
+                Reason.NOT_READY, "no document names this service", 1.0
+            )
         if self._is_leaving:
-            return _not_run(Reason.LEAVING, "the host is leaving")
+            return Refusal.not_run(Reason.LEAVING, "the host is leaving")
         if call.class_name not in document.classes:
             detail = f"class {call.class_name!r:.40} is not in the document"
-            return _not_run(Reason.BAD_REQUEST, detail)
+            return Refusal.not_run(Reason.BAD_REQUEST, detail)
         if delivery.time_left_s <= 0:
-            return _not_run(Reason.DEADLINE, "the deadline passed before the run")
+            return Refusal.not_run(
+                Reason.DEADLINE, "the deadline passed before the run"
+            )
         quarantined = self._quarantine.check(delivery.fingerprint)
         if quarantined is not None:
             return quarantined
         if call.allowance < 1:
             detail = "the action has used up its attempts"
-            return _not_run(Reason.ALLOWANCE_SPENT, detail)
+            return Refusal.not_run(Reason.ALLOWANCE_SPENT, detail)
         return None
 
     async def _admit(
@@ -265,9 +274,10 @@
         """Send one admitted call to the upstream."""
         call = delivery.call
         maximum = document.retries.attempts_per_hop
-        if not self._counter.count_delivery(call.action, maximum):
+        counted = f"{call.action} {delivery.fingerprint.hex()}"
+        if not self._counter.count_delivery(counted, maximum):
             detail = f"delivered {maximum} times here within a minute"
-            return Err(_not_run(Reason.ALLOWANCE_SPENT, detail))
+            return Err(Refusal.not_run(Reason.ALLOWANCE_SPENT, detail))
         service = document.services[self._service]
         hop = self._hops.open(
             action=call.action,
@@ -279,22 +289,33 @@
             traceparent=call.traceparent,
         )
         delivery.hop = hop
+        self._judge(delivery)
         started_s = time.monotonic()
+        is_dropped = False
         try:
             result = await self._client.send(_to_upstream(call, hop, service))
+            result = _after_upstream(result, hop, service)
+            is_dropped = _is_dropped(result)
         except asyncio.CancelledError:
             permit.cut_off(time.monotonic() - started_s)
             raise
         finally:
             self._hops.close(hop)
-        latency_s = time.monotonic() - started_s
-        result = _after_upstream(result, hop, service)
+            latency_s = time.monotonic() - started_s
+            self._shadow.end(latency_s, is_dropped)
         if _is_late_below(result, hop):
             permit.cut_off(latency_s)
-        permit.release(latency_s, _is_dropped(result), latency_s - hop.called_s)
+        permit.release(latency_s, is_dropped, latency_s - hop.called_s)
         self._note_crash(delivery, result)
         return result
 
+    def _judge(self, delivery: _Delivery) -> None:
+        """Report what the trial document would decide."""
+        call = delivery.call
+        judgement = self._shadow.begin(call.class_name, delivery.time_left_s)
+        if judgement is not None and judgement.is_refused:
+            self._decisions.note(call.action, "trial would refuse", judgement.detail)
+
     def _note_crash(
         self, delivery: _Delivery, result: Result[Response, Refusal]
     ) -> None:
@@ -409,9 +430,3 @@
     if isinstance(outcome, LostAnswer):
         return Err(outcome.as_refusal())
     return Ok(Response(outcome.status, outcome.headers, outcome.body))
-
-
-def _not_run(
-    reason: Reason, detail: str, retry_after_s: float | None = None
-) -> Refusal:
-    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after_s)
--- a/packages/savoryroute/savoryroute/coordination/node.py
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -8,37 +8,45 @@
 import secrets
 import time
 
-from ..protocol.callers_http import CallersServer
+from result import Err
+
+from ..protocol.callers_http import CallersServer, Outcome
 from ..protocol.frames import Hello
 from ..protocol.operators_http import OperatorsServer
+from ..protocol.request import Request
 from ..protocol.upstream_http import UpstreamClient, UpstreamHealth
 from ..protocol.websocket_network import WebSocketNetwork
 from ..state.attempt_counter import ActionCounter
-from ..state.audit import AuditKind, AuditTrail
+from ..state.audit import AuditEntry, AuditKind, AuditTrail
 from ..state.decisions import DecisionLog
-from ..state.document import Document
 from ..state.ledger import Ledger
 from ..state.members import Evidence, Member, MemberTable
+from ..state.metrics import Metrics
 from ..state.quarantine import Quarantine
 from ..state.settings import Settings
 from ..transport.platform_client import HttpPlatform
+from ..verdict import Refusal, Verdict
+from .action import ActionOpener
 from .admission import AdmissionGate
+from .attempts import Attempts
 from .control import Control
 from .delivery import Delivery
 from .hops import HopTable
+from .in_force import DocumentInForce
 from .inbound import Inbound
 from .keys import KeyRing
 from .limits import make_limit
+from .node_status import NodeStatus
 from .outbound import Outbound
 from .pause import PauseDetector
 from .placement import Placement
 from .pressure import PressureMap
+from .shadow import ShadowGate
 from .upstream_watch import UpstreamWatch
 
 __all__ = ["Node"]
 
 ACTION_WINDOW_S = 60.0
-BODY_BYTES_DEFAULT = 1024 * 1024
 CLOSE_TIMEOUT_S = 0.2
 DRAIN_LISTEN_S = 3.0
 DRAIN_MAX_S = 60.0
@@ -48,7 +56,6 @@
 QUEUE_DEFAULT = 32
 CRASHES_DEFAULT = 2
 QUARANTINE_DEFAULT_S = 60.0
-PRODUCTION = "production"
 
 _logger = logging.getLogger(__name__)
 
@@ -61,9 +68,9 @@
         self._incarnation = secrets.randbits(INCARNATION_BITS) + 1
         self._started_s = time.monotonic()
         self._rng = random.Random(self._incarnation)
-        self._document: Document | None = None
-        self._revision = 0
-        self._audit = AuditTrail()
+        self._is_stopping = False
+        self._audit = AuditTrail(on_record=_log_audit)
+        self._shadow = ShadowGate(settings.service)
         self._decisions = DecisionLog()
         self._table = MemberTable(settings.host, self._on_member)
         self._hops = HopTable()
@@ -75,6 +82,14 @@
         self._gate = AdmissionGate(
             make_limit("fixed", 1, SLOTS_DEFAULT, SLOTS_DEFAULT), QUEUE_DEFAULT
         )
+        self._in_force = DocumentInForce(
+            settings.host,
+            settings.service,
+            self._gate,
+            self._quarantine,
+            self._shadow,
+            self._audit,
+        )
         self._client = UpstreamClient(settings.upstream, 0)
         self._inbound = Inbound(
             settings.service,
@@ -86,8 +101,9 @@
             self._hops,
             self._pause,
             self._decisions,
-            self._get_document,
+            lambda: self._in_force.document,
             self._on_crash,
+            self._shadow,
         )
         self._network = WebSocketNetwork(
             settings.peers,
@@ -110,42 +126,40 @@
             self._network,
             self._placement,
             self._table,
-            self._get_ejection,
+            lambda: self._in_force.ejection,
         )
+        pressure = PressureMap()
         self._outbound = Outbound(
-            self._get_document,
-            Delivery(settings.host, self._network, self._inbound.run),
+            ActionOpener(lambda: self._in_force.document),
+            Attempts(
+                Delivery(settings.host, self._network, self._inbound.run),
+                self._placement,
+                pressure,
+                self._pause,
+                self._decisions,
+            ),
             self._placement,
-            PressureMap(),
+            pressure,
             self._hops,
             self._keys,
             self._quarantine,
-            self._pause,
-            self._decisions,
             self._rng,
         )
         self._callers = CallersServer(
             settings.callers,
-            self._outbound.from_caller,
+            self._serve_caller,
             self._keys.mint,
-            self._body_limit,
+            self._keys.confirm,
+            self._in_force.body_limit,
         )
         self._upstream_side = CallersServer(
             settings.upstream_side,
             self._outbound.from_upstream,
             self._keys.mint,
-            self._body_limit,
+            self._keys.confirm,
+            self._in_force.body_limit,
             is_upstream_side=True,
         )
-        self._operators = OperatorsServer(
-            settings.operators,
-            settings.operator_key,
-            self._status,
-            self._not_ready,
-            self._audit,
-            self._decisions,
-            lambda: None,
-        )
         self._watch = UpstreamWatch(
             self._client, self._audit, settings.host, self._on_health
         )
@@ -158,13 +172,37 @@
             self._network,
             self._platform,
             self._pause,
-            self._on_document,
+            self._in_force.take,
             seeds=[str(address) for address in settings.seeds],
             get_suspects=self._quarantine.export,
             on_suspects=self._on_suspects,
             on_audit=self._on_document_audit,
             rng=self._rng,
         )
+        self._status = NodeStatus(
+            host=settings.host,
+            incarnation=self._incarnation,
+            uptime_s=self._uptime_s,
+            in_force=self._in_force,
+            distribution=self._control.distribution,
+            gate=self._gate,
+            inbound=self._inbound,
+            ledger=self._ledger,
+            quarantine=self._quarantine,
+            table=self._table,
+            network=self._network,
+            shadow=self._shadow,
+        )
+        self._metrics = Metrics(self._status.gauges)
+        self._operators = OperatorsServer(
+            settings.operators,
+            settings.operator_key,
+            self._status.to_plain,
+            self._status.not_ready,
+            self._audit,
+            self._decisions,
+            self._metrics,
+        )
         self._tasks: list[asyncio.Task] = []
 
     async def start(self) -> None:
@@ -182,6 +220,7 @@
         self._audit.record(
             AuditKind.LEAVING, self._settings.host, "leaving", "planned stop"
         )
+        self._is_stopping = True
         self._inbound.is_leaving = True
         self._gate.drain()
         await self._control.membership.announce_leaving()
@@ -224,62 +263,32 @@
             uptime_ms=int(self._uptime_s() * 1000),
         )
 
-    def _get_document(self) -> Document | None:
-        return self._document
-
-    def _get_ejection(self):
-        return None if self._document is None else self._document.ejection
-
-    def _body_limit(self, service: str) -> int:
-        document = self._document
-        if document is None or service not in document.services:
-            return BODY_BYTES_DEFAULT
-        return document.services[service].request_bytes
-
-    def _not_ready(self) -> str:
-        """Return why the daemon is not ready, or an empty string."""
-        if self._document is None or not self._control.distribution.is_ready:
-            return "no document: neither the platform nor a peer has given one"
-        if self._inbound.is_leaving:
-            return "leaving"
-        return ""
-
-    def _status(self) -> dict:
-        """Return what operators see of this daemon."""
-        return {
-            "host": self._settings.host,
-            "incarnation": self._incarnation,
-            "uptime_s": round(self._uptime_s(), 3),
-            "not_ready": self._not_ready(),
-            "revision": self._revision,
-            "version": self._document.version if self._document else None,
-            "n_in_flight": self._gate.n_in_flight,
-            "n_queued": self._gate.n_queued,
-            "limit": self._gate.limit,
-            "level": self._gate.level,
-            "members": {m.host: str(m.status) for m in self._table.members},
-        }
+    def _on_health(self, health: UpstreamHealth) -> None:
+        """Follow the upstream: leaving, gone, or back and cold."""
+        self._inbound.is_leaving = health.is_leaving or self._is_stopping
+        if health.is_reachable:
+            self._in_force.start_cold()
 
-    def _on_document(
-        self, environment: str, document: Document, revision: int, plain: dict
-    ) -> None:
-        """Take a document into force."""
-        if environment != PRODUCTION:
-            return
-        self._document = document
-        self._revision = revision
-        self._quarantine.set_policy(
-            document.quarantine.crashes, document.quarantine.duration_s
-        )
-        policy = document.services.get(self._settings.service)
-        if policy is not None:
-            limit = make_limit(
-                policy.limit.kind, policy.limit.minimum, policy.slots, policy.slots
-            )
-            self._gate.reconfigure(limit, policy.queue_length)
+    async def _serve_caller(self, request: Request) -> Outcome:
+        """Serve a caller and count what came of it."""
+        started_s = time.monotonic()
+        outcome = await self._outbound.from_caller(request)
+        latency_s = time.monotonic() - started_s
+        verdict, reason = Verdict.RAN, ""
+        if isinstance(outcome.result, Err):
+            refusal = outcome.result.err_value
+            verdict, reason = refusal.verdict, refusal.reason
+            self._log_refusal(outcome.action, refusal)
+        self._metrics.count(outcome.class_name, verdict, reason, latency_s)
+        return outcome
 
-    def _on_health(self, health: UpstreamHealth) -> None:
-        self._inbound.is_leaving = health.is_leaving
+    def _log_refusal(self, action: str, refusal: Refusal) -> None:
+        """Log a refusal: what may have run as a warning, the rest for debugging."""
+        level = logging.DEBUG
+        if refusal.verdict is Verdict.MAY_HAVE_RUN:
+            level = logging.WARNING
+        fields = {"action": action, "reason": refusal.reason}
+        _logger.log(level, "%s: %s", refusal.verdict, refusal.detail, extra=fields)
 
     def _on_crash(self, n_lost: int) -> None:
         """Tell peers at once which requests were lost together."""
@@ -307,3 +316,9 @@
             f"{old.status if old else 'unknown'} to {new.status}",
             evidence.value,
         )
+
+
+def _log_audit(entry: AuditEntry) -> None:
+    """Log an entry of the audit trail."""
+    fields = {"kind": entry.kind, "subject": entry.subject, "evidence": entry.evidence}
+    _logger.info("%s", entry.change, extra=fields)
--- a/packages/savoryroute/savoryroute/protocol/callers_http.py
+++ b/packages/savoryroute/savoryroute/protocol/callers_http.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
-from aiohttp import web
+from aiohttp import StreamReader, web
 from result import Err, Ok, Result
 
 from ..state.settings import Address
@@ -38,15 +38,18 @@
         action: Identity of the action.
         key: Key under which it ran, or an empty string.
         next_key: Key with which the caller is to go on, or an empty string.
+        class_name: Class of the action, or an empty string.
     """
 
     result: Result[Response, Refusal]
     action: str = ""
     key: str = ""
     next_key: str = ""
+    class_name: str = ""
 
 
 RequestHandler = Callable[[Request], Awaitable[Outcome]]
+KeyConfirmer = Callable[[str, Refusal], Awaitable[Refusal]]
 KeyMinter = Callable[[str, int], Awaitable[list[str]]]
 
 
@@ -57,6 +60,7 @@
         address: Where to listen.
         handle: Serves one request.
         mint: Mints keys for a service.
+        confirm: Returns a refusal with what the home of a key says of it.
         body_limit: Longest request body of a service in bytes.
         is_upstream_side: Whether the callers are the host's own upstream.
     """
@@ -66,12 +70,14 @@
         address: Address,
         handle: RequestHandler,
         mint: KeyMinter,
+        confirm: KeyConfirmer,
         body_limit: Callable[[str], int],
         is_upstream_side: bool = False,
     ) -> None:
         self._address = address
         self._handle = handle
         self._mint = mint
+        self._confirm = confirm
         self._body_limit = body_limit
         self._is_upstream_side = is_upstream_side
         self._is_leaving = False
@@ -131,7 +137,8 @@
             return await self._mint_keys(http)
         read = await self._read_request(http)
         if isinstance(read, Err):
-            response = problem_response(read.err_value)
+            key = http.headers.get(headers.IDEMPOTENCY_KEY, "")
+            response = problem_response(await self._confirm(key, read.err_value))
             response.force_close()
             return response
         outcome = await self._handle(read.ok_value)
@@ -180,18 +187,17 @@
             http.transport.write(CONTINUE_LINE)
         if http.content_length is not None and http.content_length > limit:
             return _too_large(limit)
-        body = bytearray()
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                async for chunk in http.content.iter_any():
-                    body += chunk
-                    if len(body) > limit:
-                        return _too_large(limit)
+            if http.content.is_eof():
+                body = http.content.read_nowait()
+            else:
+                async with asyncio.timeout(BODY_TIMEOUT_S):
+                    body = await _read_within(http.content, limit)
         except TimeoutError:
             return _bad(f"the body did not arrive within {BODY_TIMEOUT_S:.0f} s")
         except web.RequestPayloadError as error:
             return _bad(f"the body is not whole: {error}")
-        return Ok(bytes(body))
+        return _too_large(limit) if len(body) > limit else Ok(body)
 
     async def _mint_keys(self, http: web.BaseRequest) -> web.Response:
         """Answer ``POST /-/keys/<service>?n=8``."""
@@ -212,6 +218,16 @@
         return web.json_response({"keys": keys})
 
 
+async def _read_within(content: StreamReader, limit: int) -> bytes:
+    """Return the whole body, or its beginning once that is beyond the limit."""
+    body = bytearray()
+    async for chunk in content.iter_any():
+        body += chunk
+        if len(body) > limit:
+            break
+    return bytes(body)
+
+
 def _to_http(outcome: Outcome) -> web.Response:
     """Return the HTTP form of an outcome."""
     if isinstance(outcome.result, Err):
--- a/packages/savoryroute/savoryroute/state/members.py
+++ b/packages/savoryroute/savoryroute/state/members.py
@@ -5,8 +5,9 @@
 1. Incarnations are random numbers and have no order of their own. The one that
    started last is the present one. Its start is estimated on the local clock as
    the time of the evidence minus the uptime it states, and the lowest estimate is
-   kept, since delays only make an estimate later. An incarnation once superseded
-   never comes back. A Hello on a link beats what is known from hearsay only.
+   kept, since delays only make an estimate later. A Hello on a link beats what is
+   known from hearsay only; an incarnation that a Hello superseded never comes
+   back; hearsay does not supersede a host that was itself heard a moment ago.
 2. Within one incarnation the host's own uptime counts the evidence. A suspicion
    states the uptime last heard; an uptime later by more than a heartbeat
    refutes it.
@@ -20,7 +21,6 @@
 
 import enum
 import time
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -41,6 +41,7 @@
 
 LIST_LAG_S = 60.0
 REFUTE_MARGIN_MS = 1500
+DIRECT_FRESH_S = 3.0
 N_SUPERSEDED = 8
 TEXT_MAX = 256
 NUMBER_MAX = 2**63 - 1
@@ -167,7 +168,7 @@
     heard_at_s: float | None = None
     suspected_at_s: float | None = None
     silent_uptime_ms: int | None = None
-    superseded: deque[int] = attrs.Factory(lambda: deque(maxlen=N_SUPERSEDED))
+    superseded: tuple[int, ...] = ()
 
 
 class MemberTable:
@@ -185,6 +186,15 @@
         self._entries: dict[str, _Entry] = {}
         self._by_service: dict[str, dict[str, None]] = {}
         self._by_domain: dict[str, dict[str, None]] = {}
+        self._by_status: dict[MemberStatus, dict[str, None]] = {
+            status: {} for status in MemberStatus
+        }
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Number that grows with each change."""
+        return self._version
 
     @property
     def members(self) -> list[Member]:
@@ -245,10 +255,9 @@
         entry = self._entries.get(host)
         return entry.suspected_at_s if entry else None
 
-    def suspects(self) -> list[Member]:
-        """Return all suspected members."""
-        found = self.members
-        return [item for item in found if item.status is MemberStatus.SUSPECT]
+    def of_status(self, status: MemberStatus) -> list[Member]:
+        """Return all members of a status."""
+        return [self._entries[host].member for host in self._by_status[status]]
 
     def rumour_of(self, host: str) -> Rumour | None:
         """Return what this daemon would tell of a host, or None."""
@@ -385,7 +394,9 @@
     def _hear_of_other_incarnation(self, entry: _Entry, rumour: Rumour) -> News:
         """Believe in another incarnation if it started later."""
         told = rumour.member
-        if told.status is MemberStatus.SUSPECT or told.incarnation in entry.superseded:
+        if told.incarnation in entry.superseded or self._is_fresh(entry):
+            return News.KNOWN
+        if told.status is MemberStatus.SUSPECT and entry.member.incarnation:
             return News.KNOWN
         started_at_s = self._clock() - rumour.uptime_ms / 1000
         if entry.member.incarnation and started_at_s <= entry.started_at_s:
@@ -394,6 +405,12 @@
         entry.has_left = told.status is MemberStatus.LEAVING
         return News.NEW
 
+    def _is_fresh(self, entry: _Entry) -> bool:
+        """Return whether a host itself was heard a moment ago."""
+        if entry.heard_at_s is None:
+            return False
+        return self._clock() - entry.heard_at_s < DIRECT_FRESH_S
+
     def _hear_of_same_incarnation(self, entry: _Entry, rumour: Rumour) -> News:
         """Merge a rumour of the incarnation that is known."""
         told = rumour.member.status
@@ -425,9 +442,12 @@
             is_alive = entry.member.status is MemberStatus.ALIVE
             is_refuted = uptime_ms + REFUTE_MARGIN_MS < entry.uptime_ms
             return News.REFUTED if is_alive and is_refuted else News.KNOWN
+        is_later = uptime_ms > entry.uptime_ms
         self._note_uptime(entry, uptime_ms)
-        if entry.member.status not in (MemberStatus.ALIVE, MemberStatus.UNREACHABLE):
-            return News.KNOWN
+        is_unreachable = entry.member.status is MemberStatus.UNREACHABLE
+        if entry.member.status is not MemberStatus.ALIVE:
+            if not (is_unreachable and is_later):
+                return News.KNOWN
         self._set_status(entry, MemberStatus.SUSPECT, Evidence.RUMOUR)
         return News.NEW
 
@@ -514,8 +534,9 @@
         self, entry: _Entry, member: Member, uptime_ms: int, evidence: Evidence
     ) -> None:
         """Replace the known incarnation by one that started later."""
-        if entry.member.incarnation:
-            entry.superseded.append(entry.member.incarnation)
+        if evidence is Evidence.HELLO and entry.member.incarnation:
+            superseded = (*entry.superseded, entry.member.incarnation)
+            entry.superseded = superseded[-N_SUPERSEDED:]
         entry.is_direct = False
         entry.has_left = False
         entry.is_leaving_by_list = False
@@ -553,6 +574,7 @@
         entry.member = member
         is_suspect = member.status is MemberStatus.SUSPECT
         entry.suspected_at_s = self._clock() if is_suspect else None
+        self._by_status[old.status].pop(old.host, None)
         if member.service != old.service:
             self._by_service[old.service].pop(old.host, None)
         if member.failure_domain != old.failure_domain:
@@ -562,6 +584,8 @@
 
     def _index(self, member: Member) -> None:
         """File a member under its service and failure domain."""
+        self._version += 1
+        self._by_status[member.status][member.host] = None
         self._by_service.setdefault(member.service, {})[member.host] = None
         self._by_domain.setdefault(member.failure_domain, {})[member.host] = None
 
--- a/packages/savoryroute_lab/savoryroute_lab/launcher.py
+++ b/packages/savoryroute_lab/savoryroute_lab/launcher.py
@@ -59,6 +59,7 @@
         wiring: Addresses of the deployment.
         upstream_settings: Further members of ``UpstreamSettings`` for all.
         has_daemons: Whether daemons run; without, upstreams call each other.
+        wrappers: Options of the interpreter by process, as for a profiler.
     """
 
     def __init__(
@@ -66,10 +67,12 @@
         wiring: Wiring,
         upstream_settings: Mapping[str, object] | None = None,
         has_daemons: bool = True,
+        wrappers: Mapping[str, list[str]] | None = None,
     ) -> None:
         self._wiring = wiring
         self._upstream_settings = dict(upstream_settings or {})
         self._has_daemons = has_daemons
+        self._wrappers = dict(wrappers or {})
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="savoryroute-lab-"))
         self._children: dict[str, _Child] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -137,6 +140,17 @@
         await self._wait_end(name, time.monotonic() + STOP_TIMEOUT_S)
         return self._process(name).returncode
 
+    async def wait_ended(self, name: str) -> int:
+        """Wait until a process has ended by itself and return its exit code.
+
+        Raises:
+            TimeoutError: It still runs after ``STOP_TIMEOUT_S``.
+        """
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            while self.is_running(name):
+                await asyncio.sleep(READY_POLL_S)
+        return self._process(name).returncode
+
     async def restart(self, name: str) -> None:
         """Start a process that has ended, and wait until it is ready.
 
@@ -155,6 +169,10 @@
         await self._start_all(ended)
         return ended
 
+    def pid(self, name: str) -> int:
+        """Return the process id of a process that was started."""
+        return self._process(name).pid
+
     def is_running(self, name: str) -> bool:
         """Return whether a process has not ended."""
         process = self._children[name].process
@@ -241,7 +259,8 @@
         path.write_text(json.dumps(settings, indent=1))
         port = self._wiring.ports[upstream.host].operators
         name = daemon_name(upstream.host)
-        command = [*_module("savoryroute.daemon"), str(path)]
+        wrapper = self._wrappers.get(name, [])
+        command = [sys.executable, *wrapper, "-m", "savoryroute.daemon", str(path)]
         self._children[name] = _Child(command, f"http://{LOOPBACK}:{port}/readyz")
         return name
 
