--- a/packages/savoryroute/savoryroute/daemon.py
+++ b/packages/savoryroute/savoryroute/daemon.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from . import __version__
+from .collector import tune_collector
 from .coordination.node import Node
 from .logs import configure
 from .state.settings import Settings, read_settings
@@ -72,6 +73,7 @@
         loop.add_signal_handler(number, stopped.set)
     node = Node(settings)
     await node.start()
+    tune_collector()
     await stopped.wait()
     await node.stop()
 
