--- a/packages/savoryroute/savoryroute/coordination/admission.py
+++ b/packages/savoryroute/savoryroute/coordination/admission.py
@@ -11,7 +11,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from ..verdict import Reason, Refusal, Verdict
+from ..verdict import Reason, Refusal
 from .limits import ConcurrencyLimit
 from .pressure import LevelController
 from .retry_after import spread_retry_after_s
@@ -36,18 +36,32 @@
         """Whether the permit was given back."""
         return self._is_released
 
-    def release(self, latency_s: float | None, is_dropped: bool) -> None:
+    def release(
+        self, latency_s: float | None, is_dropped: bool, own_s: float | None = None
+    ) -> None:
         """Give the permit back; later calls do nothing.
 
         Args:
             latency_s: Seconds at the upstream, or None where nothing was learned:
                 the caller hung up, or the request never started.
             is_dropped: Whether the upstream failed, timed out or shed it.
+            own_s: Seconds of these that the upstream did not spend waiting for
+                further services; None for all.
         """
         if self._is_released:
             return
         self._is_released = True
-        self._gate._release(self._rank, latency_s, is_dropped)
+        self._gate._release(self._rank, latency_s, is_dropped, own_s)
+
+    def cut_off(self, latency_s: float) -> None:
+        """Give the permit back for a run that was cut off before its end.
+
+        Args:
+            latency_s: Seconds at the upstream so far.
+        """
+        if not self._is_released:
+            self._gate._usual.add_at_least(self._rank, latency_s)
+        self.release(None, False)
 
 
 @attrs.define(eq=False)
@@ -156,7 +170,9 @@
         if self._is_leaving:
             return Err(_leaving())
         if time_left_s <= 0.0:
-            return Err(_not_run(Reason.DEADLINE, "the deadline has passed", None))
+            return Err(
+                Refusal.not_run(Reason.DEADLINE, "the deadline has passed", None)
+            )
         if is_spill_over:
             return self._admit_spill_over(rank)
         self._controller.on_arrival(rank, self._clock())
@@ -285,20 +301,29 @@
         n_backlog = len(self._queue) + self._refused.value(self._clock())
         rate_per_s = self._rate.per_s
         retry_after_s = spread_retry_after_s(n_backlog, rate_per_s, self._random)
-        return _not_run(reason, detail, retry_after_s, is_load=True)
+        return Refusal.not_run(reason, detail, retry_after_s, is_load=True)
 
     def _start(self, rank: int) -> Permit:
         self._advance()
         self._n_in_flight += 1
         return Permit(self, rank)
 
-    def _release(self, rank: int, latency_s: float | None, is_dropped: bool) -> None:
+    def _release(
+        self,
+        rank: int,
+        latency_s: float | None,
+        is_dropped: bool,
+        own_s: float | None,
+    ) -> None:
         self._advance()
         if self._n_in_flight >= self.limit:
             self._rate.count()
         if latency_s is not None:
-            self._limit.on_answer(latency_s, self._n_in_flight, is_dropped)
-            if not is_dropped:
+            seen_s = latency_s if own_s is None else own_s
+            self._limit.on_answer(seen_s, self._n_in_flight, is_dropped)
+            if is_dropped:
+                self._usual.add_at_least(rank, latency_s)
+            else:
                 self._usual.add(rank, latency_s)
         self._n_in_flight -= 1
         self._dispatch()
@@ -340,12 +365,6 @@
     return entry.order
 
 
-def _not_run(
-    reason: Reason, detail: str, retry_after_s: float | None, is_load: bool = False
-) -> Refusal:
-    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after_s, is_load)
-
-
 def _leaving() -> Refusal:
     detail = "the upstream is leaving"
-    return _not_run(Reason.LEAVING, detail, LEAVING_RETRY_AFTER_S)
+    return Refusal.not_run(Reason.LEAVING, detail, LEAVING_RETRY_AFTER_S)
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -206,7 +206,7 @@
             return Err(refusal)
         if not await self._wait_for_place(delivery):
             detail = "another suspect of crashing the upstream is in flight"
-            return Err(_not_run(Reason.OVERLOAD, detail, SUSPECT_RETRY_AFTER_S))
+            return Err(Refusal.not_run(Reason.OVERLOAD, detail, SUSPECT_RETRY_AFTER_S))
         try:
             return await self._admit(delivery, document)
         finally:
@@ -214,7 +214,8 @@
 
     async def _wait_for_place(self, delivery: _Delivery) -> bool:
         """Wait until a suspect of crashing the upstream may run; others may."""
-        while not self._quarantine.try_start(delivery.fingerprint):
+        was_lost = delivery.call.was_lost
+        while not self._quarantine.try_start(delivery.fingerprint, was_lost):
             if delivery.time_left_s <= SUSPECT_POLL_S:
                 return False
             await asyncio.sleep(SUSPECT_POLL_S)
@@ -224,20 +225,24 @@
         """Return why a call must not run, or None."""
         call = delivery.call
         if document is None or self._service not in document.services:
-            return _not_run(Reason.NOT_READY, "no document names this service", 1.0)
+            return Refusal.not_run(
+                Reason.NOT_READY, "no document names this service", 1.0
+            )
         if self._is_leaving:
-            return _not_run(Reason.LEAVING, "the host is leaving")
+            return Refusal.not_run(Reason.LEAVING, "the host is leaving")
         if call.class_name not in document.classes:
             detail = f"class {call.class_name!r:.40} is not in the document"
-            return _not_run(Reason.BAD_REQUEST, detail)
+            return Refusal.not_run(Reason.BAD_REQUEST, detail)
         if delivery.time_left_s <= 0:
-            return _not_run(Reason.DEADLINE, "the deadline passed before the run")
+            return Refusal.not_run(
+                Reason.DEADLINE, "the deadline passed before the run"
+            )
         quarantined = self._quarantine.check(delivery.fingerprint)
         if quarantined is not None:
             return quarantined
         if call.allowance < 1:
             detail = "the action has used up its attempts"
-            return _not_run(Reason.ALLOWANCE_SPENT, detail)
+            return Refusal.not_run(Reason.ALLOWANCE_SPENT, detail)
         return None
 
     async def _admit(
@@ -273,7 +278,7 @@
         counted = f"{call.action} {delivery.fingerprint.hex()}"
         if not self._counter.count_delivery(counted, maximum):
             detail = f"delivered {maximum} times here within a minute"
-            return Err(_not_run(Reason.ALLOWANCE_SPENT, detail))
+            return Err(Refusal.not_run(Reason.ALLOWANCE_SPENT, detail))
         service = document.services[self._service]
         hop = self._hops.open(
             action=call.action,
@@ -292,11 +297,16 @@
             result = await self._client.send(_to_upstream(call, hop, service))
             result = _after_upstream(result, hop, service)
             is_dropped = _is_dropped(result)
+        except asyncio.CancelledError:
+            permit.cut_off(time.monotonic() - started_s)
+            raise
         finally:
             self._hops.close(hop)
             latency_s = time.monotonic() - started_s
             self._shadow.end(latency_s, is_dropped)
-        permit.release(latency_s, is_dropped)
+        if _is_late_below(result, hop):
+            permit.cut_off(latency_s)
+        permit.release(latency_s, is_dropped, latency_s - hop.called_s)
         self._note_crash(delivery, result)
         return result
 
@@ -404,6 +414,16 @@
     return result.err_value.reason in (Reason.OVERLOAD, Reason.DEADLINE)
 
 
+def _is_late_below(result: Result[Response, Refusal], hop: Hop) -> bool:
+    """Return whether the time ran out while further services were at work.
+
+    That is no sign of too many requests at this upstream.
+    """
+    if isinstance(result, Ok) or result.err_value.reason is not Reason.DEADLINE:
+        return False
+    return hop.n_calls > 0
+
+
 def _replayed(outcome: Outcome) -> Result[Response, Refusal]:
     """Return the result of a recorded outcome."""
     if isinstance(outcome, Refusal):
@@ -411,9 +431,3 @@
     if isinstance(outcome, LostAnswer):
         return Err(outcome.as_refusal())
     return Ok(Response(outcome.status, outcome.headers, outcome.body))
-
-
-def _not_run(
-    reason: Reason, detail: str, retry_after_s: float | None = None
-) -> Refusal:
-    return Refusal(Verdict.NOT_RUN, reason, detail, retry_after_s)
--- a/packages/savoryroute/savoryroute/protocol/frames.py
+++ b/packages/savoryroute/savoryroute/protocol/frames.py
@@ -109,6 +109,7 @@
         target: Path and query within the service.
         headers: Further headers for the upstream, as flat name, value pairs.
         body: The whole body.
+        was_lost: Whether an earlier attempt ended with the loss of a connection.
     """
 
     id: int
@@ -126,6 +127,7 @@
     target: str
     headers: list[str]
     body: bytes
+    was_lost: bool = False
 
 
 @_frame(3)
@@ -186,7 +188,7 @@
         suspects: Requests seen in flight at a crash, rows as in
             ``state.quarantine.Quarantine.export``.
         revisions: Documents in force, rows as in
-            ``coordination.distribution.Distribution.revisions``.
+            ``coordination.distribution.Distribution.revisions``; may be left out.
     """
 
     uptime_ms: int
--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -5,6 +5,7 @@
 import hashlib
 import heapq
 import secrets
+import struct
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -16,6 +17,7 @@
 __all__ = ["Quarantine", "SuspectEntry", "fingerprint"]
 
 FINGERPRINT_BYTES = 16
+_NAME_LENGTHS = struct.Struct(">QQQ")
 CRASH_ID_BYTES = 8
 EVENTS_MAX = 4096
 EXPORTED_MAX = 32
@@ -32,9 +34,10 @@
 def fingerprint(method: str, service: str, target: str, body: bytes) -> bytes:
     """Return the digest under which equal requests are the same suspect."""
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (method.encode(), service.encode(), target.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
+    names = (method.encode(), service.encode(), target.encode())
+    digest.update(_NAME_LENGTHS.pack(*map(len, names)))
+    digest.update(b"".join(names))
+    digest.update(body)
     return digest.digest()
 
 
@@ -98,6 +101,7 @@
         self._events: OrderedDict[tuple[bytes, int], _Event] = OrderedDict()
         self._crash_ids: dict[bytes, set[int]] = {}
         self._in_flight: Counter[bytes] = Counter()
+        self._in_flight_lost: set[bytes] = set()
 
     def __len__(self) -> int:
         return len(self._events)
@@ -141,16 +145,24 @@
 
     def must_run_alone(self, request: bytes) -> bool:
         """Return whether no other suspect may run beside the request."""
-        return bool(self._counted(request))
+        return request in self._in_flight_lost or bool(self._counted(request))
 
-    def try_start(self, request: bytes) -> bool:
+    def try_start(self, request: bytes, was_lost: bool = False) -> bool:
         """Count a request as in flight, unless two suspects would run together.
 
+        Args:
+            request: Fingerprint of the request.
+            was_lost: Whether an earlier attempt was lost; it is a suspect then,
+                before the evidence of that crash has come.
+
         Returns:
             Whether the request may be delivered now; call ``end`` after it.
         """
-        if self.must_run_alone(request) and self._is_suspect_in_flight():
+        is_suspect = was_lost or self.must_run_alone(request)
+        if is_suspect and self._is_suspect_in_flight():
             return False
+        if was_lost:
+            self._in_flight_lost.add(request)
         self._in_flight[request] += 1
         return True
 
@@ -159,6 +171,7 @@
         self._in_flight[request] -= 1
         if self._in_flight[request] <= 0:
             del self._in_flight[request]
+            self._in_flight_lost.discard(request)
 
     def _is_suspect_in_flight(self) -> bool:
         """Return whether a request in flight is a suspect by now."""
@@ -243,10 +256,11 @@
 
     def _counted(self, request: bytes) -> list[_Event]:
         """Return the crashes that count against a request."""
+        if request not in self._crash_ids:
+            return []
         since_s = self._clock() - self._memory_s
         events = (
-            self._events[request, crash_id]
-            for crash_id in self._crash_ids.get(request, ())
+            self._events[request, crash_id] for crash_id in self._crash_ids[request]
         )
         return [event for event in events if _counts(event, since_s)]
 
--- a/packages/savoryroute_lab/savoryroute_lab/memory_fleet.py
+++ b/packages/savoryroute_lab/savoryroute_lab/memory_fleet.py
@@ -12,10 +12,17 @@
 import attrs
 
 from savoryroute.coordination.control import Control
+from savoryroute.coordination.overlay import Overlay
 from savoryroute.coordination.pause import PauseDetector
 from savoryroute.protocol.frames import Hello
 from savoryroute.protocol.memory_network import MemoryNetwork, Switchboard
-from savoryroute.state.members import Evidence, Member, MemberTable
+from savoryroute.state.members import (
+    Evidence,
+    Member,
+    MemberStatus,
+    MemberTable,
+    Rumour,
+)
 from savoryroute.transport.platform_client import MemoryPlatform
 
 from .virtual_loop import PROCESS, VirtualLoop
@@ -70,11 +77,18 @@
         n_hosts: Hosts in each.
         seed: Seed of all that is random.
         n_services: Services that the hosts are spread over.
+        is_all_to_all: Whether each daemon heartbeats with all others.
     """
 
     def __init__(
-        self, n_domains: int, n_hosts: int, seed: int, n_services: int = 2
+        self,
+        n_domains: int,
+        n_hosts: int,
+        seed: int,
+        n_services: int = 2,
+        is_all_to_all: bool = False,
     ) -> None:
+        self._is_all_to_all = is_all_to_all
         self._seed = seed
         self._rng = random.Random(seed)
         self._n_services = n_services
@@ -117,20 +131,20 @@
         """Have the next published list call a host leaving."""
         self._is_listed_leaving.add(host)
 
-    async def start_all(self) -> None:
-        """Start all nodes."""
+    async def start_all(self, is_warm: bool = False) -> None:
+        """Start all nodes; warm ones know of each other before."""
         for host, _ in self.names:
-            await self.start(host)
+            self._build(host)
+        if is_warm:
+            self._introduce()
+        for node in list(self.nodes.values()):
+            await self._start(node)
 
     async def start(self, host: str) -> Node:
         """Start a host's daemon with empty memory, in place of a former one."""
         await self.stop(host)
-        context = contextvars.copy_context()
-        context.run(PROCESS.set, host)
-        node = context.run(self._make, host, context)
-        self.nodes[host] = node
-        await self._run_in(context, node.network.start())
-        await self._run_in(context, node.control.start())
+        node = self._build(host)
+        await self._start(node)
         return node
 
     async def stop(self, host: str) -> None:
@@ -165,6 +179,26 @@
         """Return the address at which a host takes peers."""
         return self._address(host)
 
+    def _build(self, host: str) -> Node:
+        """Build a host's daemon in a context of its own."""
+        context = contextvars.copy_context()
+        context.run(PROCESS.set, host)
+        node = context.run(self._make, host, context)
+        self.nodes[host] = node
+        return node
+
+    async def _start(self, node: Node) -> None:
+        """Start a daemon's tasks."""
+        await self._run_in(node.context, node.network.start())
+        await self._run_in(node.context, node.control.start())
+
+    def _introduce(self) -> None:
+        """Tell every table of every daemon."""
+        for node in self.nodes.values():
+            rumour = Rumour(_member_of(node.network.own_hello), 0)
+            for other in self.nodes.values():
+                other.table.hear(rumour)
+
     def _pairs(self, one: str, other: str) -> list[tuple[str, str]]:
         """Return all pairs of hosts of two failure domains."""
         return [
@@ -217,6 +251,7 @@
             PauseDetector(clock=loop.time),
             on_document,
             seeds=seeds,
+            overlay=self._overlay(host),
             on_audit=lambda *entry: audit.append(entry),
             rng=rng,
         )
@@ -240,6 +275,13 @@
         """Run a coroutine in a node's context."""
         await self.loop.create_task(coroutine, context=context)
 
+    def _overlay(self, host: str) -> Overlay | None:
+        """Return the choice of peers, None for the usual one."""
+        if not self._is_all_to_all:
+            return None
+        n_hosts = len(self.names)
+        return Overlay(host, self._domain[host], n_hosts, n_hosts)
+
     def _seeds(self) -> list[tuple[str, str]]:
         """Return the hosts that every daemon begins with."""
         return self.names[:: max(1, len(self.names) // N_SEEDS)][:N_SEEDS]
@@ -254,12 +296,27 @@
         return f"10.{index // 65536}.{index // 256 % 256}.{index % 256}:1"
 
 
-def document_text(version: int, environment: str = "production") -> str:
-    """Return the text of a small valid document."""
+def _member_of(hello: Hello) -> Member:
+    """Return the sender of a first frame as a member."""
+    return Member(
+        hello.host,
+        hello.service,
+        hello.failure_domain,
+        hello.region,
+        hello.peers,
+        hello.incarnation,
+        MemberStatus.ALIVE,
+    )
+
+
+def document_text(
+    version: int, environment: str = "production", n_services: int = 1
+) -> str:
+    """Return the text of a valid document; versions differ in one value."""
     plain = {
         "environment": environment,
         "version": version,
         "classes": {"order": {"rank": 0, "timeout_ms": 1000 + version}},
-        "services": {"s0": {"slots": 4}},
+        "services": {f"s{index}": {"slots": 4} for index in range(n_services)},
     }
     return json.dumps(plain)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,12 +13,13 @@
 from savoryroute.coordination.node import Node
 from savoryroute.state.settings import parse_settings
 from savoryroute_lab.platform import Platform
-from savoryroute_lab.upstream import Upstream, UpstreamSettings
+from savoryroute_lab.upstream import Upstream
+from savoryroute_lab.upstream_settings import UpstreamSettings
 from savoryroute_lab.wiring import free_ports
 
 from .links import Links
 
-__all__ = ["Fleet", "FleetTestCase", "Host", "Reply", "document", "free_ports"]
+__all__ = ["Fleet", "FleetTestCase", "Host", "Reply", "document"]
 
 FLEET_KEY = "fleet-key-of-tests"
 OPERATOR_KEY = "operator-key-of-tests"
@@ -111,11 +112,13 @@
     async def __aenter__(self) -> Fleet:
         if self.links is not None:
             self.links.start()
-        await self.platform.start()
-        ports = iter(free_ports(len(PORTS) * sum(self._services.values())))
+        n_ports = (len(PORTS) + 2) * sum(self._services.values())
+        platform_port, control_port, *ports = free_ports(2 + n_ports)
+        await self.platform.start(platform_port, control_port)
         for service, n_hosts in self._services.items():
             for number in range(n_hosts):
-                await self._add_host(service, number, {p: next(ports) for p in PORTS})
+                own = [ports.pop() for _ in range(len(PORTS) + 2)]
+                await self._add_host(service, number, own)
         self.publish_hosts()
         self.publish(self._plain)
         await asyncio.gather(*(self.start_node(name) for name in self.hosts))
@@ -133,14 +136,16 @@
         if self.links is not None:
             self.links.stop()
 
-    async def _add_host(self, service: str, number: int, ports: dict[str, int]) -> None:
+    async def _add_host(self, service: str, number: int, free: list[int]) -> None:
         domain = self._domains[number % len(self._domains)]
         name = f"{domain}-{service}-{number}"
+        port, control_port, *others = free
+        ports = dict(zip(PORTS, others, strict=True))
         upstream = Upstream(
             UpstreamSettings(service=service, host=name),
             upstream_side=f"127.0.0.1:{ports['upstream_side']}",
         )
-        await upstream.start()
+        await upstream.start(port, control_port)
         self.hosts[name] = Host(name, service, domain, ports, upstream)
 
     def __getitem__(self, name: str) -> Host:
--- a/tests/savoryroute/coordination/test_fleet_fuzz.py
+++ b/tests/savoryroute/coordination/test_fleet_fuzz.py
@@ -167,8 +167,10 @@
 
     @rule(host=hosts)
     def crash_upstream(self, host):
-        self._fleet[self._host(host)].upstream.crash()
-        self._do(asyncio.sleep(0.01))
+        self._do(self._crash(self._host(host)))
+
+    async def _crash(self, host: str) -> None:
+        self._fleet[host].upstream.crash()
 
     @rule(host=hosts)
     def restart(self, host):
--- a/tests/savoryroute/protocol/test_websocket_network.py
+++ b/tests/savoryroute/protocol/test_websocket_network.py
@@ -1,16 +1,19 @@
 """Tests of links between daemons: who gets in, and hostile frames."""
 
 import asyncio
+from unittest import mock
 
+import attrs
 import cbor2
 import websockets
 from websockets.asyncio.client import connect
 
-from savoryroute.protocol import frames
+from savoryroute.protocol import frames, peer_session
 from savoryroute.protocol.websocket_network import WebSocketNetwork
 from savoryroute.state.address import Address
 from savoryroute.verdict import Verdict
-from tests.fleet import FLEET_KEY, FleetTestCase, free_ports
+from savoryroute_lab.wiring import free_ports
+from tests.fleet import FLEET_KEY, FleetTestCase
 
 
 def hello(host: str, port: int) -> frames.Hello:
@@ -105,6 +108,15 @@
         reply = await session.call(call())
         self.assertEqual(reply.id, 2)
 
+    async def test_too_many_calls_say_not_run_only_without_a_key(self):
+        await self.other.connect(f"127.0.0.1:{self.port}")
+        session = self.other.session("one")
+        with mock.patch.object(peer_session, "CALLS_IN_FLIGHT_MAX", 0):
+            plain = await session.call(call())
+            keyed = await session.call(attrs.evolve(call(), key="k"))
+        self.assertEqual(plain.verdict, Verdict.NOT_RUN)
+        self.assertEqual(keyed.verdict, Verdict.MAY_HAVE_RUN)
+
     async def test_a_lost_link_fails_the_calls_on_it(self):
         await self.other.connect(f"127.0.0.1:{self.port}")
         session = self.other.session("one")
