tests: failures of real processes, more traces, breaks at the node's level

Cause: nothing proved the promises on whole processes under kill, pause and stop. Also: the lab's caller gave a keyless booking up at its first refused connection; it now goes on to the next entry, as callers do (test_caller holds it).

--- a/packages/savoryroute_lab/savoryroute_lab/caller.py
+++ b/packages/savoryroute_lab/savoryroute_lab/caller.py
@@ -170,6 +170,8 @@
             return has_failed and send.idempotent and send.resends_failed
         if attempt.reason == Reason.CANCELLED:
             return False
+        if not attempt.status:
+            return True
         if not send.idempotent and attempt.verdict is Verdict.NOT_RUN:
             return bool(attempt.next_key) or not self._has_daemons
         return True
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -63,6 +63,11 @@
 RETRIES = "tests.savoryroute.coordination.test_retries"
 COUNTER = "tests.savoryroute.state.test_attempt_counter"
 KEYS = "tests.savoryroute.protocol.test_idempotency_key"
+NODE = "tests.savoryroute.coordination.test_node"
+TRACE = "tests.savoryroute.coordination.test_traces.TraceTest.test_"
+WEBSOCKET = "tests.savoryroute.protocol.test_websocket_network.WebSocketNetworkTest"
+PROCESSES = "tests.savoryroute_lab.test_processes.ProcessTest"
+PLACEMENT = "tests.savoryroute.coordination.test_placement"
 
 MUTATIONS = [
     Mutation(
@@ -272,7 +277,7 @@
     Mutation(
         "poison: suspects run together",
         "state/quarantine.py",
-        "if self.must_run_alone(request) and self._is_suspect_in_flight():",
+        "if is_suspect and self._is_suspect_in_flight():",
         "if False:",
         QUARANTINE,
     ),
@@ -360,6 +365,188 @@
         "",
         RETRIES,
     ),
+    Mutation(
+        "node once: keyed calls pass the ledger by",
+        "coordination/inbound.py",
+        "        if call.key:\n",
+        "        if False:\n",
+        f"{TRACE}reply_lost_then_other_domain",
+    ),
+    Mutation(
+        "node once: a run that fails is forgotten as not run",
+        "coordination/inbound.py",
+        "            entry.may_have_run(result.err_value)",
+        "            entry.not_run(result.err_value)",
+        f"{TRACE}delete_ran_then_dropped",
+    ),
+    Mutation(
+        "node not run: a lost upstream connection is called not run",
+        "protocol/upstream_http.py",
+        "return Err(Refusal(Verdict.MAY_HAVE_RUN, reason, detail))",
+        "return Err(Refusal(Verdict.NOT_RUN, reason, detail))",
+        f"{TRACE}delete_ran_then_dropped",
+    ),
+    Mutation(
+        "node once: the HTTP client re-sends by itself",
+        "protocol/upstream_http.py",
+        "self._session._retry_connection = False",
+        "self._session._retry_connection = True",
+        f"{NODE}.AtMostOnceTest.test_a_lost_answer_is_never_run_again",
+    ),
+    Mutation(
+        "node not run: another daemon's word is taken for the home's",
+        "coordination/keys.py",
+        "        if await self.fence(key) is Verdict.NOT_RUN:\n",
+        "        if True:\n",
+        f"{TRACE}home_unreachable_after_run",
+    ),
+    Mutation(
+        "node cancel: the booking's home is not fenced",
+        "coordination/keys.py",
+        "        verdict = await self.fence(cancels, is_cancellation=True)\n",
+        "        verdict = Verdict.NOT_RUN\n",
+        f"{NODE}.CancelledLoadTest",
+    ),
+    Mutation(
+        "node cancel: a fence says nothing of the cancellation",
+        "coordination/inbound.py",
+        "self._ledger.fence(frame.key, frame.is_cancellation)",
+        "self._ledger.fence(frame.key, False)",
+        f"{NODE}.CancelledLoadTest",
+    ),
+    Mutation(
+        "node not run: a read forgets that an attempt was lost",
+        "coordination/outbound.py",
+        "                verdict = Verdict.MAY_HAVE_RUN\n",
+        "                verdict = Verdict.NOT_RUN\n",
+        f"{TRACE}read_lost_then_shed",
+    ),
+    Mutation(
+        "node not run: a session's own refusal of a keyed call",
+        "protocol/peer_session.py",
+        "Verdict.MAY_HAVE_RUN if call.key else Verdict.NOT_RUN",
+        "Verdict.NOT_RUN",
+        f"{WEBSOCKET}.test_too_many_calls_say_not_run_only_without_a_key",
+    ),
+    Mutation(
+        "node attempts: deliveries of one action are not counted",
+        "coordination/inbound.py",
+        "if not self._counter.count_delivery(counted, maximum):",
+        "if False:",
+        f"{NODE}.AttemptsTest",
+    ),
+    Mutation(
+        "node attempts: a whole loan comes back with each answer",
+        "coordination/attempts.py",
+        "action.allowance.give_back(min(lent, answer.allowance_left))",
+        "action.allowance.give_back(lent)",
+        f"{NODE}.AttemptsTest",
+    ),
+    Mutation(
+        "node order: the class is that of each hop",
+        "coordination/action.py",
+        "class_name = route.class_name if hop is None else hop.class_name",
+        "class_name = route.class_name",
+        f"{TRACE}class_of_the_whole_action",
+    ),
+    Mutation(
+        "node order: all classes have one rank",
+        "coordination/inbound.py",
+        "            policy.rank,\n",
+        "            0,\n",
+        f"{NODE}.OverloadTest",
+    ),
+    Mutation(
+        "node whole: an answer cut short is passed on",
+        "protocol/upstream_http.py",
+        'return _lost(Reason.BAD_ANSWER, "the upstream\'s answer was cut short")',
+        'return Ok(Response(200, (), b""))',
+        f"{NODE}.WholeAnswersTest.test_a_cut_answer_is_never_whole",
+    ),
+    Mutation(
+        "node whole: an answer too long is cut",
+        "protocol/upstream_http.py",
+        "        if answer.content_length > limit:\n            return None\n",
+        '        if answer.content_length > limit:\n            return b""\n',
+        f"{NODE}.WholeAnswersTest.test_an_answer_above_the_limit_is_refused",
+    ),
+    Mutation(
+        "node whole: calls on a link share one number",
+        "protocol/peer_session.py",
+        "        self._next_id += 1\n",
+        "        self._next_id = 1\n",
+        f"{NODE}.WholeAnswersTest.test_concurrent_answers_reach_their_own_callers",
+    ),
+    Mutation(
+        "node cancel: a hang-up leaves the chain running",
+        "protocol/peer_session.py",
+        "            await self.send(Cancel(number))\n",
+        "            pass\n",
+        f"{NODE}.CancellationTest",
+    ),
+    Mutation(
+        "node poison: retries of lost requests run together",
+        "coordination/attempts.py",
+        "was_lost=action.n_lost > 0",
+        "was_lost=False",
+        f"{TRACE}crash_request_and_neighbours",
+    ),
+    Mutation(
+        "node poison: no evidence of crashes",
+        "coordination/inbound.py",
+        "            self._crashes.note_lost(delivery.fingerprint)\n",
+        "            pass\n",
+        f"{NODE}.PoisonTest",
+    ),
+    Mutation(
+        "node leaving: a leaving host takes new work",
+        "coordination/inbound.py",
+        "        if self._is_leaving:\n",
+        "        if False:\n",
+        f"{NODE}.LeavingTest.test_a_leaving_upstream_gets_no_new_work",
+    ),
+    Mutation(
+        "node stop: work in flight is not waited for",
+        "coordination/node.py",
+        "while self._n_open and time.monotonic() < deadline_s:",
+        "while False:",
+        f"{PROCESSES}.test_a_planned_stop_of_a_daemon_cuts_nothing_off",
+    ),
+    Mutation(
+        "node stop: open connections are not told to close",
+        "coordination/node.py",
+        "        self._callers.announce_leaving()\n",
+        "",
+        f"{PROCESSES}.test_a_planned_stop_of_a_daemon_cuts_nothing_off",
+    ),
+    Mutation(
+        "node document: an older revision replaces a newer one",
+        "coordination/document_store.py",
+        "        if revision <= self._revision:\n",
+        "        if revision == self._revision:\n",
+        f"{TRACE}stale_replica_at_restart",
+    ),
+    Mutation(
+        "node document: a restarted daemon asks no peer",
+        "coordination/distribution.py",
+        "        if revision <= channel.store.revision:\n",
+        "        if True:\n",
+        f"{TRACE}stale_replica_at_restart",
+    ),
+    Mutation(
+        "node document: a trial beside production is enforced",
+        "coordination/in_force.py",
+        "if environment == PRODUCTION or not self._is_enforced:",
+        "if True:",
+        f"{NODE}.TrialTest.test_a_trial_document_beside_production_is_only_reported",
+    ),
+    Mutation(
+        "node placement: no cap on ejections",
+        "coordination/placement.py",
+        "return n_out + 1 <= ejection.maximum_fraction * len(members)",
+        "return True",
+        PLACEMENT,
+    ),
 ]
 
 
--- a/tests/savoryroute_lab/test_caller.py
+++ b/tests/savoryroute_lab/test_caller.py
@@ -9,6 +9,7 @@
 from savoryroute_lab.http import IDEMPOTENCY_KEY, LAB_REQUEST, Listener
 from savoryroute_lab.sends import Resend, Send
 from savoryroute_lab.tally import Outcome
+from savoryroute_lab.wiring import free_ports
 
 
 class FakeDaemon:
@@ -57,6 +58,14 @@
         self.assertEqual(daemon.keys, ["", "k1", "k1", "k2"])
         self.assertEqual(request.outcome, Outcome.WHOLE)
 
+    async def test_refused_connection_is_tried_again_without_a_key(self):
+        send = Send("b", "crews", "/b", "POST", idempotent=False, resend=Resend.HARD)
+        caller = Caller({"crews": [f"127.0.0.1:{free_ports(1)[0]}"]})
+        self.addAsyncCleanup(caller.close)
+        request = await caller.send(send)
+        self.assertEqual(len(request.attempts), send.maximum_sends)
+        self.assertEqual(request.outcome, Outcome.REFUSED)
+
     async def test_refusal_without_resend(self):
         _, request = await self.send(Send("v", "crews", "/v"), ("not_run", 503, ""))
         self.assertEqual(request.outcome, Outcome.REFUSED)
