--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -67,6 +67,7 @@
 TRACE = "tests.savoryroute.coordination.test_traces.TraceTest.test_"
 WEBSOCKET = "tests.savoryroute.protocol.test_websocket_network.WebSocketNetworkTest"
 PROCESSES = "tests.savoryroute_lab.test_processes.ProcessTest"
+DISTRIBUTION = "tests.savoryroute.coordination.test_distribution"
 PLACEMENT = "tests.savoryroute.coordination.test_placement"
 
 MUTATIONS = [
@@ -433,14 +434,14 @@
         "coordination/inbound.py",
         "if not self._counter.count_delivery(counted, maximum):",
         "if False:",
-        f"{NODE}.AttemptsTest",
+        f"{TRACE}deliveries_of_one_action",
     ),
     Mutation(
         "node attempts: a whole loan comes back with each answer",
         "coordination/attempts.py",
         "action.allowance.give_back(min(lent, answer.allowance_left))",
         "action.allowance.give_back(lent)",
-        f"{NODE}.AttemptsTest",
+        f"{TRACE}allowance_of_one_sending",
     ),
     Mutation(
         "node order: the class is that of each hop",
@@ -524,14 +525,14 @@
         "coordination/document_store.py",
         "        if revision <= self._revision:\n",
         "        if revision == self._revision:\n",
-        f"{TRACE}stale_replica_at_restart",
+        DISTRIBUTION,
     ),
     Mutation(
         "node document: a restarted daemon asks no peer",
         "coordination/distribution.py",
         "        if revision <= channel.store.revision:\n",
         "        if True:\n",
-        f"{TRACE}stale_replica_at_restart",
+        DISTRIBUTION,
     ),
     Mutation(
         "node document: a trial beside production is enforced",
--- a/tests/savoryroute/coordination/test_placement.py
+++ b/tests/savoryroute/coordination/test_placement.py
@@ -68,7 +68,7 @@
         self.placement.begin(host)
         self.placement.end(host, answer(**fields), latency_s)
 
-    def fail(self, host: str) -> None:
+    def lose(self, host: str) -> None:
         self.placement.begin(host)
         self.placement.end(host, None, 0.01)
         self.placement.eject_if_failing(host, "s", POLICY)
@@ -112,7 +112,7 @@
 
     def test_a_failing_host_is_ejected_and_comes_back(self):
         for _ in range(EJECT_AFTER_FAILURES):
-            self.fail("a2")
+            self.lose("a2")
         self.assertEqual(set(self.shares()), {"a1"})
         self.now_s += POLICY.base_s + 60
         self.assertIn("a2", self.shares())
@@ -120,7 +120,7 @@
     def test_ejection_is_capped(self):
         for host in ("a1", "a2", "b1"):
             for _ in range(2 * EJECT_AFTER_FAILURES):
-                self.fail(host)
+                self.lose(host)
         out = [
             host
             for host, record in self.placement.records.items()
--- a/tests/savoryroute/coordination/test_traces.py
+++ b/tests/savoryroute/coordination/test_traces.py
@@ -89,6 +89,11 @@
         n_crashes = sum(h.upstream.n_crashes for h in self._fleet.hosts.values())
         self._test.assertTrue(1 <= n_crashes <= most, n_crashes)
 
+    async def _deliveries(self, name: str, most: int) -> None:
+        own = self._world.actions[name].request.request_id
+        roots = [e.request_id.split(".")[0] for e in self._fleet.executions()]
+        self._test.assertLessEqual(roots.count(own), most)
+
     async def _refused(self, kind: str, least: int) -> None:
         actions = self._world.actions.items()
         outcomes = [a.request.outcome for name, a in actions if name.startswith(kind)]
@@ -113,7 +118,7 @@
         trace = json.loads(path.read_text())
         plain = document(list(trace["services"]), **trace["document"])
         for policy in plain["classes"].values():
-            policy["allowance"] = ALLOWANCE
+            policy["allowance"] = trace.get("allowance", ALLOWANCE)
         links = Links()
         async with Fleet(trace["services"], plain, trace["domains"], links) as fleet:
             world = World(fleet)
--- a/tests/savoryroute_lab/test_processes.py
+++ b/tests/savoryroute_lab/test_processes.py
@@ -31,6 +31,7 @@
 READS_PER_S = 20.0
 BOOKINGS_PER_S = 10.0
 LEAVING_S = 3.5
+GET = b"GET /crews/slots?mark=stream HTTP/1.1\r\nHost: x\r\n"
 
 
 class ProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -98,19 +99,24 @@
     async def test_a_planned_stop_of_a_daemon_cuts_nothing_off(self):
         host = HOSTS[0]
         port = self.wiring.ports[host].callers
-        idle, half = [
+        (idle, idle_out), (half, half_out) = [
             await asyncio.open_connection("127.0.0.1", port) for _ in range(2)
         ]
-        half[1].write(b"GET /crews/slots?mark=stream HTTP/1.1\r\nHost: x\r\n")
+        half_out.write(GET + b"Content-Length: 2\r\n\r\nx")
         load = self.start_load(6.0)
         await asyncio.sleep(1.0)
         stop = asyncio.create_task(self.launcher.terminate(daemon_name(host)))
-        await asyncio.sleep(1.5)
-        half[1].write(b"\r\n")
-        answer = await half[0].read()
-        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer[:80])
-        self.assertEqual(await idle[0].read(), b"")
+        await asyncio.sleep(1.0)
+        idle_out.write(GET + b"\r\n")
+        answer = await idle.read()
+        self.assertIn(b"Connection: close", answer)
+        await asyncio.sleep(2.5)
+        half_out.write(b"y")
+        for whole in (answer, await half.read()):
+            self.assertTrue(whole.startswith(b"HTTP/1.1 200 OK\r\n"), whole[:80])
         self.assertEqual(await stop, 0)
+        for writer in (idle_out, half_out):
+            writer.close()
         await load
         self.judge(all_whole=True)
 
