placement: equal hosts share, also where there are two

Cause: of two near hosts with equal cost the first of the list always won, so a host back from an ejection got nothing for as long as the other was idle. test_a_failing_host_is_ejected_and_comes_back said so once its assertions worked.

--- a/packages/savoryroute/savoryroute/coordination/placement.py
+++ b/packages/savoryroute/savoryroute/coordination/placement.py
@@ -255,10 +255,9 @@
     def _better_of_two(self, members: list[Member]) -> Member | None:
         if not members:
             return None
-        if len(members) > 2:
-            members = self._rng.sample(members, 2)
+        pair = self._rng.sample(members, min(2, len(members)))
         now_s = self._clock()
-        return min(members, key=lambda m: self.record(m.host).cost(now_s))
+        return min(pair, key=lambda m: self.record(m.host).cost(now_s))
 
     def _far_choice(
         self, usable: list[Member], tried: set[str], has_near: bool
