--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -67,6 +67,7 @@
 TRACE = "tests.savoryroute.coordination.test_traces.TraceTest.test_"
 WEBSOCKET = "tests.savoryroute.protocol.test_websocket_network.WebSocketNetworkTest"
 PROCESSES = "tests.savoryroute_lab.test_processes.ProcessTest"
+FUZZ = "tests.savoryroute.coordination.test_fleet_fuzz.TestFleet"
 DISTRIBUTION = "tests.savoryroute.coordination.test_distribution"
 PLACEMENT = "tests.savoryroute.coordination.test_placement"
 
@@ -541,6 +542,20 @@
         "if True:",
         f"{NODE}.TrialTest.test_a_trial_document_beside_production_is_only_reported",
     ),
+    Mutation(
+        "fleet fuzz: keyed calls pass the ledger by",
+        "coordination/inbound.py",
+        "        if call.key:\n",
+        "        if False:\n",
+        FUZZ,
+    ),
+    Mutation(
+        "fleet fuzz: a lost upstream connection is called not run",
+        "protocol/upstream_http.py",
+        "return Err(Refusal(Verdict.MAY_HAVE_RUN, reason, detail))",
+        "return Err(Refusal(Verdict.NOT_RUN, reason, detail))",
+        FUZZ,
+    ),
     Mutation(
         "node placement: no cap on ejections",
         "coordination/placement.py",
--- a/tests/savoryroute/coordination/test_fleet_fuzz.py
+++ b/tests/savoryroute/coordination/test_fleet_fuzz.py
@@ -4,7 +4,12 @@
 
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
 
 from savoryroute_lab.platform import Outage
 from tests.fleet import Fleet, document
@@ -26,6 +31,8 @@
     {"load_report": "lying", "lying_utilization": 0.0},
     {"load_report": "lying", "lying_utilization": 1.0},
     {"slots": 1},
+    "crash",
+    "hold",
 ]
 # Upstreams keep working for a caller that hung up until they notice.
 CANCEL_GRACE_S = 0.3
@@ -73,8 +80,11 @@
         names = [n for n in self._world.actions if not n.startswith("read")]
         return names[pick % len(names)]
 
-    def _has_booked(self) -> bool:
-        return any(not name.startswith("read") for name in self._world.actions)
+    @initialize(pairs=st.lists(st.tuples(hosts, services), min_size=2, max_size=4))
+    def book_some(self, pairs):
+        for host, service in pairs:
+            name = self._new_name("book")
+            self._do(self._world.send(name, self._host(host), service, "POST", True))
 
     def _new_name(self, kind: str) -> str:
         return f"{kind}{len(self._world.actions)}"
@@ -118,19 +128,16 @@
         )
         self._do(send)
 
-    @precondition(lambda self: self._world.actions)
     @rule(pick=picks, host=hosts, later=st.booleans())
     def send_again(self, pick, host, later):
         self._do(self._world.send_again(self._pick(pick), self._host(host), later))
 
-    @precondition(lambda self: self._has_booked())
     @rule(pick=picks, host=hosts)
     def send_to_all_at_once(self, pick, host):
         name = self._pick_booking(pick)
         self._do(self._world.send_again(name, self._host(host), True))
         self._do(self._world.send_again(name, self._host(host - 1), True))
 
-    @precondition(lambda self: self._has_booked())
     @rule(pick=picks, host=hosts, later=st.booleans())
     def send_other_body(self, pick, host, later):
         name = self._pick_booking(pick)
@@ -146,7 +153,6 @@
         )
         self._do(send)
 
-    @precondition(lambda self: self._has_booked())
     @rule(pick=picks, host=hosts, later=st.booleans())
     def cancel(self, pick, host, later):
         name = self._pick_booking(pick)
@@ -162,69 +168,67 @@
         self._do(send)
 
     @rule(host=hosts, fault=st.sampled_from(UPSTREAM_FAULTS))
-    def change_upstream(self, host, fault):
-        self._fleet[self._host(host)].upstream.set(fault)
-
-    @rule(host=hosts)
-    def crash_upstream(self, host):
-        self._do(self._crash(self._host(host)))
-
-    async def _crash(self, host: str) -> None:
-        self._fleet[host].upstream.crash()
-
-    @rule(host=hosts)
-    def restart(self, host):
-        self._do(self._world.restart(self._host(host)))
-
-    @rule(host=hosts)
-    def replace(self, host):
-        self._do(self._world.replace(self._host(host)))
-
-    @rule(one_way=st.booleans())
-    def cut_domains(self, one_way):
-        near = {name for name in self._fleet.hosts if name.startswith("a-")}
-        far = set(self._fleet.hosts) - near
-        self._links.cut(near, far)
-        if not one_way:
-            self._links.cut(far, near)
-
-    @rule(delay_s=st.sampled_from([0.0, 0.05, 0.3]), share=st.sampled_from([0.0, 0.5]))
-    def disturb_frames(self, delay_s, share):
-        self._links.delay_s = delay_s
-        self._links.doubled_share = share
-
-    @rule(host=hosts)
-    def hold_before_forwarding(self, host):
-        upstream = self._fleet[self._host(host)].upstream
-        self._links.hold_upstream(upstream.address)
-
-    @rule(host=hosts)
-    def hold_host(self, host):
-        name = self._host(host)
-        others = set(self._fleet.hosts) - {name}
-        self._links.hold({name}, others)
-        self._links.hold(others, {name})
+    def disturb_upstream(self, host, fault):
+        self._do(self._disturb_upstream(self._host(host), fault))
+
+    async def _disturb_upstream(self, host: str, fault: dict | str) -> None:
+        upstream = self._fleet[host].upstream
+        if fault == "crash":
+            upstream.crash()
+        elif fault == "hold":
+            self._links.hold_upstream(upstream.address)
+        else:
+            upstream.set(fault)
+
+    @rule(host=hosts, is_replaced=st.booleans())
+    def lose_daemon(self, host, is_replaced):
+        act = self._world.replace if is_replaced else self._world.restart
+        self._do(act(self._host(host)))
+
+    @rule(
+        fault=st.sampled_from(["cut", "cut one way", "hold", "disturb"]),
+        host=hosts,
+        delay_s=st.sampled_from([0.05, 0.3]),
+        share=st.sampled_from([0.0, 0.5]),
+    )
+    def disturb_links(self, fault, host, delay_s, share):
+        names = set(self._fleet.hosts)
+        near = {name for name in names if name.startswith("a-")}
+        if fault == "hold":
+            one = {self._host(host)}
+            self._links.hold(one, names - one)
+            self._links.hold(names - one, one)
+        elif fault == "disturb":
+            self._links.delay_s, self._links.doubled_share = delay_s, share
+        else:
+            self._links.cut(near, names - near)
+        if fault == "cut":
+            self._links.cut(names - near, near)
 
     @rule()
     def heal(self):
         self._links.heal()
 
-    @rule(outage=st.sampled_from(list(Outage)))
-    def fail_platform(self, outage):
-        self._do(self._fleet.platform.set_outage(outage))
-
-    @rule(host=st.one_of(st.none(), hosts), age=st.integers(1, 3))
-    def serve_stale(self, host, age):
+    @rule(
+        outage=st.sampled_from(list(Outage)),
+        reader=st.one_of(st.none(), hosts),
+        age=st.integers(0, 3),
+    )
+    def disturb_platform(self, outage, reader, age):
         newest = max(self._world.published)
-        reader = None if host is None else f"savoryroute/{self._host(host)}"
-        self._fleet.platform.set_stale(max(1, newest - age), reader)
+        name = None if reader is None else f"savoryroute/{self._host(reader)}"
+        self._fleet.platform.set_stale(max(1, newest - age), name)
+        self._do(self._fleet.platform.set_outage(outage))
 
-    @rule(is_valid=st.booleans())
-    def publish(self, is_valid):
+    @rule(what=st.sampled_from(["valid", "invalid", "hosts"]), host=hosts)
+    def publish(self, what, host):
         self._version += 1
-        changes = {} if is_valid else {"classes": {}}
-        plain = _plain(self._version, **changes)
-        self._world.publish(plain, is_valid)
+        if what == "hosts":
+            self._fleet.publish_hosts((self._host(host),))
+        elif what == "valid":
+            self._world.publish(_plain(self._version))
+        else:
+            self._world.publish(_plain(self._version, classes={}), is_valid=False)
 
     @rule(seconds=st.sampled_from([0.05, 0.5]))
     def wait(self, seconds):
@@ -249,6 +253,7 @@
         """Let all be well again, and re-send everything once more."""
         await self._world.calm()
         await self._world.settle()
+        self._fleet.publish_hosts()
         revision = self._world.publish(_plain(self._version + 1))
         await self._world.wait_revision(revision)
         for number, name in enumerate(list(self._world.actions)):
