--- a/packages/savoryroute/savoryroute/coordination/distribution.py
+++ b/packages/savoryroute/savoryroute/coordination/distribution.py
@@ -37,6 +37,7 @@
 AGE_MAX_MS = 3_600_000
 START_PEERS = 3
 START_LIMIT_S = 3.0
+START_FETCH_LIMIT_S = 10.0
 START_STEP_S = 0.2
 START_READ_JITTER_S = 0.5
 CONFIRM_LIMIT_S = 1.5
@@ -126,6 +127,7 @@
         }
         self._answers: dict[str, dict[str, int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._asked = asyncio.Event()
         self._ready = asyncio.Event()
         self._is_running = False
 
@@ -137,7 +139,7 @@
     @property
     def is_reader(self) -> bool:
         """Whether this host is to read the production document."""
-        return self._role.is_reader(PRODUCTION)
+        return self._role.is_reader(self._channels[PRODUCTION].store.codec.key)
 
     def revision(self, environment: str) -> int:
         """Return the revision in force, 0 for none."""
@@ -185,9 +187,7 @@
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def wait_ready(self) -> None:
         """Wait until the production document may be acted upon."""
@@ -203,7 +203,7 @@
             await self._handle_request(host, frame)
             return True
         if isinstance(frame, DocumentFrame):
-            await self._handle_document(host, frame)
+            self._handle_document(host, frame)
             return True
         return False
 
@@ -254,7 +254,7 @@
         for answer in store.frames_since(frame.have_revision):
             await self._network.send(host, answer)
 
-    async def _handle_document(self, host: str, frame: DocumentFrame) -> None:
+    def _handle_document(self, host: str, frame: DocumentFrame) -> None:
         """Merge a document, difference or answer without news."""
         channel = self._channels.get(frame.environment)
         if channel is None:
@@ -262,19 +262,19 @@
         self._answers.setdefault(frame.environment, {})[host] = frame.revision
         if frame.payload:
             outcome = channel.store.offer_frame(frame, host)
-            await self._follow_up(channel, host, frame, outcome)
+            self._follow_up(channel, host, frame, outcome)
         elif frame.revision > channel.store.revision:
             self._note_announced(channel, host, frame.revision)
         channel.answered.set()
 
-    async def _follow_up(
+    def _follow_up(
         self, channel: _Channel, host: str, frame: DocumentFrame, outcome: Outcome
     ) -> None:
         """Act on what became of an offered frame."""
         if outcome is Outcome.APPLIED:
             channel.wants_whole = False
             channel.announced.pop(host, None)
-            await self._put_in_force(channel, f"peer {host}", host)
+            self._put_in_force(channel, f"peer {host}", host)
         elif outcome is Outcome.BASE_UNKNOWN:
             channel.wants_whole = channel.fetch is not None
             self._note_announced(channel, host, frame.revision)
@@ -299,6 +299,7 @@
 
     async def _fetch(self, channel: _Channel) -> None:
         """Ask announcing peers, highest first, until none has anything newer."""
+        before = channel.store.revision
         try:
             while channel.announced:
                 host = max(channel.announced, key=channel.announced.__getitem__)
@@ -309,6 +310,8 @@
                     channel.announced.pop(host, None)
         finally:
             channel.fetch = None
+        if channel.store.revision > before:
+            self._announce()
 
     async def _fetch_from(self, channel: _Channel, host: str) -> bool:
         """Ask one peer; return whether anything came of it."""
@@ -324,9 +327,7 @@
                 await channel.answered.wait()
         return store.revision > before or channel.wants_whole
 
-    async def _put_in_force(
-        self, channel: _Channel, evidence: str, source: str = ""
-    ) -> None:
+    def _put_in_force(self, channel: _Channel, evidence: str, source: str = "") -> None:
         """Tell of a document that came into force, here and to neighbours."""
         store = channel.store
         environment = store.codec.environment
@@ -334,11 +335,10 @@
         if environment == HOSTS:
             self._table.merge_list(store.document)
         self._on_document(environment, store.document, store.revision, store.plain)
-        highest = max(channel.announced.values(), default=0)
-        if highest <= store.revision:
-            await self._push(store, source)
+        if channel.fetch is None:
+            self._push(store, source)
 
-    async def _push(self, store: DocumentStore, source: str) -> None:
+    def _push(self, store: DocumentStore, source: str) -> None:
         """Push the latest difference, or announce it where it is large."""
         step = store.latest_step
         if step is None or len(step.payload) > PUSH_BYTES_MAX:
@@ -346,10 +346,15 @@
             return
         for host in self._neighbours():
             if host != source:
-                await self._network.send(host, step)
+                self._spawn(self._network.send(host, step))
 
     async def _follow_platform(self, channel: _Channel) -> None:
-        """Watch the platform while this host is a reader, for ever."""
+        """Watch the platform while this host is a reader, for ever.
+
+        Begins when peers were asked, since a daemon that knows of no others would
+        take itself for a reader.
+        """
+        await self._asked.wait()
         while True:
             if self._role.is_reader(channel.store.codec.key):
                 await self._watch_once(channel)
@@ -378,15 +383,15 @@
             await asyncio.sleep(self._rng.uniform(0.5, 1.0) * channel.backoff_s)
             channel.backoff_s = min(2 * channel.backoff_s, BACKOFF_MAX_S)
             return
-        await self._merge_read(channel, result.ok_value)
+        self._merge_read(channel, result.ok_value)
 
     async def _read_once(self, channel: _Channel) -> None:
         """Read once; a platform that does not answer changes nothing."""
         result = await self._platform.read(channel.store.codec.key)
         if result.is_ok():
-            await self._merge_read(channel, result.ok_value)
+            self._merge_read(channel, result.ok_value)
 
-    async def _merge_read(self, channel: _Channel, value: PlatformValue | None) -> None:
+    def _merge_read(self, channel: _Channel, value: PlatformValue | None) -> None:
         """Merge what the platform answered."""
         channel.backoff_s = BACKOFF_MIN_S
         channel.fresh_at_s = _now()
@@ -395,7 +400,7 @@
         channel.seen_revision = value.revision
         outcome = channel.store.offer_text(value.text, value.revision)
         if outcome is Outcome.APPLIED:
-            await self._put_in_force(channel, "platform")
+            self._put_in_force(channel, "platform")
         elif outcome is Outcome.INVALID:
             change = f"revision {value.revision} of the platform skipped"
             self._audit(channel, change, str(channel.store.error))
@@ -407,6 +412,7 @@
             for channel in self._channels.values()
         ]
         await self._ask_peers(START_PEERS, START_LIMIT_S)
+        self._asked.set()
         for read in reads:
             if read is not None:
                 await read
@@ -426,21 +432,23 @@
     async def _ask_peers(self, n_wanted: int, limit_s: float) -> None:
         """Ask peers until ``n_wanted`` that have a document told of theirs.
 
-        Ends early when all known peers answered, late after ``limit_s`` seconds.
-        Each newer document is taken before this ends, or within the limit.
+        Stops to ask early when all known peers answered, late after ``limit_s``
+        seconds. Then waits for the newer documents that they have.
         """
         self._answers.clear()
         asked: set[str] = set()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
-                await self._ask_seeds(asked)
+                self._ask_seeds()
                 while not self._has_answers(asked, n_wanted):
                     self._ask_more(asked, n_wanted)
                     await asyncio.sleep(START_STEP_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(START_FETCH_LIMIT_S):
                 while any(channel.fetch for channel in self._channels.values()):
                     await asyncio.sleep(START_STEP_S)
 
-    async def _ask_seeds(self, asked: set[str]) -> None:
+    def _ask_seeds(self) -> None:
         """Ask the peers in the settings."""
         for seed in self._seeds:
             self._spawn(self._ask(seed))
--- a/packages/savoryroute/savoryroute/coordination/membership.py
+++ b/packages/savoryroute/savoryroute/coordination/membership.py
@@ -38,6 +38,7 @@
 LINK_LOST_JITTER_S = 0.3
 SWEEP_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 3.0
+PROBE_ANSWER_S = 1.5
 DOMAIN_FRESH_S = 2.5
 DOMAIN_PROBES = 3
 DOMAIN_VERDICT_S = 5.0
@@ -73,6 +74,7 @@
         on_revisions: Called with host and ``revisions`` of each heartbeat that
             has some.
         on_suspects: Called with host and ``suspects`` likewise.
+        overlay: Choice of peers, in place of the usual one.
         rng: Source of jitter.
     """
 
@@ -87,6 +89,7 @@
         get_suspects: Callable[[], list[Any]] = list,
         on_revisions: RevisionsHandler = lambda host, revisions: None,
         on_suspects: SuspectsHandler = lambda host, suspects: None,
+        overlay: Overlay | None = None,
         rng: random.Random | None = None,
     ) -> None:
         own = make_hello()
@@ -102,8 +105,8 @@
         self._on_revisions = on_revisions
         self._on_suspects = on_suspects
         self._rng = rng or random.Random()
-        self._overlay = Overlay(own.host, own.failure_domain)
-        self._rumours = RumourQueue(self._rng)
+        self._overlay = overlay or Overlay(own.host, own.failure_domain)
+        self._rumours = RumourQueue(_now)
         self._peers: dict[str, _Peer] = {}
         self._callers_of_us: dict[str, float] = {}
         self._domain_verdicts: dict[str, tuple[float, bool]] = {}
@@ -137,9 +140,7 @@
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def handle_control(self, host: str, frame: Frame) -> bool:
         """Handle a control frame; return whether it was one of membership."""
@@ -160,13 +161,18 @@
         else:
             self._spawn(self._follow_up_lost_link(hello))
 
+    def note_unreachable(self, host: str) -> None:
+        """Suspect a host to which a call found no connection."""
+        self._suspect(host)
+
     async def announce_leaving(self) -> None:
         """Tell all linked peers at once that this host takes no new work."""
         self._is_leaving = True
         self._table.note_goodbye(self._host, self._incarnation)
         self._tell(self._host)
-        for host in self._network.hosts:
-            await self._network.send(host, Goodbye(self._host, self._incarnation))
+        goodbye = Goodbye(self._host, self._incarnation)
+        sends = [self._network.send(host, goodbye) for host in self._network.hosts]
+        await asyncio.gather(*sends, return_exceptions=True)
 
     def forgive_silence(self) -> None:
         """Start to wait for heartbeats afresh, after a pause of this process."""
@@ -232,8 +238,9 @@
         if rumour is None:
             return
         self._rumours.put(rumour, len(self._table), source)
-        for peer in self._peers.values():
-            peer.flush.set()
+        if self._rumours.may_send:
+            for peer in self._peers.values():
+                peer.flush.set()
 
     def _note_hello(self, hello: Hello) -> None:
         """Merge the first frame of a peer."""
@@ -249,10 +256,12 @@
 
     async def _keep_overlay(self) -> None:
         """Follow the chosen peers, for ever."""
+        version = -1
         while True:
-            usable = self._table.usable()
-            chosen = self._overlay.choose(usable)
-            for host in chosen:
+            if self._table.version != version:
+                version = self._table.version
+                self._overlay.choose(self._table.usable())
+            for host in self._overlay.chosen:
                 self._follow(host)
             if not self.peers:
                 await self._connect_to_seeds()
@@ -320,7 +329,8 @@
         return True
 
     async def _connect(self, peers_address: str) -> Hello | None:
-        """Open a link and merge its first frame."""
+        """Open a link and merge its first frame, unless it was open."""
+        open_before = set(self._network.hosts)
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
                 result = await self._network.connect(peers_address)
@@ -329,7 +339,7 @@
         if result.is_err():
             return None
         hello = result.ok_value
-        if hello.host != self._host:
+        if hello.host != self._host and hello.host not in open_before:
             self._note_hello(hello)
         return hello
 
@@ -381,7 +391,7 @@
         while True:
             await asyncio.sleep(self._jittered(SWEEP_INTERVAL_S))
             deadline_s = _now() - SUSPICION_S
-            for member in self._table.suspects():
+            for member in self._table.of_status(MemberStatus.SUSPECT):
                 since_s = self._table.suspected_at_s(member.host)
                 is_due = since_s is not None and since_s < deadline_s
                 if is_due and member.host not in self._expiring:
@@ -435,24 +445,35 @@
             if member.host not in (host, self._host)
         ]
         probed = self._rng.sample(others, min(DOMAIN_PROBES, len(others)))
-        for member in probed:
-            if await self._connect(member.peers_address) is not None:
-                return True
-        return False
+        probes = [self._probe(member) for member in probed]
+        return any(await asyncio.gather(*probes))
+
+    async def _probe(self, member: Member) -> bool:
+        """Return whether a host answers, on a link that is open or a new one."""
+        host = member.host
+        if self._network.hello(host) is None:
+            return await self._connect(member.peers_address) is not None
+        asked_at_s = _now()
+        await self._network.send(host, self._next_heartbeat(_Peer(host)))
+        await asyncio.sleep(PROBE_ANSWER_S)
+        is_heard = (self._table.heard_at_s(host) or 0.0) > asked_at_s
+        if not is_heard:
+            self._network.disconnect(host)
+        return is_heard
 
     async def _probe_lost(self) -> None:
         """Try one lost host of each failure domain from time to time, for ever."""
         while True:
             await asyncio.sleep(self._jittered(PROBE_INTERVAL_S))
             for member in self._lost_by_domain():
-                await self._connect(member.peers_address)
+                await self._probe(member)
 
     def _lost_by_domain(self) -> list[Member]:
         """Return a random lost host of each failure domain."""
         lost: dict[str, list[Member]] = {}
-        for member in self._table.members:
-            is_lost = member.status in (MemberStatus.UNREACHABLE, MemberStatus.GONE)
-            if is_lost and self._table.is_listed(member.host):
+        unreachable = self._table.of_status(MemberStatus.UNREACHABLE)
+        for member in unreachable + self._table.of_status(MemberStatus.GONE):
+            if self._table.is_listed(member.host):
                 lost.setdefault(member.failure_domain, []).append(member)
         return [self._rng.choice(members) for members in lost.values()]
 
--- a/packages/savoryroute/savoryroute/protocol/frames.py
+++ b/packages/savoryroute/savoryroute/protocol/frames.py
@@ -186,7 +186,7 @@
         suspects: Requests seen in flight at a crash, rows as in
             ``state.quarantine.Quarantine.export``.
         revisions: Documents in force, rows as in
-            ``coordination.distribution.Distribution.revisions``.
+            ``coordination.distribution.Distribution.revisions``; may be left out.
     """
 
     uptime_ms: int
