--- a/packages/savoryroute/savoryroute/protocol/callers_http.py
+++ b/packages/savoryroute/savoryroute/protocol/callers_http.py
@@ -35,7 +35,7 @@
 
     Attributes:
         result: Whole answer, or the final refusal.
-        action: Identity of the action.
+        action: Identity of the action; empty if it was refused without one.
         key: Key under which it ran, or an empty string.
         next_key: Key with which the caller is to go on, or an empty string.
         class_name: Class of the action, or an empty string.
@@ -56,7 +56,7 @@
 class CallersServer:
     """One listening port that turns HTTP into requests.
 
-    Attributes of the constructor:
+    Args:
         address: Where to listen.
         handle: Serves one request.
         mint: Mints keys for a service.
--- a/packages/savoryroute/savoryroute/protocol/frames.py
+++ b/packages/savoryroute/savoryroute/protocol/frames.py
@@ -144,7 +144,7 @@
         headers: Headers of the upstream's answer, flat pairs.
         body: The whole body.
         allowance_left: Deliveries lent with the call and not used.
-        level: Lowest importance now admitted along the chain below, see
+        level: Lowest level of the gates along the chain, from 0 to 8, see
             ``coordination.pressure``.
         n_in_flight: Requests in flight at the receiver's upstream.
         limit: Concurrency limit there.
--- a/packages/savoryroute/savoryroute/protocol/operators_http.py
+++ b/packages/savoryroute/savoryroute/protocol/operators_http.py
@@ -19,7 +19,17 @@
 
 
 class OperatorsServer:
-    """One listening port for operators; all but health and metrics need a key."""
+    """One listening port for operators; all but health and metrics need a key.
+
+    Args:
+        address: Where to listen.
+        operator_key: Key that operators show as a bearer token.
+        status: Returns what ``/status`` shows.
+        not_ready: Returns why the daemon is not ready, or an empty string.
+        audit: Trail that ``/audit`` reads.
+        decisions: Log that ``/explain`` reads.
+        metrics: Metrics that ``/metrics`` renders.
+    """
 
     def __init__(
         self,
--- a/packages/savoryroute/savoryroute/protocol/peer_session.py
+++ b/packages/savoryroute/savoryroute/protocol/peer_session.py
@@ -48,7 +48,13 @@
 
 
 class PeerSession:
-    """One connection to a peer, in either direction."""
+    """One connection to a peer, in either direction.
+
+    Args:
+        connection: Connection on which both hellos were exchanged.
+        peer: First frame of the peer.
+        handlers: Who serves what arrives.
+    """
 
     def __init__(
         self,
@@ -214,7 +220,7 @@
 
 
 def _too_many(number: int) -> Answer:
-    """Return the refusal of a call above the session's bound."""
+    """Return the refusal of a call above the bound of one connection."""
     return Answer(
         id=number,
         verdict=Verdict.NOT_RUN,
--- a/packages/savoryroute/savoryroute/protocol/upstream_http.py
+++ b/packages/savoryroute/savoryroute/protocol/upstream_http.py
@@ -65,7 +65,12 @@
 
 
 class UpstreamClient:
-    """Connections to one upstream."""
+    """Connections to one upstream.
+
+    Args:
+        address: Address of the upstream.
+        connections: Most connections; 0 for no bound.
+    """
 
     def __init__(self, address: Address, connections: int) -> None:
         self._address = address
--- a/packages/savoryroute/savoryroute/protocol/websocket_network.py
+++ b/packages/savoryroute/savoryroute/protocol/websocket_network.py
@@ -21,6 +21,13 @@
     """Sessions with peers by host name; one task for each connection.
 
     A session that this daemon opened is preferred over one that the peer opened.
+
+    Args:
+        address: Where to listen for peers.
+        fleet_key: Secret that every daemon of the fleet holds.
+        make_hello: Returns the first frame of this daemon, its uptime up to date.
+        on_call: Serves a call of a peer and returns the final answer.
+        on_fence: Fences a key for a peer and returns what is known of it.
     """
 
     def __init__(
--- a/packages/savoryroute/savoryroute/state/document.py
+++ b/packages/savoryroute/savoryroute/state/document.py
@@ -33,7 +33,7 @@
         version: Number that its operators gave it.
         classes: Classes of actions by name.
         services: Services by name.
-        failure_domains: Failure domains by name; when empty, any may be used.
+        failure_domains: Failure domains by name; empty when none is named.
         retries: Bounds on retries.
         ejection: Ejection of failing upstreams.
         quarantine: Quarantine of requests that crash upstreams.
