--- a/packages/savoryroute/savoryroute/coordination/outbound.py
+++ b/packages/savoryroute/savoryroute/coordination/outbound.py
@@ -78,11 +78,14 @@
         task = asyncio.current_task()
         assert task is not None
         hop.adopt(task)
-        hop.n_calls += 1
-        action = self._opener.open(request, hop)
-        if isinstance(action, Err):
-            return Outcome(action)
-        return await self._serve(action.ok_value)
+        hop.begin_call()
+        try:
+            action = self._opener.open(request, hop)
+            if isinstance(action, Err):
+                return Outcome(action)
+            return await self._serve(action.ok_value)
+        finally:
+            hop.end_call()
 
     async def _serve(self, action: Action) -> Outcome:
         """Run an action and say how its caller may go on."""
