--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import unittest
+from collections.abc import Iterator
 
 import aiohttp
 import attrs
@@ -112,13 +113,12 @@
     async def __aenter__(self) -> Fleet:
         if self.links is not None:
             self.links.start()
-        n_ports = (len(PORTS) + 2) * sum(self._services.values())
-        platform_port, control_port, *ports = free_ports(2 + n_ports)
-        await self.platform.start(platform_port, control_port)
+        n_hosts_all = sum(self._services.values())
+        ports = iter(free_ports(2 + (len(PORTS) + 2) * n_hosts_all))
+        await self.platform.start(next(ports), next(ports))
         for service, n_hosts in self._services.items():
             for number in range(n_hosts):
-                own = [ports.pop() for _ in range(len(PORTS) + 2)]
-                await self._add_host(service, number, own)
+                await self._add_host(service, number, ports)
         self.publish_hosts()
         self.publish(self._plain)
         await asyncio.gather(*(self.start_node(name) for name in self.hosts))
@@ -136,16 +136,15 @@
         if self.links is not None:
             self.links.stop()
 
-    async def _add_host(self, service: str, number: int, free: list[int]) -> None:
+    async def _add_host(self, service: str, number: int, free: Iterator[int]) -> None:
         domain = self._domains[number % len(self._domains)]
         name = f"{domain}-{service}-{number}"
-        port, control_port, *others = free
-        ports = dict(zip(PORTS, others, strict=True))
+        ports = {port: next(free) for port in PORTS}
         upstream = Upstream(
             UpstreamSettings(service=service, host=name),
             upstream_side=f"127.0.0.1:{ports['upstream_side']}",
         )
-        await upstream.start(port, control_port)
+        await upstream.start(next(free), next(free))
         self.hosts[name] = Host(name, service, domain, ports, upstream)
 
     def __getitem__(self, name: str) -> Host:
