tests: cancellations fenced across homes, each time at a remote home

Cause: CancelledLoadTest draws its homes, and where the booking's home is the daemon that takes the cancellation no fence is sent: its break was caught in two runs of three. A trace with fixed homes now catches it. Also: the break of key parsing named a module that is gone, and ended the run.

--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -62,7 +62,7 @@
 ALLOWANCE = "tests.savoryroute.coordination.test_allowance"
 RETRIES = "tests.savoryroute.coordination.test_retries"
 COUNTER = "tests.savoryroute.state.test_attempt_counter"
-KEYS = "tests.savoryroute.protocol.test_idempotency_key"
+KEYS = "tests.savoryroute.state.test_idempotency_key"
 NODE = "tests.savoryroute.coordination.test_node"
 TRACE = "tests.savoryroute.coordination.test_traces.TraceTest.test_"
 WEBSOCKET = "tests.savoryroute.protocol.test_websocket_network.WebSocketNetworkTest"
@@ -407,14 +407,14 @@
         "coordination/keys.py",
         "        verdict = await self.fence(cancels, is_cancellation=True)\n",
         "        verdict = Verdict.NOT_RUN\n",
-        f"{NODE}.CancelledLoadTest",
+        f"{TRACE}cancellation_overtakes_at_another_home",
     ),
     Mutation(
         "node cancel: a fence says nothing of the cancellation",
         "coordination/inbound.py",
         "self._ledger.fence(frame.key, frame.is_cancellation)",
         "self._ledger.fence(frame.key, False)",
-        f"{NODE}.CancelledLoadTest",
+        f"{TRACE}cancellation_overtakes_at_another_home",
     ),
     Mutation(
         "node not run: a read forgets that an attempt was lost",
