--- a/tests/savoryroute/coordination/test_outbound.py
+++ b/tests/savoryroute/coordination/test_outbound.py
@@ -27,9 +27,10 @@
 class Script:
     """Attempts, placement and keys that do as the test says."""
 
-    def __init__(self, results, n_hosts=5):
+    def __init__(self, results, n_hosts=5, n_tries=None):
         self.results = list(results)
         self.n_hosts = n_hosts
+        self.n_tries = n_tries or len(self.results)
 
     async def send(self, action, choice):
         return self.results.pop(0)
@@ -38,7 +39,7 @@
         pass
 
     def may_try_again(self, action, refusal, n_attempts):
-        return bool(self.results) or n_attempts >= self.n_hosts
+        return n_attempts < self.n_tries
 
     def choose(self, service, excluded, ejection, may_spill_over):
         return Choice(HOME, False) if len(excluded) < self.n_hosts else None
@@ -81,7 +82,7 @@
         self.assertEqual(refusal.reason, Reason.KEY_HOME_GONE)
 
     async def test_the_true_refusal_outlives_the_last_host(self):
-        refusal = await self.refusal(Script([Err(FULL)], n_hosts=1))
+        refusal = await self.refusal(Script([Err(FULL)], n_hosts=1, n_tries=2))
         self.assertEqual(refusal, FULL)
 
     async def test_one_attempt_that_may_have_run_decides_the_verdict(self):
