--- a/packages/savoryroute/savoryroute/coordination/attempts.py
+++ b/packages/savoryroute/savoryroute/coordination/attempts.py
@@ -169,4 +169,5 @@
             target=request.target,
             headers=list(request.headers),
             body=request.body,
+            was_lost=action.n_lost > 0,
         )
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -214,7 +214,8 @@
 
     async def _wait_for_place(self, delivery: _Delivery) -> bool:
         """Wait until a suspect of crashing the upstream may run; others may."""
-        while not self._quarantine.try_start(delivery.fingerprint):
+        was_lost = delivery.call.was_lost
+        while not self._quarantine.try_start(delivery.fingerprint, was_lost):
             if delivery.time_left_s <= SUSPECT_POLL_S:
                 return False
             await asyncio.sleep(SUSPECT_POLL_S)
--- a/packages/savoryroute/savoryroute/protocol/frames.py
+++ b/packages/savoryroute/savoryroute/protocol/frames.py
@@ -109,6 +109,7 @@
         target: Path and query within the service.
         headers: Further headers for the upstream, as flat name, value pairs.
         body: The whole body.
+        was_lost: Whether an earlier attempt ended with the loss of a connection.
     """
 
     id: int
@@ -126,6 +127,7 @@
     target: str
     headers: list[str]
     body: bytes
+    was_lost: bool = False
 
 
 @_frame(3)
--- a/packages/savoryroute/savoryroute/protocol/peer_session.py
+++ b/packages/savoryroute/savoryroute/protocol/peer_session.py
@@ -220,7 +220,10 @@
 
 
 def _too_many(call: Call) -> Answer:
-    """Return the refusal of a call above the bound of one connection."""
+    """Return the refusal of a call above the bound of one connection.
+
+    Nothing fences the key of a keyed call here, and an earlier copy may have run.
+    """
     return Answer(
         id=call.id,
         verdict=Verdict.MAY_HAVE_RUN if call.key else Verdict.NOT_RUN,
--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -101,6 +101,7 @@
         self._events: OrderedDict[tuple[bytes, int], _Event] = OrderedDict()
         self._crash_ids: dict[bytes, set[int]] = {}
         self._in_flight: Counter[bytes] = Counter()
+        self._in_flight_lost: set[bytes] = set()
 
     def __len__(self) -> int:
         return len(self._events)
@@ -144,16 +145,24 @@
 
     def must_run_alone(self, request: bytes) -> bool:
         """Return whether no other suspect may run beside the request."""
-        return bool(self._counted(request))
+        return request in self._in_flight_lost or bool(self._counted(request))
 
-    def try_start(self, request: bytes) -> bool:
+    def try_start(self, request: bytes, was_lost: bool = False) -> bool:
         """Count a request as in flight, unless two suspects would run together.
 
+        Args:
+            request: Fingerprint of the request.
+            was_lost: Whether an earlier attempt was lost; it is a suspect then,
+                before the evidence of that crash has come.
+
         Returns:
             Whether the request may be delivered now; call ``end`` after it.
         """
-        if self.must_run_alone(request) and self._is_suspect_in_flight():
+        is_suspect = was_lost or self.must_run_alone(request)
+        if is_suspect and self._is_suspect_in_flight():
             return False
+        if was_lost:
+            self._in_flight_lost.add(request)
         self._in_flight[request] += 1
         return True
 
@@ -162,6 +171,7 @@
         self._in_flight[request] -= 1
         if self._in_flight[request] <= 0:
             del self._in_flight[request]
+            self._in_flight_lost.discard(request)
 
     def _is_suspect_in_flight(self) -> bool:
         """Return whether a request in flight is a suspect by now."""
--- a/tests/savoryroute/state/test_quarantine.py
+++ b/tests/savoryroute/state/test_quarantine.py
@@ -92,6 +92,13 @@
         self.here.end(POISON)
         self.assertTrue(self.here.try_start(NEIGHBOUR))
 
+    def test_requests_lost_elsewhere_never_run_together(self):
+        self.assertTrue(self.here.try_start(POISON, was_lost=True))
+        self.assertFalse(self.here.try_start(NEIGHBOUR, was_lost=True))
+        self.assertTrue(self.here.try_start(OTHER))
+        self.here.end(POISON)
+        self.assertTrue(self.here.try_start(NEIGHBOUR, was_lost=True))
+
     def test_hearsay_counts_each_crash_once(self):
         there = self.make()
         there.note_crash([POISON, NEIGHBOUR])
