--- a/packages/savoryroute/savoryroute/coordination/node_status.py
+++ b/packages/savoryroute/savoryroute/coordination/node_status.py
@@ -92,7 +92,7 @@
             "ledger_bytes": self.ledger.n_bytes,
             "quarantine_suspects": len(self.quarantine),
             "links": len(self.network.hosts),
-            "ready": not self.not_ready(),
+            "ready": float(not self.not_ready()),
             "members": len(self.table),
             "document_history_bytes": self.distribution.history_bytes,
             **self.network.traffic.gauges(),
--- a/packages/savoryroute_lab/savoryroute_lab/launcher.py
+++ b/packages/savoryroute_lab/savoryroute_lab/launcher.py
@@ -95,8 +95,12 @@
         """
         self._session = client_session()
         self._add_platform()
+        taken: set[int] = set()
         for upstream in self._wiring.deployment.upstreams:
-            self._add_upstream(upstream)
+            port = self._wiring.ports[upstream.host].upstream
+            if port not in taken:
+                self._add_upstream(upstream)
+            taken.add(port)
         await self._start_all(self.names)
         await self.publish_all(version=1)
         if not self._has_daemons:
--- a/packages/savoryroute_lab/savoryroute_lab/virtual_loop.py
+++ b/packages/savoryroute_lab/savoryroute_lab/virtual_loop.py
@@ -81,6 +81,17 @@
             when, self._run, callback, args, context, context=context
         )
 
+    def run_in_executor(
+        self, executor: Any, func: Callable, *args: Any
+    ) -> asyncio.Future[Any]:
+        """Run a function at once; threads have no part in virtual time."""
+        future = self.create_future()
+        try:
+            future.set_result(func(*args))
+        except Exception as error:
+            future.set_exception(error)
+        return future
+
     def _run(
         self, callback: Callable, args: tuple, context: contextvars.Context
     ) -> None:
--- a/packages/savoryroute_lab/savoryroute_lab/wiring.py
+++ b/packages/savoryroute_lab/savoryroute_lab/wiring.py
@@ -68,14 +68,22 @@
     ports: Mapping[str, HostPorts]
 
     @classmethod
-    def new(cls, deployment: Deployment) -> Wiring:
-        """Choose free ports for all parts of a deployment."""
+    def new(cls, deployment: Deployment, shares_upstreams: bool = False) -> Wiring:
+        """Choose free ports for all parts of a deployment.
+
+        Args:
+            deployment: The deployment.
+            shares_upstreams: Whether all hosts of a service use the first one's
+                upstream, to have fewer processes.
+        """
         upstreams = deployment.upstreams
         chosen = iter(free_ports(2 + N_HOST_PORTS * len(upstreams)))
         ports = {
             upstream.host: HostPorts(*(next(chosen) for _ in range(N_HOST_PORTS)))
             for upstream in upstreams
         }
+        if shares_upstreams:
+            ports = _with_shared_upstreams(deployment, ports)
         return cls(deployment, next(chosen), next(chosen), ports)
 
     def near_entries(self) -> dict[str, list[str]]:
@@ -152,5 +160,20 @@
         return [_address(self.ports[other].peers) for other in others]
 
 
+def _with_shared_upstreams(
+    deployment: Deployment, ports: Mapping[str, HostPorts]
+) -> dict[str, HostPorts]:
+    """Return the ports with one upstream for each service."""
+    first: dict[str, HostPorts] = {}
+    shared = {}
+    for upstream in deployment.upstreams:
+        own = ports[upstream.host]
+        owner = first.setdefault(upstream.service.name, own)
+        shared[upstream.host] = attrs.evolve(
+            own, upstream=owner.upstream, control=owner.control
+        )
+    return shared
+
+
 def _address(port: int) -> str:
     return f"{LOOPBACK}:{port}"
--- a/tests/savoryroute/state/test_metrics.py
+++ b/tests/savoryroute/state/test_metrics.py
@@ -16,7 +16,7 @@
         lines = body.decode().splitlines()
         total = 'savoryroute_requests_total{class="order",reason="",verdict="ran"} 2'
         self.assertIn(total, lines)
-        bucket = 'savoryroute_request_seconds_bucket{class="order",le="0.0025"} 1'
+        bucket = 'savoryroute_request_seconds_bucket{class="order",le="0.0025"} 1.0'
         self.assertIn(bucket, lines)
-        self.assertIn('savoryroute_request_seconds_count{class="order"} 2', lines)
+        self.assertIn('savoryroute_request_seconds_count{class="order"} 2.0', lines)
         self.assertIn("savoryroute_links 3", lines)
