--- a/packages/savoryroute_lab/savoryroute_lab/slopes_fleet.py
+++ b/packages/savoryroute_lab/savoryroute_lab/slopes_fleet.py
@@ -21,9 +21,11 @@
 __all__ = ["FleetSlopes"]
 
 BODY_BYTES = 1024
+CONNECTIONS = (100, 400, 1100)
 FAILURE_DOMAINS = ("a", "b", "c")
 IN_FORCE_LIMIT_S = 15.0
 IN_FORCE_POLL_S = 0.05
+N_RESTARTS = 3
 N_SERVICES = 2
 SETTLE_S = 5.0
 SLOTS = 64
@@ -90,6 +92,9 @@
                 rows.append(await self._under_changes(rate))
             for n_services in services:
                 rows.append(await self._by_document(n_services))
+            for n_connections in CONNECTIONS if rates else ():
+                rows.append(await self._with_connections(n_connections))
+            rows.append(await self._restart())
         finally:
             if self._session is not None:
                 await self._session.close()
@@ -139,6 +144,34 @@
         row["in_force_last_s"] = round(max(times_s), 3)
         return {"measured": "document", "n_hosts": self._n_hosts, **label} | row
 
+    async def _with_connections(self, n_connections: int) -> Row:
+        """Measure a daemon while callers hold connections open without calls."""
+        entry = self._hosts[0]
+        port = self._wiring.ports[entry].callers
+        writers = []
+        for _ in range(n_connections):
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
+            writer.write(b"GET /none/ HTTP/1.1\r\nHost: a\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            writers.append(writer)
+        row = await self._measure(asyncio.sleep(self._window_s / 4), [entry])
+        for writer in writers:
+            writer.close()
+        label = {"n_hosts": self._n_hosts, "n_connections": n_connections}
+        return {"measured": "connections", **label} | row
+
+    async def _restart(self) -> Row:
+        """Measure the time until a daemon that was killed is ready again."""
+        name = daemon_name(self._hosts[-1])
+        times_s = []
+        for _ in range(N_RESTARTS):
+            self._launcher.kill(name)
+            start_s = time.monotonic()
+            await self._launcher.restart(name)
+            times_s.append(round(time.monotonic() - start_s, 2))
+        row: Row = {"measured": "restart", "n_hosts": self._n_hosts}
+        return row | {"ready_after_s": times_s}
+
     async def _measure(self, activity, hosts: Sequence[str] | None = None) -> Row:
         """Return the figures of daemons over an activity: medians and worst."""
         hosts = hosts or self._hosts
