bench: a baseline whose work outlasts its callers; the trigger's settled part

Cause: stand-ins cancel work when the caller leaves, which no plain server does, so the baseline recovered by itself and the bistable state did not show. Ruled out: too little load (steady load is 0.7 of the deep service's capacity). Time spent in further calls is left out of the trial document's limit as well.

--- a/packages/savoryroute/savoryroute/coordination/hops.py
+++ b/packages/savoryroute/savoryroute/coordination/hops.py
@@ -31,8 +31,6 @@
         level: Lowest level met by calls of this hop.
         n_calls: Calls that the upstream made for this hop.
         n_calls_open: Those of them under way.
-        called_s: Seconds during which calls were under way, up to the last time
-            that none was.
         refusal: Last refusal for load that a call of this hop met, or None.
     """
 
@@ -47,8 +45,8 @@
     level: float = HIGHEST_LEVEL
     n_calls: int = 0
     n_calls_open: int = 0
-    called_s: float = 0.0
     refusal: Refusal | None = None
+    _called_s: float = 0.0
     _call_began_s: float = 0.0
     _sub_keys: dict[tuple[str, bytes], str] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
@@ -58,6 +56,13 @@
         """Seconds until the deadline."""
         return self.deadline_s - time.monotonic()
 
+    @property
+    def called_s(self) -> float:
+        """Seconds during which calls of the upstream were under way."""
+        if self.n_calls_open == 0:
+            return self._called_s
+        return self._called_s + time.monotonic() - self._call_began_s
+
     def begin_call(self) -> None:
         """Count a call of the upstream as under way."""
         self.n_calls += 1
@@ -69,7 +74,7 @@
         """Count a call of the upstream as ended."""
         self.n_calls_open -= 1
         if self.n_calls_open == 0:
-            self.called_s += time.monotonic() - self._call_began_s
+            self._called_s += time.monotonic() - self._call_began_s
 
     def sub_key(self, own_key: str, fingerprint: bytes) -> str | None:
         """Return the key of a call made before with this content, or None."""
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -302,7 +302,7 @@
         finally:
             self._hops.close(hop)
             latency_s = time.monotonic() - started_s
-            self._shadow.end(latency_s, is_dropped)
+            self._shadow.end(latency_s, is_dropped, latency_s - hop.called_s)
         if _is_late_below(result, hop):
             permit.cut_off(latency_s)
         permit.release(latency_s, is_dropped, latency_s - hop.called_s)
--- a/packages/savoryroute/savoryroute/coordination/shadow.py
+++ b/packages/savoryroute/savoryroute/coordination/shadow.py
@@ -86,15 +86,17 @@
             self._counts[class_name, judgement.is_refused] += 1
         return judgement
 
-    def end(self, latency_s: float, is_dropped: bool) -> None:
+    def end(self, latency_s: float, is_dropped: bool, own_s: float) -> None:
         """Count a call as ended.
 
         Args:
             latency_s: Seconds at the upstream.
             is_dropped: Whether the upstream itself failed under it.
+            own_s: Seconds of these that the upstream did not spend waiting for
+                further services.
         """
         if self._limit is not None:
-            self._limit.on_answer(latency_s, self._n_in_flight, is_dropped)
+            self._limit.on_answer(own_s, self._n_in_flight, is_dropped)
         self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
         self._n_in_flight -= 1
 
--- a/packages/savoryroute_lab/savoryroute_lab/bench/__main__.py
+++ b/packages/savoryroute_lab/savoryroute_lab/bench/__main__.py
@@ -31,7 +31,7 @@
 from .fleet import Fleet
 from .page import plot, save, summary, table
 from .scenario import RATE_FACTOR, SCENARIOS, SLOW_FACTOR, Phases, Scenario
-from .variants import BASELINES, FEATURES_OFF, OURS, Variant
+from .variants import FEATURES_OFF, FIXED_LIMITS, NO_CONTROL, OURS, Variant
 
 __all__ = ["main"]
 
@@ -55,13 +55,18 @@
     async def run(self) -> None:
         """Run everything, baselines first."""
         for scenario in self._scenarios:
-            for has_daemons in (False, True):
-                await self._run_fleet(scenario, has_daemons)
-
-    async def _run_fleet(self, scenario: Scenario, has_daemons: bool) -> None:
-        jobs = [job for job in self._jobs() if job[0].has_daemons is has_daemons]
-        if not jobs:
-            return
+            jobs = self._jobs()
+            # Work left over from one baseline would burden the next.
+            for job in jobs:
+                if not job[0].has_daemons:
+                    await self._run_fleet(scenario, False, [job])
+            ours = [job for job in jobs if job[0].has_daemons]
+            if ours:
+                await self._run_fleet(scenario, True, ours)
+
+    async def _run_fleet(
+        self, scenario: Scenario, has_daemons: bool, jobs: list[tuple[Variant, float]]
+    ) -> None:
         async with Fleet(scenario, self._phases, self._seed, has_daemons) as fleet:
             for variant, surge in jobs:
                 run = await fleet.run(variant, surge)
@@ -71,8 +76,9 @@
                 self.findings[scenario.name] = fleet.findings()
 
     def _jobs(self) -> list[tuple[Variant, float]]:
-        variants = [*BASELINES, OURS]
+        variants = [NO_CONTROL, OURS]
         jobs = [(variant, surge) for variant in variants for surge in self._surges]
+        jobs.append((FIXED_LIMITS, FEATURES_SURGE))
         if self._has_features:
             jobs += [(variant, FEATURES_SURGE) for variant in FEATURES_OFF]
         return [job for job in jobs if self._only in ("", job[0].name)]
--- a/packages/savoryroute_lab/savoryroute_lab/bench/page.py
+++ b/packages/savoryroute_lab/savoryroute_lab/bench/page.py
@@ -25,6 +25,7 @@
     ("surge", 6),
     ("before", 7),
     ("protected", 10),
+    ("settled", 8),
     ("all", 7),
     ("after", 7),
     ("recovery s", 11),
@@ -40,7 +41,8 @@
     """Return one line for each run below a line of headings.
 
     ``before`` and ``after`` are shares of requests that were whole in time;
-    ``protected`` and ``all`` are goodput during the trigger over the oracle's.
+    ``protected`` and ``all`` are goodput during the trigger over the oracle's, and
+    ``settled`` that of protected classes once the trigger has lasted a while.
     """
     lines = [_line([name for name, _ in COLUMNS])]
     lines += [_line(_cells(item)) for item in figures]
@@ -91,6 +93,7 @@
         f"{run.surge:g}x",
         f"{item.steady:.3f}",
         f"{item.protected_ratio:.3f}",
+        f"{item.settled_protected_ratio:.3f}",
         f"{item.ratio:.3f}",
         f"{item.after:.3f}",
         recovery,
@@ -113,6 +116,7 @@
     return {
         "steady": round(item.steady, 3),
         "protected_ratio": round(item.protected_ratio, 3),
+        "settled_protected_ratio": round(item.settled_protected_ratio, 3),
         "all_ratio": round(item.ratio, 3),
         "after": round(item.after, 3),
         "recovery_s": item.recovery_s,
--- a/packages/savoryroute_lab/savoryroute_lab/bench/variants.py
+++ b/packages/savoryroute_lab/savoryroute_lab/bench/variants.py
@@ -9,7 +9,7 @@
 
 from ..deployment import QUEUE_PER_SLOT
 
-__all__ = ["BASELINES", "FEATURES_OFF", "OURS", "Variant"]
+__all__ = ["FEATURES_OFF", "FIXED_LIMITS", "NO_CONTROL", "OURS", "Variant"]
 
 PAYLOAD_BYTES = 512
 CONNECTION_COST_S = 0.001
@@ -30,6 +30,7 @@
     Attributes:
         name: Name in the report.
         has_daemons: Whether calls go through daemons.
+        outlasts_callers: Whether upstreams go on with work whose caller left.
         queue_per_slot: Requests that an upstream itself lets wait, for each slot;
             None for no bound.
         change: What differs in the environment document.
@@ -37,6 +38,7 @@
 
     name: str
     has_daemons: bool = True
+    outlasts_callers: bool = False
     queue_per_slot: int | None = QUEUE_PER_SLOT
     change: Callable[[Document], None] = _unchanged
 
@@ -49,6 +51,7 @@
             "payload_bytes": PAYLOAD_BYTES,
             "connection_cost_s": CONNECTION_COST_S,
             "queue_length": queue_length,
+            "outlasts_callers": self.outlasts_callers,
             "attempts_per_hop": 1 if self.has_daemons else ATTEMPTS_PER_HOP,
             "hop_timeout_s": None if self.has_daemons else HOP_TIMEOUT_S,
         }
@@ -83,10 +86,10 @@
     document["ejection"]["maximum_fraction"] = 0.0
 
 
-BASELINES = (
-    Variant("no control", has_daemons=False, queue_per_slot=None),
-    Variant("fixed limits", has_daemons=False),
+NO_CONTROL = Variant(
+    "no control", has_daemons=False, outlasts_callers=True, queue_per_slot=None
 )
+FIXED_LIMITS = Variant("fixed limits", has_daemons=False)
 OURS = Variant("ours")
 FEATURES_OFF = (
     Variant("ours, equal ranks", change=_equal_ranks),
--- a/packages/savoryroute_lab/savoryroute_lab/upstream.py
+++ b/packages/savoryroute_lab/savoryroute_lab/upstream.py
@@ -76,6 +76,7 @@
         self._meter = LoadMeter()
         self._started_s = 0.0
         self._n_crashes = 0
+        self._outlasting: set[asyncio.Task[web.StreamResponse]] = set()
         self._restart: asyncio.Task[None] | None = None
         self._random = random.Random(settings.host)
 
@@ -165,13 +166,22 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         arrived_s = time.monotonic()
         body = await request.read()
+        if not self._settings.outlasts_callers:
+            return await self._serve(request, body, _deadline_s(request, arrived_s))
+        task = asyncio.create_task(self._serve(request, body, math.inf))
+        self._outlasting.add(task)
+        task.add_done_callback(self._outlasting.discard)
+        return await asyncio.shield(task)
+
+    async def _serve(
+        self, request: web.Request, body: bytes, deadline_s: float
+    ) -> web.StreamResponse:
         if self._settings.sheds:
             return self._shed("shedding load")
         if not await self._slots.acquire():
             return self._shed("no slot and the queue is full")
         try:
             self._note_utilization()
-            deadline_s = _deadline_s(request, arrived_s)
             if time.monotonic() >= deadline_s:
                 return self._shed("the deadline has passed")
             return await self._run(request, body, deadline_s)
--- a/packages/savoryroute_lab/savoryroute_lab/upstream_settings.py
+++ b/packages/savoryroute_lab/savoryroute_lab/upstream_settings.py
@@ -42,6 +42,8 @@
         payload_bytes: Size of an answer's payload.
         restart_s: Time until a crashed in-process upstream is back.
         exits_on_crash: Whether a crash ends the process.
+        outlasts_callers: Whether work goes on after its caller hung up, and whatever
+            the deadline says.
         attempts_per_hop: Tries of a call to a further service.
         hop_timeout_s: Time for one such try; None for the rest of the deadline.
     """
@@ -65,5 +67,6 @@
     payload_bytes: int = 512
     restart_s: float = 0.5
     exits_on_crash: bool = False
+    outlasts_callers: bool = False
     attempts_per_hop: int = 1
     hop_timeout_s: float | None = None
--- a/tests/savoryroute_lab/test_upstream.py
+++ b/tests/savoryroute_lab/test_upstream.py
@@ -157,3 +157,31 @@
         planner = await self.start("planner", direct={"crews": [crews.address]})
         response, _ = await self.get(planner, Plan((Step("crews", "/slots"),)))
         self.assertEqual(response.status, 502)
+
+
+class WithoutControlTests(UpstreamCase):
+    async def hang_up(self, upstream):
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await self.get(upstream)
+        await asyncio.sleep(0.3)
+        (execution,) = upstream.executions
+        return execution.state
+
+    async def test_work_may_outlast_its_caller(self):
+        polite = await self.start(work_s=0.15)
+        self.assertEqual(await self.hang_up(polite), ExecutionState.CANCELLED)
+        stubborn = await self.start(work_s=0.15, outlasts_callers=True)
+        self.assertEqual(await self.hang_up(stubborn), ExecutionState.FINISHED)
+
+    async def test_a_hop_tries_again_as_often_as_told(self):
+        shedding = await self.start("printshop", sheds=True)
+        direct = {"printshop": [shedding.address]}
+        seen = []
+        shed = shedding._shed
+        shedding._shed = lambda detail: seen.append(detail) or shed(detail)
+        upstream = await self.start("planner", direct=direct, attempts_per_hop=3)
+        plan = Plan((Step("printshop", "/frames"),))
+        response, _ = await self.get(upstream, plan)
+        self.assertEqual(response.status, 502)
+        self.assertEqual(len(seen), 3)
