pressure: leave the choice at the first upstream to its own gate

Cause: answers carried the level of the called gate itself to first hops, which then refused dispatch status calls in place of the gate, while price checks that other first hops had let in found the queue empty and took the slots: a better rank was refused while a worse one ran. Refused first tries now cost a message to the gate's host. test_attempts and test_pressure.AnsweredLevelTests fail without it.

--- a/packages/savoryroute/savoryroute/coordination/attempts.py
+++ b/packages/savoryroute/savoryroute/coordination/attempts.py
@@ -112,7 +112,9 @@
 
     def _learn(self, action: Action, answer: Answer) -> None:
         """Take note of the level that an answer carries."""
-        self._pressure.note(action.pressure_key, answer.level, time.monotonic())
+        if answer.verdict is not Verdict.NOT_RUN or action.hop is not None:
+            # A gate that refuses a first hop knows nothing of what lies below.
+            self._pressure.note(action.pressure_key, answer.level, time.monotonic())
         if action.hop is not None:
             action.hop.note_level(answer.level)
 
--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -32,7 +32,7 @@
 from .crash_watch import CrashWatch
 from .hops import Hop, HopTable
 from .pause import PauseDetector
-from .pressure import HIGHEST_LEVEL
+from .pressure import HIGHEST_LEVEL, answered_level
 from .shadow import ShadowGate
 
 __all__ = ["Inbound"]
@@ -330,7 +330,7 @@
         call = delivery.call
         hop = delivery.hop
         n_left = call.allowance if hop is None else hop.allowance.left
-        level = HIGHEST_LEVEL if hop is None else hop.level
+        level_below = HIGHEST_LEVEL if hop is None else hop.level
         if isinstance(result, Ok):
             response = result.ok_value
             refusal = response.deep_refusal
@@ -355,7 +355,7 @@
             headers=list(headers),
             body=body,
             allowance_left=n_left,
-            level=min(level, self._gate.level),
+            level=answered_level(call.depth, level_below, self._gate.level),
             n_in_flight=self._gate.n_in_flight,
             limit=self._gate.limit,
             n_queued=self._gate.n_queued,
--- a/packages/savoryroute/savoryroute/coordination/pressure.py
+++ b/packages/savoryroute/savoryroute/coordination/pressure.py
@@ -11,6 +11,7 @@
     "LevelController",
     "PressureKey",
     "PressureMap",
+    "answered_level",
     "refusal_probability",
     "request_shape",
 ]
@@ -134,6 +135,22 @@
                 return
 
 
+def answered_level(depth: int, below: float, own: float) -> float:
+    """Return the level that an answer carries.
+
+    A first hop hears of what lies below the upstream it called, and no more. The gate
+    of that upstream refuses before any work is done, and it alone knows who else
+    waits there; a level at the first hop would refuse in its place requests that it
+    prefers to those that it still gets.
+
+    Args:
+        depth: Hops above the call.
+        below: Lowest level that further calls met.
+        own: Level of the gate itself.
+    """
+    return below if depth == 0 else min(below, own)
+
+
 def request_shape(target: str) -> str:
     """Return what requests for the same resource have in common.
 
--- /dev/null
+++ b/tests/savoryroute/coordination/test_attempts.py
@@ -0,0 +1,45 @@
+"""What a daemon learns from the answers to its attempts."""
+
+import random
+import unittest
+from unittest import mock
+
+from savoryroute.coordination.attempts import Attempts
+from savoryroute.coordination.pressure import HIGHEST_LEVEL, PressureKey, PressureMap
+from savoryroute.verdict import Verdict
+
+KEY = PressureKey("planner", "plan_view", "/plans/*?")
+
+
+class LearnTests(unittest.TestCase):
+    def setUp(self):
+        self.pressure = PressureMap()
+        self.attempts = Attempts(
+            mock.Mock(), mock.Mock(), self.pressure, mock.Mock(), mock.Mock()
+        )
+
+    def learn(self, verdict, level, hop=None):
+        action = mock.Mock(hop=hop, pressure_key=KEY)
+        answer = mock.Mock(verdict=verdict, level=level)
+        with mock.patch("savoryroute.coordination.attempts.time") as time:
+            time.monotonic.return_value = 10.0
+            self.attempts._learn(action, answer)
+
+    def refuses(self):
+        draws = random.Random(1)
+        return not all(self.pressure.admits(KEY, 2, 10.1, draws) for _ in range(50))
+
+    def test_a_gate_that_refused_says_nothing_of_what_lies_below(self):
+        self.learn(Verdict.RAN, 1.0)
+        self.learn(Verdict.NOT_RUN, HIGHEST_LEVEL)
+        self.assertTrue(self.refuses())
+
+    def test_an_answer_from_below_lifts_the_level(self):
+        self.learn(Verdict.RAN, 1.0)
+        self.learn(Verdict.RAN, HIGHEST_LEVEL)
+        self.assertFalse(self.refuses())
+
+    def test_a_hop_tells_those_above_of_a_refusing_gate(self):
+        hop = mock.Mock()
+        self.learn(Verdict.NOT_RUN, 1.0, hop)
+        hop.note_level.assert_called_once_with(1.0)
--- a/tests/savoryroute/coordination/test_pressure.py
+++ b/tests/savoryroute/coordination/test_pressure.py
@@ -12,6 +12,7 @@
     LevelController,
     PressureKey,
     PressureMap,
+    answered_level,
     refusal_probability,
     request_shape,
 )
@@ -142,3 +143,13 @@
         for number in range(N_SHAPES_MAX + 10):
             pressure.note(PressureKey("planner", "v", f"/{number}"), 1.0, 0.0)
         self.assertEqual(len(pressure._by_shape), N_SHAPES_MAX)
+
+
+class AnsweredLevelTests(unittest.TestCase):
+    def test_a_first_hop_leaves_the_choice_to_the_gate_that_it_calls(self):
+        self.assertEqual(answered_level(0, HIGHEST_LEVEL, 1.5), HIGHEST_LEVEL)
+        self.assertEqual(answered_level(0, 2.5, 1.5), 2.5)
+
+    def test_a_deep_gate_tells_the_hops_above(self):
+        self.assertEqual(answered_level(2, HIGHEST_LEVEL, 1.5), 1.5)
+        self.assertEqual(answered_level(2, 1.0, 1.5), 1.0)
