tests: known red, a host killed behind a cut is revived when the cut heals

A suspicion heard as a rumour during a cut expires as part of the cut; mark_domain_back then takes the host for alive, and no daemon with a link to it is left to suspect it again. Ruled out: keeping such hosts unreachable until heard, which slows the return of a whole domain; connecting to all revived hosts, a storm in a large fleet.

--- a/tests/savoryroute/coordination/test_membership.py
+++ b/tests/savoryroute/coordination/test_membership.py
@@ -170,6 +170,22 @@
 
         run_virtual(scenario())
 
+    def test_host_killed_behind_a_cut_is_not_revived(self):
+        async def scenario():
+            fleet = await _started(seed=5)
+            await asyncio.sleep(15)
+            fleet.cut_domains("d1", "d2")
+            await asyncio.sleep(10)
+            await fleet.stop("h1-0")
+            await asyncio.sleep(30)
+            fleet.switchboard.heal_all()
+            await asyncio.sleep(SETTLE_S)
+            views = _views(fleet, "h1-0")
+            await fleet.stop_all()
+            self.assertLessEqual(views, {GONE, UNREACHABLE})
+
+        run_virtual(scenario())
+
     def test_long_cut_leaves_stable_views(self):
         async def scenario():
             fleet = await _started(3, 12)
