tests: the fuzz ends the staleness of single readers too

Cause: ended with each daemon's own replica stale for ever, and no daemon could see the last document. A fault of the test, not of the daemon.

--- a/tests/world.py
+++ b/tests/world.py
@@ -186,6 +186,7 @@
         await self.fleet.platform.set_outage(Outage.NONE)
         self.fleet.platform.set_stale(None)
         for host in self.fleet.hosts.values():
+            self.fleet.platform.set_stale(None, f"savoryroute/{host.name}")
             upstream = host.upstream
             usual = UpstreamSettings(upstream.settings.service, upstream.settings.host)
             upstream.set(attrs.asdict(usual))
