--- a/packages/savoryroute/savoryroute/coordination/inbound.py
+++ b/packages/savoryroute/savoryroute/coordination/inbound.py
@@ -32,7 +32,7 @@
 from .crash_watch import CrashWatch
 from .hops import Hop, HopTable
 from .pause import PauseDetector
-from .pressure import HIGHEST_LEVEL
+from .pressure import HIGHEST_LEVEL, answered_level
 from .shadow import ShadowGate
 
 __all__ = ["Inbound"]
@@ -214,7 +214,8 @@
 
     async def _wait_for_place(self, delivery: _Delivery) -> bool:
         """Wait until a suspect of crashing the upstream may run; others may."""
-        while not self._quarantine.try_start(delivery.fingerprint):
+        was_lost = delivery.call.was_lost
+        while not self._quarantine.try_start(delivery.fingerprint, was_lost):
             if delivery.time_left_s <= SUSPECT_POLL_S:
                 return False
             await asyncio.sleep(SUSPECT_POLL_S)
@@ -296,11 +297,16 @@
             result = await self._client.send(_to_upstream(call, hop, service))
             result = _after_upstream(result, hop, service)
             is_dropped = _is_dropped(result)
+        except asyncio.CancelledError:
+            permit.cut_off(time.monotonic() - started_s)
+            raise
         finally:
             self._hops.close(hop)
             latency_s = time.monotonic() - started_s
-            self._shadow.end(latency_s, is_dropped)
-        permit.release(latency_s, is_dropped)
+            self._shadow.end(latency_s, is_dropped, latency_s - hop.called_s)
+        if _is_late_below(result, hop):
+            permit.cut_off(latency_s)
+        permit.release(latency_s, is_dropped, latency_s - hop.called_s)
         self._note_crash(delivery, result)
         return result
 
@@ -325,7 +331,7 @@
         call = delivery.call
         hop = delivery.hop
         n_left = call.allowance if hop is None else hop.allowance.left
-        level = HIGHEST_LEVEL if hop is None else hop.level
+        level_below = HIGHEST_LEVEL if hop is None else hop.level
         if isinstance(result, Ok):
             response = result.ok_value
             refusal = response.deep_refusal
@@ -350,7 +356,7 @@
             headers=list(headers),
             body=body,
             allowance_left=n_left,
-            level=min(level, self._gate.level),
+            level=answered_level(call.depth, level_below, self._gate.level),
             n_in_flight=self._gate.n_in_flight,
             limit=self._gate.limit,
             n_queued=self._gate.n_queued,
@@ -408,6 +414,16 @@
     return result.err_value.reason in (Reason.OVERLOAD, Reason.DEADLINE)
 
 
+def _is_late_below(result: Result[Response, Refusal], hop: Hop) -> bool:
+    """Return whether the time ran out while further services were at work.
+
+    That is no sign of too many requests at this upstream.
+    """
+    if isinstance(result, Ok) or result.err_value.reason is not Reason.DEADLINE:
+        return False
+    return hop.n_calls > 0
+
+
 def _replayed(outcome: Outcome) -> Result[Response, Refusal]:
     """Return the result of a recorded outcome."""
     if isinstance(outcome, Refusal):
--- a/packages/savoryroute/savoryroute/protocol/peer_session.py
+++ b/packages/savoryroute/savoryroute/protocol/peer_session.py
@@ -49,7 +49,13 @@
 
 
 class PeerSession:
-    """One connection to a peer, in either direction."""
+    """One connection to a peer, in either direction.
+
+    Args:
+        connection: Connection on which both hellos were exchanged.
+        peer: First frame of the peer.
+        handlers: Who serves what arrives.
+    """
 
     def __init__(
         self,
@@ -189,7 +195,7 @@
     async def _serve(self, call: Call) -> None:
         try:
             if len(self._serving) > CALLS_IN_FLIGHT_MAX:
-                answer = _too_many(call.id)
+                answer = _too_many(call)
             else:
                 answer = await self._handlers.on_call(call)
             await self.send(answer)
@@ -220,11 +226,14 @@
         await self._connection.close()
 
 
-def _too_many(number: int) -> Answer:
-    """Return the refusal of a call above the session's bound."""
+def _too_many(call: Call) -> Answer:
+    """Return the refusal of a call above the bound of one connection.
+
+    Nothing fences the key of a keyed call here, and an earlier copy may have run.
+    """
     return Answer(
-        id=number,
-        verdict=Verdict.NOT_RUN,
+        id=call.id,
+        verdict=Verdict.MAY_HAVE_RUN if call.key else Verdict.NOT_RUN,
         reason=Reason.OVERLOAD,
         detail="too many calls on one connection",
         retry_after_ms=1000,
