--- /dev/null
+++ b/tests/savoryroute_lab/test_wiring.py
@@ -0,0 +1,16 @@
+"""Tests of addresses of a deployment."""
+
+import unittest
+
+from savoryroute_lab.deployment import DEEP_SOUTH
+from savoryroute_lab.wiring import Wiring
+
+
+class SharedUpstreamsTest(unittest.TestCase):
+    def test_hosts_of_a_service_share_one_upstream_and_nothing_else(self):
+        wiring = Wiring.new(DEEP_SOUTH, shares_upstreams=True)
+        ports = wiring.ports.values()
+        n_hosts = len(DEEP_SOUTH.upstreams)
+        self.assertEqual(len({item.upstream for item in ports}), 4)
+        self.assertEqual(len({item.callers for item in ports}), n_hosts)
+        self.assertEqual(len({item.peers for item in ports}), n_hosts)
