--- a/packages/savoryroute_lab/savoryroute_lab/slopes_fleet.py
+++ b/packages/savoryroute_lab/savoryroute_lab/slopes_fleet.py
@@ -6,7 +6,7 @@
 import json
 import statistics
 import time
-from collections.abc import Sequence
+from collections.abc import Awaitable, Sequence
 
 import aiohttp
 import attrs
@@ -64,6 +64,7 @@
         self._hosts = [upstream.host for upstream in self._deployment.upstreams]
         self._session: aiohttp.ClientSession | None = None
         self._version = 1
+        self._revision = 0
 
     async def run(
         self,
@@ -172,8 +173,10 @@
         row: Row = {"measured": "restart", "n_hosts": self._n_hosts}
         return row | {"ready_after_s": times_s}
 
-    async def _measure(self, activity, hosts: Sequence[str] | None = None) -> Row:
-        """Return the figures of daemons over an activity: medians and worst."""
+    async def _measure(
+        self, activity: Awaitable[None], hosts: Sequence[str] | None = None
+    ) -> Row:
+        """Return the figures of daemons over an activity: means, and the most."""
         hosts = hosts or self._hosts
         before = [await self._sample(host) for host in hosts]
         await activity
