--- a/packages/savoryroute/savoryroute/protocol/frames.py
+++ b/packages/savoryroute/savoryroute/protocol/frames.py
@@ -109,6 +109,7 @@
         target: Path and query within the service.
         headers: Further headers for the upstream, as flat name, value pairs.
         body: The whole body.
+        was_lost: Whether an earlier attempt ended with the loss of a connection.
     """
 
     id: int
@@ -126,6 +127,7 @@
     target: str
     headers: list[str]
     body: bytes
+    was_lost: bool = False
 
 
 @_frame(3)
@@ -144,7 +146,7 @@
         headers: Headers of the upstream's answer, flat pairs.
         body: The whole body.
         allowance_left: Deliveries lent with the call and not used.
-        level: Lowest importance now admitted along the chain below, see
+        level: Lowest level of the gates along the chain, from 0 to 8, see
             ``coordination.pressure``.
         n_in_flight: Requests in flight at the receiver's upstream.
         limit: Concurrency limit there.
--- a/packages/savoryroute/savoryroute/protocol/peer_session.py
+++ b/packages/savoryroute/savoryroute/protocol/peer_session.py
@@ -23,6 +23,7 @@
     decode,
     encode,
 )
+from .link_traffic import LinkTraffic
 
 __all__ = ["PeerSession", "SessionHandlers"]
 
@@ -48,17 +49,25 @@
 
 
 class PeerSession:
-    """One connection to a peer, in either direction."""
+    """One connection to a peer, in either direction.
+
+    Args:
+        connection: Connection on which both hellos were exchanged.
+        peer: First frame of the peer.
+        handlers: Who serves what arrives.
+    """
 
     def __init__(
         self,
         connection: websocket.Connection,
         peer: Hello,
         handlers: SessionHandlers,
+        traffic: LinkTraffic | None = None,
     ) -> None:
         self._connection = connection
         self._peer = peer
         self._handlers = handlers
+        self._traffic = traffic or LinkTraffic()
         self._next_id = 0
         self._pending: dict[int, asyncio.Future[Frame]] = {}
         self._serving: dict[int, asyncio.Task[None]] = {}
@@ -83,7 +92,9 @@
         try:
             while True:
                 data = await websocket.receive(self._connection)
-                await self._handle(decode(data))
+                frame = decode(data)
+                self._traffic.note_received(frame, len(data))
+                await self._handle(frame)
         except ConnectionClosedError:
             pass
         except FrameError as error:
@@ -124,12 +135,14 @@
         return Verdict.MAY_HAVE_RUN
 
     async def send(self, frame: Frame) -> None:
-        """Send a control frame.
+        """Send a frame.
 
         Raises:
             ConnectionClosedError: The connection is gone.
         """
-        await websocket.send(self._connection, encode(frame))
+        data = encode(frame)
+        self._traffic.note_sent(frame, len(data))
+        await websocket.send(self._connection, data)
 
     async def close(self) -> None:
         """Close the connection."""
@@ -182,7 +195,7 @@
     async def _serve(self, call: Call) -> None:
         try:
             if len(self._serving) > CALLS_IN_FLIGHT_MAX:
-                answer = _too_many(call.id)
+                answer = _too_many(call)
             else:
                 answer = await self._handlers.on_call(call)
             await self.send(answer)
@@ -213,11 +226,14 @@
         await self._connection.close()
 
 
-def _too_many(number: int) -> Answer:
-    """Return the refusal of a call above the session's bound."""
+def _too_many(call: Call) -> Answer:
+    """Return the refusal of a call above the bound of one connection.
+
+    Nothing fences the key of a keyed call here, and an earlier copy may have run.
+    """
     return Answer(
-        id=number,
-        verdict=Verdict.NOT_RUN,
+        id=call.id,
+        verdict=Verdict.MAY_HAVE_RUN if call.key else Verdict.NOT_RUN,
         reason=Reason.OVERLOAD,
         detail="too many calls on one connection",
         retry_after_ms=1000,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import unittest
+from collections.abc import Iterator
 
 import aiohttp
 import attrs
@@ -17,6 +18,8 @@
 from savoryroute_lab.upstream_settings import UpstreamSettings
 from savoryroute_lab.wiring import free_ports
 
+from .links import Links
+
 __all__ = ["Fleet", "FleetTestCase", "Host", "Reply", "document"]
 
 FLEET_KEY = "fleet-key-of-tests"
@@ -93,18 +96,29 @@
 class Fleet:
     """Hosts named ``<domain>-<service>-<n>``, started and stopped together."""
 
-    def __init__(self, services: dict[str, int], plain: dict, domains=("a",)) -> None:
+    def __init__(
+        self,
+        services: dict[str, int],
+        plain: dict,
+        domains=("a",),
+        links: Links | None = None,
+    ) -> None:
         self.platform = Platform()
         self.hosts: dict[str, Host] = {}
         self._plain = plain
         self._services = services
         self._domains = domains
+        self.links = links
 
     async def __aenter__(self) -> Fleet:
-        await self.platform.start(*free_ports(2))
+        if self.links is not None:
+            self.links.start()
+        n_hosts_all = sum(self._services.values())
+        ports = iter(free_ports(2 + (len(PORTS) + 2) * n_hosts_all))
+        await self.platform.start(next(ports), next(ports))
         for service, n_hosts in self._services.items():
             for number in range(n_hosts):
-                await self._add_host(service, number)
+                await self._add_host(service, number, ports)
         self.publish_hosts()
         self.publish(self._plain)
         await asyncio.gather(*(self.start_node(name) for name in self.hosts))
@@ -119,17 +133,18 @@
         for host in self.hosts.values():
             await host.upstream.stop()
         await self.platform.stop()
+        if self.links is not None:
+            self.links.stop()
 
-    async def _add_host(self, service: str, number: int) -> None:
+    async def _add_host(self, service: str, number: int, free: Iterator[int]) -> None:
         domain = self._domains[number % len(self._domains)]
         name = f"{domain}-{service}-{number}"
-        *chosen, port, control_port = free_ports(len(PORTS) + 2)
-        ports = dict(zip(PORTS, chosen, strict=True))
+        ports = {port: next(free) for port in PORTS}
         upstream = Upstream(
             UpstreamSettings(service=service, host=name),
             upstream_side=f"127.0.0.1:{ports['upstream_side']}",
         )
-        await upstream.start(port, control_port)
+        await upstream.start(next(free), next(free))
         self.hosts[name] = Host(name, service, domain, ports, upstream)
 
     def __getitem__(self, name: str) -> Host:
@@ -172,6 +187,8 @@
             "operator_key": OPERATOR_KEY,
         }
         settings = parse_settings(json.dumps(plain), name).unwrap()
+        if self.links is not None:
+            self.links.join(host.ports["peers"], name)
         host.node = Node(settings)
         await host.node.start()
 
@@ -181,6 +198,16 @@
         await self.start_node(name)
         await self.wait_ready(name)
 
+    async def replace_host(self, name: str) -> str:
+        """Put a host of another name at the same addresses; return its name."""
+        await self.hosts[name].node.close()
+        new_name = f"{name}x"
+        self.hosts[name].name = new_name
+        self.hosts = {host.name: host for host in self.hosts.values()}
+        self.publish_hosts()
+        await self.start_node(new_name)
+        return new_name
+
     async def wait_ready(self, name: str) -> None:
         """Wait until a daemon is ready and sees its upstream."""
         async with asyncio.timeout(READY_S):
