--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/arrival.py
@@ -0,0 +1,34 @@
+"""A call that arrived for the host's own upstream."""
+
+from __future__ import annotations
+
+import time
+
+import attrs
+
+from ..protocol.frames import Call
+from .hops import Hop
+
+__all__ = ["Arrival"]
+
+
+@attrs.define
+class Arrival:
+    """One call on its way to the upstream.
+
+    Attributes:
+        call: The call.
+        deadline_s: Monotonic time of the deadline.
+        fingerprint: Digest of the request's content.
+        hop: The open hop, or None before admission.
+    """
+
+    call: Call
+    deadline_s: float
+    fingerprint: bytes
+    hop: Hop | None = None
+
+    @property
+    def time_left_s(self) -> float:
+        """Seconds until the deadline."""
+        return self.deadline_s - time.monotonic()
--- a/packages/savoryroute/savoryroute/coordination/node.py
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -43,6 +43,7 @@
 from .placement import Placement
 from .pressure import PressureMap
 from .shadow import ShadowGate
+from .upstream_guard import UpstreamGuard
 from .upstream_watch import UpstreamWatch
 
 __all__ = ["Node"]
@@ -93,20 +94,26 @@
             self._audit,
         )
         self._client = UpstreamClient(settings.upstream, 0)
-        self._inbound = Inbound(
+        self._guard = UpstreamGuard(
             settings.service,
             self._gate,
             self._client,
-            self._ledger,
             self._quarantine,
             ActionCounter(ACTION_WINDOW_S, time.monotonic),
             self._hops,
-            self._pause,
             self._decisions,
             self._ready_document,
             self._on_crash,
             self._shadow,
         )
+        self._inbound = Inbound(
+            settings.service,
+            self._guard,
+            self._gate,
+            self._ledger,
+            self._pause,
+            self._decisions,
+        )
         self._network = WebSocketNetwork(
             settings.peers,
             settings.fleet_key,
@@ -188,7 +195,7 @@
             in_force=self._in_force,
             distribution=self._control.distribution,
             gate=self._gate,
-            inbound=self._inbound,
+            guard=self._guard,
             ledger=self._ledger,
             quarantine=self._quarantine,
             table=self._table,
@@ -223,7 +230,7 @@
             AuditKind.LEAVING, self._settings.host, "leaving", "planned stop"
         )
         self._is_stopping = True
-        self._inbound.is_leaving = True
+        self._guard.is_leaving = True
         self._gate.drain()
         await self._control.membership.announce_leaving()
         self._callers.announce_leaving()
@@ -273,7 +280,7 @@
 
     def _on_health(self, health: UpstreamHealth) -> None:
         """Follow the upstream: leaving, gone, or back and cold."""
-        self._inbound.is_leaving = health.is_leaving or self._is_stopping
+        self._guard.is_leaving = health.is_leaving or self._is_stopping
         is_back = health.is_reachable and not self._was_reachable
         self._was_reachable = health.is_reachable
         if is_back:
--- a/packages/savoryroute/savoryroute/coordination/node_status.py
+++ b/packages/savoryroute/savoryroute/coordination/node_status.py
@@ -13,8 +13,8 @@
 from .admission import AdmissionGate
 from .distribution import Distribution
 from .in_force import PRODUCTION, TRIAL, DocumentInForce
-from .inbound import Inbound
 from .shadow import ShadowGate
+from .upstream_guard import UpstreamGuard
 
 __all__ = ["NodeStatus"]
 
@@ -30,7 +30,7 @@
         in_force: The document in force.
         distribution: Where documents come from.
         gate: Gate before the upstream.
-        inbound: Guard of the upstream.
+        guard: Guard of the upstream.
         ledger: Records of keyed actions.
         quarantine: Suspects of crashing upstreams.
         table: Members of the fleet.
@@ -44,7 +44,7 @@
     in_force: DocumentInForce
     distribution: Distribution
     gate: AdmissionGate
-    inbound: Inbound
+    guard: UpstreamGuard
     ledger: Ledger
     quarantine: Quarantine
     table: MemberTable
@@ -55,7 +55,7 @@
         """Return why the daemon is not ready, or an empty string."""
         if self.in_force.document is None or not self.distribution.is_ready:
             return "no document: neither the platform nor a peer has given one"
-        if self.inbound.is_leaving:
+        if self.guard.is_leaving:
             return "leaving"
         return ""
 
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/upstream_guard.py
@@ -0,0 +1,198 @@
+"""Guard of the host's own upstream: who gets to it, and when."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from ..protocol.request import Response
+from ..protocol.upstream_http import UpstreamClient
+from ..state.attempt_counter import ActionCounter
+from ..state.decisions import DecisionLog
+from ..state.document import Document
+from ..state.quarantine import Quarantine
+from ..verdict import Reason, Refusal
+from .admission import AdmissionGate, Permit
+from .arrival import Arrival
+from .crash_watch import CrashWatch
+from .hops import HopTable
+from .shadow import ShadowGate
+from .upstream_outcome import after_upstream, is_dropped, is_late_below, to_upstream
+
+__all__ = ["UpstreamGuard"]
+
+CRASH_REASONS = frozenset({Reason.CONNECTION_LOST, Reason.BAD_ANSWER})
+SUSPECT_POLL_S = 0.02
+SUSPECT_RETRY_AFTER_S = 1.0
+
+
+class UpstreamGuard:
+    """Checks, admission and delivery of calls to one upstream."""
+
+    def __init__(
+        self,
+        service: str,
+        gate: AdmissionGate,
+        client: UpstreamClient,
+        quarantine: Quarantine,
+        counter: ActionCounter,
+        hops: HopTable,
+        decisions: DecisionLog,
+        document: Callable[[], Document | None],
+        on_crash: Callable[[int], None],
+        shadow: ShadowGate,
+    ) -> None:
+        self._service = service
+        self._gate = gate
+        self._client = client
+        self._quarantine = quarantine
+        self._counter = counter
+        self._hops = hops
+        self._decisions = decisions
+        self._document = document
+        self._shadow = shadow
+        self._crashes = CrashWatch(quarantine, on_crash)
+        self._is_leaving = False
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether new calls are refused because the host leaves."""
+        return self._is_leaving
+
+    @is_leaving.setter
+    def is_leaving(self, value: bool) -> None:
+        self._is_leaving = value
+
+    async def deliver(self, arrival: Arrival) -> Result[Response, Refusal]:
+        """Check, admit and forward one call.
+
+        Returns:
+            The whole answer, or a refusal; ``NOT_RUN`` only if the upstream never
+            gets the call.
+        """
+        document = self._document()
+        refusal = self._check(arrival, document)
+        if refusal is not None:
+            return Err(refusal)
+        if not await self._wait_for_place(arrival):
+            detail = "another suspect of crashing the upstream is in flight"
+            return Err(Refusal.not_run(Reason.OVERLOAD, detail, SUSPECT_RETRY_AFTER_S))
+        try:
+            return await self._admit(arrival, document)
+        finally:
+            self._quarantine.end(arrival.fingerprint)
+
+    async def _wait_for_place(self, arrival: Arrival) -> bool:
+        """Wait until a suspect of crashing the upstream may run; others may."""
+        was_lost = arrival.call.was_lost
+        while not self._quarantine.try_start(arrival.fingerprint, was_lost):
+            if arrival.time_left_s <= SUSPECT_POLL_S:
+                return False
+            await asyncio.sleep(SUSPECT_POLL_S)
+        return True
+
+    def _check(self, arrival: Arrival, document: Document | None) -> Refusal | None:
+        """Return why a call must not run, or None."""
+        call = arrival.call
+        if document is None or self._service not in document.services:
+            return Refusal.not_run(
+                Reason.NOT_READY, "no document names this service", 1.0
+            )
+        if self._is_leaving:
+            return Refusal.not_run(Reason.LEAVING, "the host is leaving")
+        if call.class_name not in document.classes:
+            detail = f"class {call.class_name!r:.40} is not in the document"
+            return Refusal.not_run(Reason.BAD_REQUEST, detail)
+        if arrival.time_left_s <= 0:
+            return Refusal.not_run(
+                Reason.DEADLINE, "the deadline passed before the run"
+            )
+        quarantined = self._quarantine.check(arrival.fingerprint)
+        if quarantined is not None:
+            return quarantined
+        if call.allowance < 1:
+            detail = "the action has used up its attempts"
+            return Refusal.not_run(Reason.ALLOWANCE_SPENT, detail)
+        return None
+
+    async def _admit(
+        self, arrival: Arrival, document: Document
+    ) -> Result[Response, Refusal]:
+        """Wait for a slot at the upstream, then forward."""
+        call = arrival.call
+        policy = document.classes[call.class_name]
+        started_s = time.monotonic()
+        admitted = await self._gate.admit(
+            policy.rank,
+            call.depth > 0,
+            policy.patience_s,
+            arrival.time_left_s,
+            call.is_spill_over,
+        )
+        if isinstance(admitted, Err):
+            return admitted
+        waited_ms = (time.monotonic() - started_s) * 1000
+        self._decisions.note(call.action, "admitted", f"after {waited_ms:.1f} ms")
+        permit = admitted.ok_value
+        try:
+            return await self._forward(arrival, document, permit)
+        finally:
+            permit.release(None, False)
+
+    async def _forward(
+        self, arrival: Arrival, document: Document, permit: Permit
+    ) -> Result[Response, Refusal]:
+        """Send one admitted call to the upstream."""
+        call = arrival.call
+        maximum = document.retries.attempts_per_hop
+        counted = f"{call.action} {arrival.fingerprint.hex()}"
+        if not self._counter.count_delivery(counted, maximum):
+            detail = f"delivered {maximum} times here within a minute"
+            return Err(Refusal.not_run(Reason.ALLOWANCE_SPENT, detail))
+        service = document.services[self._service]
+        hop = self._hops.open(
+            action=call.action,
+            key=call.key,
+            class_name=call.class_name,
+            time_left_s=arrival.time_left_s,
+            allowance=call.allowance - 1,
+            depth=call.depth + 1,
+            traceparent=call.traceparent,
+        )
+        arrival.hop = hop
+        self._judge(arrival)
+        started_s = time.monotonic()
+        was_dropped = False
+        try:
+            result = await self._client.send(to_upstream(call, hop, service))
+            result = after_upstream(result, hop, service)
+            was_dropped = is_dropped(result)
+        except asyncio.CancelledError:
+            permit.cut_off(time.monotonic() - started_s)
+            raise
+        finally:
+            self._hops.close(hop)
+            latency_s = time.monotonic() - started_s
+            self._shadow.end(latency_s, was_dropped, latency_s - hop.called_s)
+        if is_late_below(result, hop):
+            permit.cut_off(latency_s)
+        permit.release(latency_s, was_dropped, latency_s - hop.called_s)
+        self._note_crash(arrival, result)
+        return result
+
+    def _judge(self, arrival: Arrival) -> None:
+        """Report what the trial document would decide."""
+        call = arrival.call
+        judgement = self._shadow.begin(call.class_name, arrival.time_left_s)
+        if judgement is not None and judgement.is_refused:
+            self._decisions.note(call.action, "trial would refuse", judgement.detail)
+
+    def _note_crash(self, arrival: Arrival, result: Result[Response, Refusal]) -> None:
+        """Keep the evidence of requests that crash their upstream."""
+        if isinstance(result, Ok):
+            self._quarantine.note_success(arrival.fingerprint)
+        elif result.err_value.reason in CRASH_REASONS:
+            self._crashes.note_lost(arrival.fingerprint)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -432,7 +432,7 @@
     ),
     Mutation(
         "node attempts: deliveries of one action are not counted",
-        "coordination/inbound.py",
+        "coordination/upstream_guard.py",
         "if not self._counter.count_delivery(counted, maximum):",
         "if False:",
         f"{TRACE}deliveries_of_one_action",
@@ -453,7 +453,7 @@
     ),
     Mutation(
         "node order: all classes have one rank",
-        "coordination/inbound.py",
+        "coordination/upstream_guard.py",
         "            policy.rank,\n",
         "            0,\n",
         f"{NODE}.OverloadTest",
@@ -495,14 +495,14 @@
     ),
     Mutation(
         "node poison: no evidence of crashes",
-        "coordination/inbound.py",
-        "            self._crashes.note_lost(delivery.fingerprint)\n",
+        "coordination/upstream_guard.py",
+        "            self._crashes.note_lost(arrival.fingerprint)\n",
         "            pass\n",
         f"{NODE}.PoisonTest",
     ),
     Mutation(
         "node leaving: a leaving host takes new work",
-        "coordination/inbound.py",
+        "coordination/upstream_guard.py",
         "        if self._is_leaving:\n",
         "        if False:\n",
         f"{NODE}.LeavingTest.test_a_leaving_upstream_gets_no_new_work",
