--- a/packages/savoryroute/savoryroute/coordination/delivery.py
+++ b/packages/savoryroute/savoryroute/coordination/delivery.py
@@ -12,7 +12,7 @@
 from ..protocol.frames import Answer, Call
 from ..protocol.request import Response
 from ..protocol.websocket_network import WebSocketNetwork
-from ..state.members import Member
+from ..state.member import Member
 from ..verdict import Reason, Refusal, Verdict
 
 __all__ = ["Delivery", "result_of"]
--- a/packages/savoryroute/savoryroute/coordination/keys.py
+++ b/packages/savoryroute/savoryroute/coordination/keys.py
@@ -11,7 +11,8 @@
 from ..protocol.websocket_network import WebSocketNetwork
 from ..state.idempotency_key import IdempotencyKey, mint_key, parse_key
 from ..state.ledger import Ledger
-from ..state.members import Member, MemberTable
+from ..state.member import Member
+from ..state.members import MemberTable
 from ..state.policies import EjectionPolicy
 from ..verdict import Reason, Refusal, Verdict
 from .placement import Placement
--- a/packages/savoryroute/savoryroute/coordination/membership.py
+++ b/packages/savoryroute/savoryroute/coordination/membership.py
@@ -21,7 +21,8 @@
 
 from ..protocol.frames import Frame, Goodbye, Heartbeat, Hello
 from ..protocol.peer_network import PeerNetwork
-from ..state.members import Member, MemberStatus, MemberTable, News, Rumour
+from ..state.member import Member, MemberStatus, News, Rumour
+from ..state.members import MemberTable
 from .overlay import Overlay
 from .rumours import RumourQueue
 
--- a/packages/savoryroute/savoryroute/coordination/node.py
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -21,7 +21,8 @@
 from ..state.decisions import DecisionLog
 from ..state.document import Document
 from ..state.ledger import Ledger
-from ..state.members import Evidence, Member, MemberTable
+from ..state.member import Evidence, Member
+from ..state.members import MemberTable
 from ..state.metrics import Metrics
 from ..state.quarantine import Quarantine
 from ..state.settings import Settings
--- a/packages/savoryroute/savoryroute/coordination/overlay.py
+++ b/packages/savoryroute/savoryroute/coordination/overlay.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from ..state.members import Member
+from ..state.member import Member
 from .rendezvous import pair_weight
 
 __all__ = ["Overlay"]
--- a/packages/savoryroute/savoryroute/coordination/placement.py
+++ b/packages/savoryroute/savoryroute/coordination/placement.py
@@ -10,7 +10,7 @@
 
 from ..protocol.frames import Answer
 from ..state.audit import AuditKind, AuditTrail
-from ..state.members import Member
+from ..state.member import Member
 from ..state.policies import EjectionPolicy
 from ..verdict import Reason, Verdict
 
--- a/packages/savoryroute/savoryroute/coordination/rumours.py
+++ b/packages/savoryroute/savoryroute/coordination/rumours.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ..state.members import MemberStatus, Rumour
+from ..state.member import MemberStatus, Rumour
 
 __all__ = ["RumourQueue"]
 
--- a/packages/savoryroute_lab/savoryroute_lab/fleet_study.py
+++ b/packages/savoryroute_lab/savoryroute_lab/fleet_study.py
@@ -26,7 +26,7 @@
 
 import docopt
 
-from savoryroute.state.members import MemberStatus
+from savoryroute.state.member import MemberStatus
 
 from .memory_fleet import MemoryFleet, document_text
 from .virtual_loop import run_virtual
--- a/packages/savoryroute_lab/savoryroute_lab/memory_fleet.py
+++ b/packages/savoryroute_lab/savoryroute_lab/memory_fleet.py
@@ -16,13 +16,8 @@
 from savoryroute.coordination.pause import PauseDetector
 from savoryroute.protocol.frames import Hello
 from savoryroute.protocol.memory_network import MemoryNetwork, Switchboard
-from savoryroute.state.members import (
-    Evidence,
-    Member,
-    MemberStatus,
-    MemberTable,
-    Rumour,
-)
+from savoryroute.state.member import Evidence, Member, MemberStatus, Rumour
+from savoryroute.state.members import MemberTable
 from savoryroute.transport.platform_client import MemoryPlatform
 
 from .virtual_loop import PROCESS, VirtualLoop
--- a/tests/savoryroute/coordination/test_membership.py
+++ b/tests/savoryroute/coordination/test_membership.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from savoryroute.state.members import MemberStatus
+from savoryroute.state.member import MemberStatus
 from savoryroute_lab.memory_fleet import MemoryFleet, document_text
 from savoryroute_lab.virtual_loop import VirtualLoop, run_virtual
 
--- a/tests/savoryroute/coordination/test_outbound.py
+++ b/tests/savoryroute/coordination/test_outbound.py
@@ -13,7 +13,7 @@
 from savoryroute.coordination.pressure import PressureMap
 from savoryroute.protocol.request import Request, Response
 from savoryroute.state.document import document_from_plain
-from savoryroute.state.members import Member, MemberStatus
+from savoryroute.state.member import Member, MemberStatus
 from savoryroute.state.quarantine import Quarantine
 from savoryroute.verdict import Reason, Refusal, Verdict
 from tests.fleet import document
--- a/tests/savoryroute/coordination/test_placement.py
+++ b/tests/savoryroute/coordination/test_placement.py
@@ -11,7 +11,7 @@
 )
 from savoryroute.protocol.frames import Answer
 from savoryroute.state.audit import AuditTrail
-from savoryroute.state.members import Member, MemberStatus
+from savoryroute.state.member import Member, MemberStatus
 from savoryroute.state.policies import EjectionPolicy
 from savoryroute.verdict import Reason, Verdict
 
--- a/tests/savoryroute/coordination/test_rumours.py
+++ b/tests/savoryroute/coordination/test_rumours.py
@@ -4,7 +4,7 @@
 
 from savoryroute.coordination import rumours
 from savoryroute.coordination.rumours import RumourQueue
-from savoryroute.state.members import Member, MemberStatus, Rumour
+from savoryroute.state.member import Member, MemberStatus, Rumour
 
 
 def _rumour(host, status=MemberStatus.ALIVE):
--- a/tests/savoryroute/state/test_members.py
+++ b/tests/savoryroute/state/test_members.py
@@ -3,13 +3,8 @@
 import unittest
 
 from savoryroute.state.host_list import host_list_from_plain, parse_host_list
-from savoryroute.state.members import (
-    Member,
-    MemberStatus,
-    MemberTable,
-    News,
-    Rumour,
-)
+from savoryroute.state.member import Member, MemberStatus, News, Rumour
+from savoryroute.state.members import MemberTable
 
 ALIVE = MemberStatus.ALIVE
 SUSPECT = MemberStatus.SUSPECT
