callers: errors of the parser are problems too, and a head must come in time

Cause: what the HTTP parser refused came back as plain text without a verdict, and a caller that never ended its first head held its connection for ever. Ruled out: a timeout on each read, which cuts off slow bodies too. Before: text/plain, no bound.

--- a/packages/savoryroute/savoryroute/protocol/callers_http.py
+++ b/packages/savoryroute/savoryroute/protocol/callers_http.py
@@ -13,6 +13,7 @@
 from ..state.settings import Address
 from ..verdict import Reason, Refusal, Verdict
 from . import headers
+from .callers_protocol import CallersProtocolServer
 from .problem import problem_response
 from .request import Request, Response, pairs
 
@@ -82,7 +83,7 @@
         self._is_upstream_side = is_upstream_side
         self._is_leaving = False
         self._n_open = 0
-        self._server: web.Server | None = None
+        self._server: CallersProtocolServer | None = None
         self._listener: asyncio.Server | None = None
 
     @property
@@ -92,7 +93,7 @@
 
     async def start(self) -> None:
         """Listen for callers."""
-        self._server = web.Server(
+        self._server = CallersProtocolServer(
             self._serve,
             access_log=None,
             handler_cancellation=True,
@@ -124,6 +125,7 @@
 
     async def _serve(self, http: web.BaseRequest) -> web.StreamResponse:
         self._n_open += 1
+        http.protocol.note_request()
         try:
             response = await self._respond(http)
         finally:
--- /dev/null
+++ b/packages/savoryroute/savoryroute/protocol/callers_protocol.py
@@ -0,0 +1,76 @@
+"""One HTTP connection of a caller: errors in problem form, slow starts bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from aiohttp import web
+
+from ..verdict import Reason, Refusal, Verdict
+from .problem import problem_response
+
+__all__ = ["CallersProtocol", "CallersProtocolServer"]
+
+FIRST_REQUEST_S = 15.0
+STATUS_OF_BAD_REQUESTS = 400
+
+_logger = logging.getLogger(__name__)
+
+
+class CallersProtocol(web.RequestHandler):
+    """Connection that is closed unless a whole head arrives in time."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for the first request."""
+        super().connection_made(transport)
+        loop = asyncio.get_running_loop()
+        self._has_request = False
+        self._timer = loop.call_later(FIRST_REQUEST_S, self._close_if_unused)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop to wait."""
+        self._timer.cancel()
+        super().connection_lost(exc)
+
+    def note_request(self) -> None:
+        """Take note that a request arrived."""
+        self._has_request = True
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the problem form of an error of the parser or of the daemon.
+
+        Raises:
+            ConnectionError: A part of the answer has already left.
+        """
+        if request.writer.output_size > 0:
+            raise ConnectionError("a part of the answer has already left")
+        if status == STATUS_OF_BAD_REQUESTS:
+            detail = f"not a request: {message or exc}"[:200]
+            refusal = Refusal.not_run(Reason.BAD_REQUEST, detail)
+            _logger.info("%s", detail)
+        else:
+            detail = "the daemon failed while it served the request"
+            refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.BAD_ANSWER, detail)
+            _logger.error("%s", detail, exc_info=exc)
+        response = problem_response(refusal)
+        response.force_close()
+        return response
+
+    def _close_if_unused(self) -> None:
+        if not self._has_request and self.transport is not None:
+            self.transport.close()
+
+
+class CallersProtocolServer(web.Server):
+    """Maker of connections of this kind."""
+
+    def __call__(self) -> CallersProtocol:
+        """Return the protocol of a new connection."""
+        return CallersProtocol(self, loop=self._loop, **self._kwargs)
--- a/tests/savoryroute/protocol/test_callers_http.py
+++ b/tests/savoryroute/protocol/test_callers_http.py
@@ -1,9 +1,11 @@
 """Tests of HTTP towards callers: hostile shapes over a bare socket."""
 
 import asyncio
+from unittest import mock
 
 from result import Ok
 
+from savoryroute.protocol import callers_protocol
 from savoryroute.protocol.callers_http import CallersServer, Outcome
 from savoryroute.protocol.request import Request, Response
 from savoryroute.state.address import Address
@@ -131,6 +133,30 @@
             first = await self.exchange(head + key + b"\r\n")
             self.assertIn(b"Savoryroute-Verdict: " + verdict, first)
 
+    async def test_an_error_of_the_parser_is_told_as_a_problem(self):
+        first = await self.exchange(b"POST /s/p HTTP/1.1\r\nContent-Length: -1\r\n\r\n")
+        self.assertIn(b"application/problem+json", first)
+        self.assertIn(b"Savoryroute-Verdict: not_run", first)
+
+    async def test_a_fault_of_the_daemon_itself_may_have_run(self):
+        async def fail(request):
+            raise ValueError("a fault")
+
+        self.server._handle = fail
+        first = await self.exchange(b"GET /s/p HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"502", first.splitlines()[0])
+        self.assertIn(b"Savoryroute-Verdict: may_have_run", first)
+
+    async def test_a_caller_that_sends_no_whole_head_is_closed(self):
+        with mock.patch.object(callers_protocol, "FIRST_REQUEST_S", 0.1):
+            reader, writer = await asyncio.open_connection(
+                self.address.ip, self.address.port
+            )
+            writer.write(b"GET /s/p HTTP/1.1\r\nHost")
+            async with asyncio.timeout(5):
+                self.assertEqual(await reader.read(), b"")
+            writer.close()
+
     async def test_expect_continue_is_answered(self):
         head = b"POST /s/p HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"
         first = await self.exchange(head + b"Expect: 100-continue\r\n\r\nab")
