leaving: a planned stop waits for heads of requests that are half sent

Cause: only whole heads counted as open requests, so a head that took longer than the 3 s in which the callers' port still listens was cut off. Ruled out: a longer time of listening, which delays every stop. Before: test_a_planned_stop_cuts_nothing_off with the head ended after 3 s and more fails. After: it passes.

--- a/packages/savoryroute/savoryroute/protocol/callers_http.py
+++ b/packages/savoryroute/savoryroute/protocol/callers_http.py
@@ -88,8 +88,11 @@
 
     @property
     def n_open(self) -> int:
-        """Requests begun and not yet answered."""
-        return self._n_open
+        """Requests begun and not yet answered, half-sent heads included."""
+        if self._server is None:
+            return 0
+        heads = sum(protocol.is_head_open for protocol in self._server.connections)
+        return self._n_open + heads
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -130,6 +133,7 @@
             response = await self._respond(http)
         finally:
             self._n_open -= 1
+            http.protocol.note_answer()
         if self._is_leaving:
             response.force_close()
         return response
--- a/packages/savoryroute/savoryroute/protocol/callers_protocol.py
+++ b/packages/savoryroute/savoryroute/protocol/callers_protocol.py
@@ -26,6 +26,7 @@
         super().connection_made(transport)
         loop = asyncio.get_running_loop()
         self._has_request = False
+        self._is_head_open = False
         self._timer = loop.call_later(FIRST_REQUEST_S, self._close_if_unused)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -33,9 +34,24 @@
         self._timer.cancel()
         super().connection_lost(exc)
 
+    @property
+    def is_head_open(self) -> bool:
+        """Whether a part of a request's head has arrived."""
+        return self._is_head_open
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of a head or a body."""
+        self._is_head_open = True
+        super().data_received(data)
+
     def note_request(self) -> None:
-        """Take note that a request arrived."""
+        """Take note that the head of a request is whole."""
         self._has_request = True
+        self._is_head_open = False
+
+    def note_answer(self) -> None:
+        """Take note that a request is answered, its body read."""
+        self._is_head_open = False
 
     def handle_error(
         self,
--- a/tests/savoryroute/coordination/test_node.py
+++ b/tests/savoryroute/coordination/test_node.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from savoryroute.coordination.distribution import START_LIMIT_S
+from savoryroute.coordination.node import DRAIN_LISTEN_S
 from savoryroute_lab.platform import Outage
 from tests.fleet import Fleet, FleetTestCase, document
 
@@ -246,7 +247,7 @@
                 )
                 for n in range(30)
             ]
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(DRAIN_LISTEN_S)
             writer.write(b"\r\n")
             status = await reader.readline()
             self.assertEqual(status, b"HTTP/1.1 200 OK\r\n")
