coordination: one set of background tasks, one place for the environments' names

Cause: membership and distribution each had the same start, stop and spawn of tasks; production and trial were named in three modules. Ruled out: asyncio.TaskGroup, which ends all tasks when one of them fails. Before: three copies. The whole suite was not run again. Conclusion: kept; behaviour is the same.

--- a/packages/savoryroute/savoryroute/coordination/distribution.py
+++ b/packages/savoryroute/savoryroute/coordination/distribution.py
@@ -20,8 +20,17 @@
 from ..protocol.peer_network import PeerNetwork
 from ..state.members import MemberTable
 from ..transport.platform_client import PlatformReader, PlatformValue
-from .document_store import CODECS, HOSTS, DocumentCodec, DocumentStore, Outcome
+from .document_store import (
+    CODECS,
+    HOSTS,
+    PRODUCTION,
+    TRIAL,
+    DocumentCodec,
+    DocumentStore,
+    Outcome,
+)
 from .readers import ReaderRole
+from .task_set import TaskSet
 
 __all__ = ["Distribution"]
 
@@ -42,8 +51,6 @@
 STEPS_BETWEEN_ASKS = 4
 START_READ_JITTER_S = 0.5
 CONFIRM_LIMIT_S = 1.5
-PRODUCTION = "production"
-TRIAL = "trial"
 TEXT_MAX = 64
 
 DocumentHandler = Callable[[str, Any, int, dict[str, Any]], None]
@@ -128,10 +135,9 @@
         }
         self._answers: dict[str, dict[str, int]] = {}
         self._seed_asks: list[asyncio.Task[None] | None] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         self._asked = asyncio.Event()
         self._ready = asyncio.Event()
-        self._is_running = False
 
     @property
     def is_ready(self) -> bool:
@@ -181,20 +187,16 @@
 
     async def start(self) -> None:
         """Start all tasks; ``wait_ready`` tells when there is a document."""
-        self._is_running = True
+        self._tasks.start()
         now = _now()
         for channel in self._channels.values():
             channel.fresh_at_s = now
-            self._spawn(self._follow_platform(channel))
-        self._spawn(self._become_ready())
+            self._tasks.spawn(self._follow_platform(channel))
+        self._tasks.spawn(self._become_ready())
 
     async def stop(self) -> None:
         """Stop all tasks."""
-        self._is_running = False
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.stop()
 
     async def wait_ready(self) -> None:
         """Wait until the production document may be acted upon."""
@@ -237,7 +239,7 @@
             return
         channel.announced[host] = revision
         if channel.fetch is None:
-            channel.fetch = self._spawn(self._fetch(channel))
+            channel.fetch = self._tasks.spawn(self._fetch(channel))
 
     def _check_conflict(
         self, channel: _Channel, host: str, revision: int, digest: bytes
@@ -353,7 +355,7 @@
             return
         for host in self._neighbours():
             if host != source:
-                self._spawn(self._network.send(host, step))
+                self._tasks.spawn(self._network.send(host, step))
 
     async def _follow_platform(self, channel: _Channel) -> None:
         """Watch the platform while this host is a reader, for ever.
@@ -415,7 +417,7 @@
     async def _become_ready(self) -> None:
         """Ask peers and platform, then be ready with the highest document."""
         reads = [
-            self._spawn(self._read_at_start(channel))
+            self._tasks.spawn(self._read_at_start(channel))
             for channel in self._channels.values()
         ]
         await self._ask_peers(START_PEERS, START_LIMIT_S)
@@ -464,7 +466,7 @@
 
     def _ask_seeds(self) -> None:
         """Ask the peers in the settings."""
-        self._seed_asks = [self._spawn(self._ask(seed)) for seed in self._seeds]
+        self._seed_asks = [self._tasks.spawn(self._ask(seed)) for seed in self._seeds]
 
     def _ask_more(self, asked: set[str], n_wanted: int) -> None:
         """Ask further members that were not asked."""
@@ -475,7 +477,7 @@
         ]
         for member in self._rng.sample(others, min(n_wanted, len(others))):
             asked.add(member.host)
-            self._spawn(self._ask(member.peers_address))
+            self._tasks.spawn(self._ask(member.peers_address))
 
     async def _ask(self, peers_address: str) -> None:
         """Ask one peer for everything newer than what is in force."""
@@ -509,16 +511,6 @@
         """Return an interval with jitter."""
         return interval_s * self._rng.uniform(0.75, 1.25)
 
-    def _spawn(self, coroutine: Any) -> asyncio.Task[None] | None:
-        """Run a coroutine as a task until ``stop``."""
-        if not self._is_running:
-            coroutine.close()
-            return None
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _is_revision(values: Any) -> bool:
     """Return whether a peer's values are an entry of ``revisions``."""
--- a/packages/savoryroute/savoryroute/coordination/document_store.py
+++ b/packages/savoryroute/savoryroute/coordination/document_store.py
@@ -19,9 +19,19 @@
 from ..state.host_list import host_list_from_plain, parse_host_list
 from ..state.parsing import is_strict_json
 
-__all__ = ["CODECS", "HOSTS", "DocumentCodec", "DocumentStore", "Outcome"]
+__all__ = [
+    "CODECS",
+    "HOSTS",
+    "PRODUCTION",
+    "TRIAL",
+    "DocumentCodec",
+    "DocumentStore",
+    "Outcome",
+]
 
 HOSTS = "hosts"
+PRODUCTION = "production"
+TRIAL = "trial"
 N_STEPS_MAX = 256
 STEP_BYTES_MAX = 1024 * 1024
 PAYLOAD_BYTES_MAX = 8 * 1024 * 1024
@@ -63,8 +73,8 @@
 
 
 CODECS = (
-    _environment_codec("production"),
-    _environment_codec("trial"),
+    _environment_codec(PRODUCTION),
+    _environment_codec(TRIAL),
     DocumentCodec(HOSTS, HOSTS, parse_host_list, host_list_from_plain),
 )
 
--- a/packages/savoryroute/savoryroute/coordination/in_force.py
+++ b/packages/savoryroute/savoryroute/coordination/in_force.py
@@ -7,13 +7,11 @@
 from ..state.policies import EjectionPolicy, LimitPolicy
 from ..state.quarantine import Quarantine
 from .admission import AdmissionGate
+from .document_store import PRODUCTION, TRIAL
 from .limits import make_limit
 from .shadow import ShadowGate
 
-__all__ = ["PRODUCTION", "TRIAL", "DocumentInForce"]
-
-PRODUCTION = "production"
-TRIAL = "trial"
+__all__ = ["DocumentInForce"]
 
 BODY_BYTES_DEFAULT = 1024 * 1024
 UNLIMITED = 1_000_000
--- a/packages/savoryroute/savoryroute/coordination/membership.py
+++ b/packages/savoryroute/savoryroute/coordination/membership.py
@@ -25,6 +25,7 @@
 from ..state.members import MemberTable
 from .overlay import Overlay
 from .rumours import RumourQueue
+from .task_set import TaskSet
 
 __all__ = ["Membership"]
 
@@ -111,10 +112,9 @@
         self._peers: dict[str, _Peer] = {}
         self._callers_of_us: dict[str, float] = {}
         self._domain_verdicts: dict[str, tuple[float, bool]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         self._expiring: set[str] = set()
         self._is_leaving = False
-        self._is_running = False
 
     @property
     def peers(self) -> list[str]:
@@ -129,19 +129,15 @@
 
     async def start(self) -> None:
         """Start all tasks."""
-        self._is_running = True
+        self._tasks.start()
         self._note_hello(self._make_hello())
-        self._spawn(self._keep_overlay())
-        self._spawn(self._sweep_suspects())
-        self._spawn(self._probe_lost())
+        self._tasks.spawn(self._keep_overlay())
+        self._tasks.spawn(self._sweep_suspects())
+        self._tasks.spawn(self._probe_lost())
 
     async def stop(self) -> None:
         """Stop all tasks."""
-        self._is_running = False
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.stop()
 
     async def handle_control(self, host: str, frame: Frame) -> bool:
         """Handle a control frame; return whether it was one of membership."""
@@ -155,12 +151,12 @@
 
     def note_link(self, hello: Hello, is_up: bool) -> None:
         """Note that a link went up or down."""
-        if hello.host == self._host or not self._is_running:
+        if hello.host == self._host or not self._tasks.is_running:
             return
         if is_up:
             self._note_hello(hello)
         else:
-            self._spawn(self._follow_up_lost_link(hello))
+            self._tasks.spawn(self._follow_up_lost_link(hello))
 
     def note_unreachable(self, host: str) -> None:
         """Suspect a host to which a call found no connection."""
@@ -278,11 +274,11 @@
 
     def _follow(self, host: str) -> None:
         """Start to exchange heartbeats with a peer, unless that is so."""
-        if host in self._peers or host == self._host or not self._is_running:
+        if host in self._peers or host == self._host or not self._tasks.is_running:
             return
         peer = _Peer(host, linked_at_s=_now())
         self._peers[host] = peer
-        self._spawn(self._exchange_heartbeats(peer))
+        self._tasks.spawn(self._exchange_heartbeats(peer))
 
     def _is_followed(self, host: str) -> bool:
         """Return whether a peer was chosen, or has chosen this host."""
@@ -397,7 +393,7 @@
                 is_due = since_s is not None and since_s < deadline_s
                 if is_due and member.host not in self._expiring:
                     self._expiring.add(member.host)
-                    self._spawn(self._expire(member))
+                    self._tasks.spawn(self._expire(member))
 
     async def _expire(self, member: Member) -> None:
         """Give a suspected host up, as gone or as cut off."""
@@ -483,15 +479,6 @@
         factor = self._rng.uniform(1 - HEARTBEAT_JITTER, 1 + HEARTBEAT_JITTER)
         return interval_s * factor
 
-    def _spawn(self, coroutine: Any) -> None:
-        """Run a coroutine as a task until ``stop``."""
-        if not self._is_running:
-            coroutine.close()
-            return
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _member_of(hello: Hello) -> Member:
     """Return the sender of a first frame as a member."""
--- a/packages/savoryroute/savoryroute/coordination/node_status.py
+++ b/packages/savoryroute/savoryroute/coordination/node_status.py
@@ -12,7 +12,8 @@
 from ..state.quarantine import Quarantine
 from .admission import AdmissionGate
 from .distribution import Distribution
-from .in_force import PRODUCTION, TRIAL, DocumentInForce
+from .document_store import PRODUCTION, TRIAL
+from .in_force import DocumentInForce
 from .shadow import ShadowGate
 from .upstream_guard import UpstreamGuard
 
