--- a/Makefile
+++ b/Makefile
@@ -16,11 +16,11 @@
 	touch $@
 
 format: setup
-	$(BIN)/ruff format packages tests
+	$(BIN)/ruff format packages platform tests
 
 lint: setup
-	$(BIN)/ruff format --check packages tests
-	$(BIN)/ruff check packages tests
+	$(BIN)/ruff format --check packages platform tests
+	$(BIN)/ruff check packages platform tests
 
 test: setup
 	$(BIN)/python -m tests.run
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -0,0 +1,330 @@
+"""Calls to the host's own upstream: line, delivery, and what its answers mean."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import attrs
+
+from ..protocol.header_names import HOP_BY_HOP, HeaderNames
+from ..protocol.mesh_frames import MeshAnswer, MeshCall
+from ..state.event_log import EventLog
+from ..state.quarantine import Quarantine
+from ..transport.http_client import HttpPool, Lost, LostKind, Pending, WireAnswer
+from ..verdict import Reason, Verdict
+from .waiting_line import LineCall, WaitingLine
+
+__all__ = ["LocalCall", "LocalUpstream"]
+
+# Time beyond a call's deadline in which the upstream's own answer may still come.
+ANSWER_GRACE_S = 0.1
+# Refused connections within this time after lost ones show that the upstream crashed.
+CRASH_WINDOW_S = 1.5
+# Calls are refused at once for this long after a connection was refused.
+DOWN_PAUSE_S = 0.25
+
+AnswerHandler = Callable[[MeshAnswer], None]
+
+
+class LocalCall:
+    """One call on its way to the own upstream."""
+
+    __slots__ = (
+        "_upstream",
+        "call",
+        "is_over",
+        "line_call",
+        "on_answer",
+        "pending",
+        "started_s",
+        "timer",
+    )
+
+    def __init__(
+        self, upstream: LocalUpstream, call: MeshCall, on_answer: AnswerHandler
+    ) -> None:
+        self._upstream = upstream
+        self.call = call
+        self.on_answer = on_answer
+        self.line_call: LineCall | None = None
+        self.pending: Pending | None = None
+        self.started_s = 0.0
+        self.timer: asyncio.TimerHandle | None = None
+        self.is_over = False
+
+    def cancel(self) -> None:
+        """Give the call up; nothing more is told about it."""
+        self._upstream._cancel(self)
+
+
+@attrs.define
+class _LostCall:
+    at_s: float
+    fingerprint: bytes
+
+
+class LocalUpstream:
+    """The upstream on this host.
+
+    Args:
+        service: Service that it belongs to.
+        pool: Connections to it.
+        line: Its slots and who waits for them.
+        names: Header names of the platform.
+        quarantine: Evidence of requests that crash upstreams.
+        log: Log of decisions.
+        on_crash: Told when requests were lost in a crash.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        pool: HttpPool,
+        line: WaitingLine,
+        names: HeaderNames,
+        quarantine: Quarantine,
+        log: EventLog,
+        on_crash: Callable[[], None],
+    ) -> None:
+        self._service = service
+        self._pool = pool
+        self._line = line
+        self._names = names
+        self._quarantine = quarantine
+        self._log = log
+        self._on_crash = on_crash
+        self._lost_calls: list[_LostCall] = []
+        self._down_until_s = 0.0
+        self._was_down = False
+        self.is_leaving = False
+        self.n_open = 0
+        self.n_runs = 0
+
+    @property
+    def line(self) -> WaitingLine:
+        """Slots and who waits for them."""
+        return self._line
+
+    def run(self, call: MeshCall, on_answer: AnswerHandler) -> LocalCall:
+        """Take a call; ``on_answer`` is told exactly once, perhaps at once."""
+        local = LocalCall(self, call, on_answer)
+        self.n_open += 1
+        refused = self._check(call)
+        if refused is not None:
+            self._refuse(local, *refused)
+            return local
+        now_s = time.monotonic()
+        local.line_call = LineCall(
+            call.rank,
+            call.group,
+            now_s + call.time_left_ms / 1000,
+            call.patience_ms / 1000,
+            lambda: self._start(local),
+            lambda reason: self._refuse(local, reason, "waited too long for a slot"),
+        )
+        reason = self._line.offer(local.line_call)
+        if reason is not None:
+            detail = (
+                f"{self._line.n_running} run and {self._line.n_waiting} wait"
+                f" for {self._line.slots} slots of {self._line.mean_s * 1000:.0f} ms"
+            )
+            self._refuse(local, reason, detail)
+        return local
+
+    def sweep(self) -> None:
+        """End waits that lasted too long; close idle connections."""
+        self._line.expire()
+        self._pool.sweep()
+
+    def leave(self) -> None:
+        """Turn away all that wait; the upstream takes no new work."""
+        self.is_leaving = True
+        self._line.clear(Reason.LEAVING)
+
+    def _check(self, call: MeshCall) -> tuple[Reason, str] | None:
+        """Return why a call must not run, or None."""
+        if call.service != self._service:
+            detail = f"this host runs {self._service}, not {call.service}"
+            return Reason.NO_UPSTREAM, detail
+        if self.is_leaving:
+            return Reason.LEAVING, "the upstream is leaving"
+        if time.monotonic() < self._down_until_s:
+            return Reason.UNREACHABLE, "the upstream refused connections of late"
+        if call.fingerprint and self._quarantine.check(call.fingerprint) is not None:
+            return Reason.QUARANTINED, "upstreams crashed each time that it ran"
+        return None
+
+    def _start(self, local: LocalCall) -> None:
+        """Send a call that has a slot."""
+        call = local.call
+        now_s = time.monotonic()
+        local.started_s = now_s
+        time_left_s = local.line_call.deadline_s - now_s
+        names = self._names
+        data = b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
+            call.head,
+            names.time_left_ms,
+            max(1, int(time_left_s * 1000)),
+            names.expected_instance,
+            call.instance.encode(),
+            call.body,
+        )
+        loop = asyncio.get_running_loop()
+        local.timer = loop.call_later(
+            time_left_s + ANSWER_GRACE_S, self._run_out, local
+        )
+        self.n_runs += 1
+        local.pending = self._pool.send(
+            data,
+            lambda outcome: self._settle(local, outcome),
+            call.request_id,
+            call.may_repeat,
+            call.is_head,
+        )
+
+    def _run_out(self, local: LocalCall) -> None:
+        """Give up a call whose deadline has passed at the upstream."""
+        if local.is_over:
+            return
+        local.pending.cancel()
+        was_sent = local.pending.is_sent
+        verdict = Verdict.MAY_HAVE_RUN if was_sent else Verdict.NOT_RUN
+        self._line.finish(local.call.group, time.monotonic() - local.started_s)
+        self._end(
+            local,
+            MeshAnswer(
+                local.call.id,
+                verdict,
+                Reason.DEADLINE,
+                "the upstream did not answer in time",
+                was_sent=was_sent,
+            ),
+        )
+
+    def _settle(self, local: LocalCall, outcome: WireAnswer | Lost) -> None:
+        """Turn the end of an exchange into the answer of the call."""
+        if local.is_over:
+            return
+        latency_s = time.monotonic() - local.started_s
+        if isinstance(outcome, Lost):
+            answer = self._after_loss(local, outcome)
+            self._line.finish(local.call.group, None)
+        else:
+            answer = self._after_answer(local, outcome)
+            ran = answer.verdict is Verdict.RAN
+            self._line.finish(local.call.group, latency_s if ran else None)
+        self._end(local, answer)
+
+    def _after_answer(self, local: LocalCall, answer: WireAnswer) -> MeshAnswer:
+        names = self._names
+        head: list[bytes] = []
+        is_not_executed = False
+        for name, value in answer.headers:
+            if name == names.load:
+                self._note_load(value)
+            elif name == names.not_executed:
+                is_not_executed = True
+            if name not in HOP_BY_HOP:
+                head.append(b"%b: %b\r\n" % (name, value))
+        if self._was_down:
+            self._was_down = False
+            self._log.change("upstream_back", service=self._service)
+        call = local.call
+        if answer.status == 421:
+            detail = f"another instance answers here, not {call.instance}"
+            return MeshAnswer(
+                call.id, Verdict.NOT_RUN, Reason.NO_UPSTREAM, detail, was_sent=True
+            )
+        if is_not_executed:
+            detail = f"the upstream turned the request away with {answer.status}"
+            return MeshAnswer(
+                call.id, Verdict.NOT_RUN, Reason.OVERLOAD, detail, was_sent=True
+            )
+        if answer.header(names.signature) is None:
+            return MeshAnswer(
+                call.id,
+                Verdict.MAY_HAVE_RUN,
+                Reason.BAD_ANSWER,
+                f"an answer with status {answer.status} bears no signature",
+                was_sent=True,
+            )
+        if call.fingerprint:
+            self._quarantine.note_success(call.fingerprint)
+        return MeshAnswer(
+            call.id,
+            Verdict.RAN,
+            status=answer.status,
+            head=b"".join(head),
+            body=answer.body,
+            was_sent=True,
+        )
+
+    def _after_loss(self, local: LocalCall, lost: Lost) -> MeshAnswer:
+        call = local.call
+        now_s = time.monotonic()
+        if lost.kind is LostKind.NOT_SENT:
+            self._note_down(now_s, lost.detail)
+            return MeshAnswer(call.id, Verdict.NOT_RUN, Reason.UNREACHABLE, lost.detail)
+        reason = Reason.BAD_ANSWER
+        if lost.kind is LostKind.CLOSED:
+            reason = Reason.CONNECTION_LOST
+            self._lost_calls.append(_LostCall(now_s, call.fingerprint))
+        return MeshAnswer(
+            call.id, Verdict.MAY_HAVE_RUN, reason, lost.detail, was_sent=True
+        )
+
+    def _note_down(self, now_s: float, detail: str) -> None:
+        """Take note of a refused connection, and of a crash that it shows."""
+        self._down_until_s = now_s + DOWN_PAUSE_S
+        if not self._was_down:
+            self._was_down = True
+            self._log.change("upstream_down", service=self._service, error=detail)
+        recent_s = now_s - CRASH_WINDOW_S
+        victims = {
+            lost.fingerprint
+            for lost in self._lost_calls
+            if lost.at_s >= recent_s and lost.fingerprint
+        }
+        self._lost_calls.clear()
+        if victims:
+            self._quarantine.note_crash(victims)
+            self._on_crash()
+
+    def _note_load(self, value: bytes) -> None:
+        """Take the number of slots from the upstream's report of its load."""
+        slots = value.rpartition(b",")[2].strip()
+        if slots.isdigit() and int(slots) != self._line.slots and int(slots) > 0:
+            self._line.slots = int(slots)
+
+    def _cancel(self, local: LocalCall) -> None:
+        if local.is_over:
+            return
+        if local.pending is None:
+            if local.line_call is not None:
+                self._line.withdraw(local.line_call)
+        else:
+            local.pending.cancel()
+            self._line.finish(local.call.group, None)
+        self._close(local)
+
+    def _refuse(self, local: LocalCall, reason: Reason, detail: str) -> None:
+        answer = MeshAnswer(local.call.id, Verdict.NOT_RUN, reason, detail)
+        self._end(local, answer)
+
+    def _end(self, local: LocalCall, answer: MeshAnswer) -> None:
+        if local.is_over:
+            return
+        self._close(local)
+        line = self._line
+        answer.n_told = line.n_running + line.n_waiting
+        answer.limit = line.slots
+        answer.wait_ms = int(line.expected_wait_s(line.n_waiting) * 1000)
+        local.on_answer(answer)
+
+    def _close(self, local: LocalCall) -> None:
+        local.is_over = True
+        self.n_open -= 1
+        if local.timer is not None:
+            local.timer.cancel()
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -0,0 +1,336 @@
+"""One daemon on a platform: its parts, wired together, started and stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import Any
+
+from ..protocol.header_names import HeaderNames
+from ..protocol.mesh_frames import FrameKind, MeshAnswer, MeshCall, ViewNews
+from ..protocol.mesh_frames import ViewQuestion as Question
+from ..state.event_log import EventLog
+from ..state.fleet_view import FleetView
+from ..state.mesh_settings import MeshSettings
+from ..state.metrics import Metrics
+from ..state.quarantine import Quarantine
+from ..state.route_table import CallerLimits
+from ..transport.frame_link import FrameLink, FrameLinkServer
+from ..transport.http_client import HttpPool
+from ..transport.http_server import CallersListener, Exchange
+from .first_hop import FirstHop
+from .fleet_retries import FleetRetryBudget
+from .host_choice import HostChoice
+from .local_upstream import LocalCall, LocalUpstream
+from .peer_links import PeerLinks
+from .view_keeper import RouteDecoder, ViewKeeper
+from .waiting_line import WaitingLine
+
+__all__ = ["MeshNode"]
+
+# Seconds between looks at time-outs, silent links and idle connections.
+SWEEP_INTERVAL_S = 0.05
+SLOTS_DEFAULT = 16
+CRASHES_MAX = 3
+QUARANTINE_S = 30.0
+# Seconds after a signal to stop in which callers learn of it and go elsewhere.
+LEAVE_LISTEN_S = 2.6
+# Idle connections of callers are closed while leaving after this many seconds.
+LEAVE_IDLE_S = 1.0
+# Kept back from the time until the process is killed.
+LEAVE_MARGIN_S = 0.4
+
+
+class MeshNode:
+    """One daemon beside one upstream, on a platform.
+
+    Args:
+        settings: Where to listen, and bounds.
+        names: Header names of the platform.
+        decode_routes: Decodes the published text of the routes.
+        log: Log of decisions.
+        ready_path: Path of the question whether the host takes callers.
+    """
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        names: HeaderNames,
+        decode_routes: RouteDecoder,
+        log: EventLog,
+        ready_path: bytes,
+    ) -> None:
+        self._settings = settings
+        self._log = log
+        self._ready_path = ready_path
+        self._rng = random.Random()
+        self._is_leaving = False
+        self._was_listed = False
+        self._serving: dict[tuple[FrameLink, int], LocalCall] = {}
+        self._links_in: set[FrameLink] = set()
+        self._quarantine = Quarantine(time.monotonic, CRASHES_MAX, QUARANTINE_S)
+        self._line = WaitingLine(SLOTS_DEFAULT, time.monotonic)
+        self._pool = HttpPool(
+            settings.upstream.ip, settings.upstream.port, names.request_id
+        )
+        self._upstream = LocalUpstream(
+            settings.service,
+            self._pool,
+            self._line,
+            names,
+            self._quarantine,
+            log,
+            self._tell_suspects,
+        )
+        self._keeper = ViewKeeper(decode_routes, log, self._rng, self._on_view)
+        self._choice = HostChoice(
+            settings.callers.ip, settings.failure_domain, self._rng, time.monotonic
+        )
+        self._budget = FleetRetryBudget(settings.retry_ratio, settings.retry_slack)
+        self._links = PeerLinks(settings.links.port, log, self._on_news)
+        self._metrics = Metrics(self._gauges)
+        self._first_hop = FirstHop(
+            settings.service,
+            settings.callers.ip,
+            names,
+            lambda: self._keeper.table,
+            self._keeper.view,
+            self._choice,
+            self._links,
+            self._upstream,
+            self._budget,
+            self._metrics,
+            log,
+            self._rng,
+        )
+        self._callers = CallersListener(
+            self._first_hop.handle, self._limits, self._on_bad_request
+        )
+        self._readiness = CallersListener(
+            self._serve_readiness, CallerLimits, self._on_bad_request
+        )
+        self._scrapes = CallersListener(
+            self._serve_metrics, CallerLimits, self._on_bad_request
+        )
+        self._link_server = FrameLinkServer(self._make_link)
+        self._sweeper: asyncio.Task | None = None
+
+    @property
+    def keeper(self) -> ViewKeeper:
+        """Routes and instances, to be fed by the platform's adapter."""
+        return self._keeper
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return not self._is_leaving and self._keeper.table is not None
+
+    async def start(self) -> None:
+        """Open all ports and start to sweep."""
+        settings = self._settings
+        await self._link_server.start(settings.links.ip, settings.links.port)
+        await self._callers.start(settings.callers.ip, settings.callers.port)
+        await self._readiness.start(settings.readiness.ip, settings.readiness.port)
+        if settings.metrics.port:
+            await self._scrapes.start(settings.metrics.ip, settings.metrics.port)
+        self._sweeper = asyncio.create_task(self._sweep())
+        self._log.change("started", service=settings.service)
+
+    async def stop(self) -> None:
+        """Leave gracefully: finish what was read, then stop."""
+        started_s = time.monotonic()
+        self._log.change("leaving", n_open=self._callers.n_open)
+        self._is_leaving = True
+        self._callers.is_leaving = True
+        self._upstream.leave()
+        for link in self._links_in:
+            link.send([FrameKind.LEAVING.value])
+        latest_s = started_s + self._settings.grace_s - LEAVE_MARGIN_S
+        while time.monotonic() < latest_s:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            if time.monotonic() - started_s < LEAVE_LISTEN_S:
+                continue
+            self._callers.sweep(LEAVE_IDLE_S)
+            if not self._callers.n_open and not self._upstream.n_open:
+                break
+        self._log.change(
+            "stopped",
+            seconds=round(time.monotonic() - started_s, 3),
+            n_cut=self._callers.n_open + self._upstream.n_open,
+        )
+        await self.close()
+
+    async def close(self) -> None:
+        """Stop at once, whatever is in flight."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for listener in (self._callers, self._readiness, self._scrapes):
+            listener.stop_listening()
+            listener.sweep(0.0)
+        self._link_server.close()
+        await asyncio.sleep(0)
+        self._links.close()
+        self._pool.close()
+        self._log.flush()
+
+    async def _sweep(self) -> None:
+        """Look after time-outs, for ever."""
+        n_ticks = 0
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            n_ticks += 1
+            self._upstream.sweep()
+            self._log.flush()
+            if n_ticks % 5 == 0:
+                self._links.sweep()
+                self._callers.sweep()
+                self._readiness.sweep()
+                self._scrapes.sweep()
+                self._keeper.expire()
+            self._ask_peers()
+
+    def _ask_peers(self) -> None:
+        open_ips = self._links.open_ips
+        own_ip = self._settings.callers.ip
+        others: list[str] = []
+        if not open_ips:
+            others = [seed.ip for seed in self._settings.seeds]
+            others += [item.ip for item in self._keeper.view.instances.values()]
+        question = self._keeper.question().to_frame()
+        for ip in self._keeper.peers_to_ask(open_ips, others):
+            if ip != own_ip and not self._links.tell(ip, question):
+                self._links.dial(ip)
+
+    def _limits(self) -> CallerLimits:
+        table = self._keeper.table
+        return CallerLimits() if table is None else table.limits
+
+    def _on_view(self) -> None:
+        """Follow a change of routes or instances."""
+        settings = self._settings
+        view: FleetView = self._keeper.view
+        ips = {instance.ip for instance in view.instances.values()}
+        self._budget.set_daemons(len(ips))
+        self._links.keep_only(ips)
+        self._choice.forget_others(view.instances)
+        own = [
+            instance
+            for instance in view.instances.values()
+            if instance.ip == settings.callers.ip
+            and instance.service == settings.service
+        ]
+        if own:
+            self._was_listed = True
+            self._line.slots = own[0].slots
+        is_taking = any(instance.is_ready for instance in own) or not self._was_listed
+        if self._is_leaving or is_taking != self._upstream.is_leaving:
+            return
+        if is_taking:
+            self._upstream.is_leaving = False
+        else:
+            self._upstream.leave()
+        self._log.change("own_upstream", is_taking_calls=is_taking)
+
+    def _on_bad_request(self, status: int, detail: str) -> None:
+        self._log.request("bad_request", "", status=status, detail=detail)
+
+    def _serve_readiness(self, exchange: Exchange) -> None:
+        if exchange.request.target != self._ready_path:
+            exchange.respond(404, b"", b"")
+        else:
+            exchange.respond(200 if self.is_ready else 503, b"", b"")
+
+    def _serve_metrics(self, exchange: Exchange) -> None:
+        body, headers = self._metrics.render("text/plain")
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        exchange.respond(200, head.encode(), body)
+
+    def _gauges(self) -> dict[str, float]:
+        keeper = self._keeper
+        gauges = {
+            "calls_running": self._line.n_running,
+            "calls_waiting": self._line.n_waiting,
+            "slots": self._line.slots,
+            "upstream_runs": self._upstream.n_runs,
+            "upstream_connections_opened": self._pool.n_opened,
+            "links_open": len(self._links.open_ips),
+            "routes_version": -1 if keeper.table is None else keeper.table.version,
+            "list_revision": keeper.view.revision,
+            "instances": len(keeper.view.instances),
+            "platform_heard": int(keeper.is_platform_heard),
+            "log_lines_left_out": self._log.n_left_out,
+        }
+        gauges.update(self._first_hop.gauges())
+        return gauges
+
+    # links that peers dialled
+
+    def _make_link(self) -> FrameLink:
+        return FrameLink(self._on_frame, self._on_link_lost, self._on_bad_frame)
+
+    def _on_frame(self, link: FrameLink, frame: list[Any]) -> None:
+        kind = frame[0]
+        if kind == FrameKind.CALL:
+            self._take_call(link, MeshCall.from_frame(frame))
+        elif kind == FrameKind.CANCEL:
+            local = self._serving.pop((link, frame[1]), None)
+            if local is not None:
+                local.cancel()
+        elif kind == FrameKind.PING:
+            link.send([FrameKind.PONG.value])
+        else:
+            self._links_in.add(link)
+            self._on_news(link.peer_ip, link, frame)
+
+    def _take_call(self, link: FrameLink, call: MeshCall) -> None:
+        self._links_in.add(link)
+        if call.time_left_ms <= 0:
+            raise ValueError("a call without time left")
+        key = (link, call.id)
+
+        def answer(answer: MeshAnswer) -> None:
+            self._serving.pop(key, None)
+            link.send(answer.to_frame())
+
+        local = self._upstream.run(call, answer)
+        if not local.is_over:
+            self._serving[key] = local
+
+    def _on_link_lost(self, link: FrameLink) -> None:
+        """Give up the calls of a peer that has gone."""
+        self._links_in.discard(link)
+        for key in [key for key in self._serving if key[0] is link]:
+            self._serving.pop(key).cancel()
+
+    def _on_bad_frame(self, detail: str) -> None:
+        self._log.change("peer_sent_bad_frame", detail=detail)
+
+    def _on_news(self, ip: str, link: FrameLink, frame: list[Any]) -> None:
+        """Take a frame that is not about calls."""
+        kind = frame[0]
+        if kind == FrameKind.VIEW_QUESTION:
+            news = self._keeper.news_for(Question(*frame[1:]))
+            if news is not None:
+                link.send(news.to_frame())
+        elif kind == FrameKind.VIEW_NEWS:
+            self._keeper.take_news(ip, ViewNews(*frame[1:]))
+        elif kind == FrameKind.SUSPECTS:
+            self._quarantine.merge(frame[1])
+        elif kind == FrameKind.LEAVING:
+            self._note_leaving(ip)
+
+    def _note_leaving(self, ip: str) -> None:
+        """Send a host that leaves no further calls for a while."""
+        self._log.change("peer_leaving", peer=ip)
+        for instance in self._keeper.view.instances.values():
+            if instance.ip == ip:
+                self._choice.note_leaving(instance)
+
+    def _tell_suspects(self) -> None:
+        """Tell peers which requests were lost in a crash."""
+        self._log.change("upstream_crashed", n_suspects=len(self._quarantine))
+        frame = [FrameKind.SUSPECTS.value, self._quarantine.export()]
+        self._links.tell_all(frame)
+        for link in self._links_in:
+            link.send(frame)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -0,0 +1,224 @@
+"""Links to the daemons beside other upstreams: calls out, answers back."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from ..protocol.mesh_frames import FrameKind, MeshAnswer, MeshCall
+from ..state.event_log import EventLog
+from ..transport.frame_link import FrameLink
+from ..verdict import Reason, Verdict
+
+__all__ = ["PeerLinks"]
+
+DIAL_TIMEOUT_S = 0.6
+# A host that could not be reached is not dialled again for this long.
+DIAL_PAUSE_S = 0.5
+# Silence of a link with calls in flight after which the peer is asked for a sign.
+PING_AFTER_S = 0.4
+# Silence after that question which ends the link: above the longest pause that a
+# loaded peer was seen to make.
+SILENT_AFTER_S = 1.6
+
+AnswerHandler = Callable[[MeshAnswer], None]
+
+
+@attrs.define(eq=False)
+class _Link:
+    """A link that this daemon dialled.
+
+    Attributes:
+        wire: The connection.
+        waiting: Handlers by number of the call.
+        next_id: Number of the next call.
+        asked_s: Monotonic time of an unanswered ping, or None.
+    """
+
+    wire: FrameLink
+    waiting: dict[int, AnswerHandler] = attrs.field(factory=dict)
+    next_id: int = 1
+    asked_s: float | None = None
+
+
+class PeerLinks:
+    """Links by address of the peer's host.
+
+    Args:
+        port: Port at which daemons take links, the same on all hosts.
+        log: Log of lost and regained links.
+        on_news: Takes frames that are not about calls, with the peer's address.
+    """
+
+    def __init__(
+        self,
+        port: int,
+        log: EventLog,
+        on_news: Callable[[str, FrameLink, list[Any]], None],
+    ) -> None:
+        self._port = port
+        self._log = log
+        self._on_news = on_news
+        self._links: dict[str, _Link] = {}
+        self._dialling: dict[str, asyncio.Task] = {}
+        self._queued: dict[str, list[tuple[MeshCall, AnswerHandler]]] = {}
+        self._unreachable_until_s: dict[str, float] = {}
+
+    @property
+    def open_ips(self) -> list[str]:
+        """Addresses of the hosts with an open link."""
+        return [ip for ip, link in self._links.items() if link.wire.is_open]
+
+    def call(self, ip: str, call: MeshCall, on_answer: AnswerHandler) -> None:
+        """Send a call; ``on_answer`` is told exactly once, perhaps at once.
+
+        Args:
+            ip: Address of the host.
+            call: The call; its number is set here.
+            on_answer: Takes the peer's answer, or one made here.
+        """
+        link = self._links.get(ip)
+        if link is not None and link.wire.is_open:
+            self._send(link, call, on_answer)
+        elif time.monotonic() < self._unreachable_until_s.get(ip, 0.0):
+            on_answer(_unreachable(f"{ip} could not be reached of late"))
+        else:
+            self._queued.setdefault(ip, []).append((call, on_answer))
+            self.dial(ip)
+
+    def cancel(self, ip: str, call: MeshCall) -> None:
+        """Give up a call; nothing more is told about it."""
+        queued = self._queued.get(ip, [])
+        for item in queued:
+            if item[0] is call:
+                queued.remove(item)
+                return
+        link = self._links.get(ip)
+        if link is not None and link.waiting.pop(call.id, None) is not None:
+            link.wire.send([FrameKind.CANCEL.value, call.id])
+
+    def tell(self, ip: str, frame: list[Any]) -> bool:
+        """Send a frame on an open link; return whether there was one."""
+        link = self._links.get(ip)
+        if link is None or not link.wire.is_open:
+            return False
+        link.wire.send(frame)
+        return True
+
+    def tell_all(self, frame: list[Any]) -> None:
+        """Send a frame on all open links."""
+        for link in self._links.values():
+            link.wire.send(frame)
+
+    def dial(self, ip: str) -> None:
+        """Open a link to a host unless there is one or it is being opened."""
+        if ip in self._dialling:
+            return
+        task = asyncio.get_running_loop().create_task(self._dial(ip))
+        self._dialling[ip] = task
+        task.add_done_callback(lambda _: self._dialling.pop(ip, None))
+
+    def sweep(self) -> None:
+        """Ask silent peers for a sign, and end the links of those that give none."""
+        now_s = time.monotonic()
+        for link in list(self._links.values()):
+            if not link.waiting:
+                link.asked_s = None
+                continue
+            if link.asked_s is not None and link.wire.last_read_s > link.asked_s:
+                link.asked_s = None
+            if link.asked_s is None:
+                if now_s - link.wire.last_read_s > PING_AFTER_S:
+                    link.asked_s = now_s
+                    link.wire.send([FrameKind.PING.value])
+            elif now_s - link.asked_s > SILENT_AFTER_S:
+                link.wire.abort()
+                self._on_lost(link.wire)
+
+    def keep_only(self, ips: set[str]) -> None:
+        """Close idle links to hosts that are no longer listed."""
+        for ip, link in list(self._links.items()):
+            if ip not in ips and not link.waiting:
+                link.wire.close()
+
+    def close(self) -> None:
+        """Drop all links."""
+        for task in list(self._dialling.values()):
+            task.cancel()
+        for link in list(self._links.values()):
+            link.wire.abort()
+
+    async def _dial(self, ip: str) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                _, wire = await loop.create_connection(
+                    lambda: FrameLink(self._on_frame, self._on_lost, self._on_bad),
+                    ip,
+                    self._port,
+                )
+        except (OSError, TimeoutError) as error:
+            self._unreachable_until_s[ip] = time.monotonic() + DIAL_PAUSE_S
+            self._log.change("peer_unreachable", peer=ip, error=repr(error)[:120])
+            for _, on_answer in self._queued.pop(ip, []):
+                on_answer(_unreachable(f"no link to {ip}: {error!r:.80}"))
+            return
+        wire.peer_ip = ip
+        link = _Link(wire)
+        self._links[ip] = link
+        self._unreachable_until_s.pop(ip, None)
+        self._log.change("peer_linked", peer=ip)
+        for call, on_answer in self._queued.pop(ip, []):
+            self._send(link, call, on_answer)
+
+    def _send(self, link: _Link, call: MeshCall, on_answer: AnswerHandler) -> None:
+        call.id = link.next_id
+        link.next_id += 1
+        if not link.waiting:
+            # Silence counts from the first call on, not from the last answer.
+            link.wire.last_read_s = time.monotonic()
+        link.waiting[call.id] = on_answer
+        link.wire.send(call.to_frame())
+
+    def _on_frame(self, wire: FrameLink, frame: list[Any]) -> None:
+        if frame[0] == FrameKind.ANSWER:
+            link = self._links.get(wire.peer_ip)
+            if link is None or link.wire is not wire:
+                return
+            on_answer = link.waiting.pop(frame[1], None)
+            if on_answer is not None:
+                on_answer(MeshAnswer.from_frame(frame))
+        elif frame[0] == FrameKind.PING:
+            wire.send([FrameKind.PONG.value])
+        elif frame[0] != FrameKind.PONG:
+            self._on_news(wire.peer_ip, wire, frame)
+
+    def _on_lost(self, wire: FrameLink) -> None:
+        link = self._links.get(wire.peer_ip)
+        if link is None or link.wire is not wire:
+            return
+        del self._links[wire.peer_ip]
+        self._log.change("peer_lost", peer=wire.peer_ip, n_calls=len(link.waiting))
+        waiting, link.waiting = link.waiting, {}
+        for on_answer in waiting.values():
+            detail = f"the link to {wire.peer_ip} was lost during the call"
+            on_answer(
+                MeshAnswer(
+                    0,
+                    Verdict.MAY_HAVE_RUN,
+                    Reason.CONNECTION_LOST,
+                    detail,
+                    was_sent=True,
+                )
+            )
+
+    def _on_bad(self, detail: str) -> None:
+        self._log.change("peer_sent_bad_frame", detail=detail)
+
+
+def _unreachable(detail: str) -> MeshAnswer:
+    return MeshAnswer(0, Verdict.NOT_RUN, Reason.UNREACHABLE, detail)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/protocol/header_names.py
@@ -0,0 +1,56 @@
+"""Names of the HTTP headers that a platform gives a meaning to."""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = ["HOP_BY_HOP", "HeaderNames"]
+
+# Headers that concern one connection (RFC 9110, section 7.6.1) or that are set anew.
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+@attrs.frozen
+class HeaderNames:
+    """Header names in lower case, as the adapter of a platform gives them.
+
+    Attributes:
+        request_id: Identity of one attempt of a caller; echoed by upstreams.
+        time_left_ms: Milliseconds that the caller goes on waiting.
+        caller_service: Service of the host where the request began.
+        expected_instance: Upstream instance that alone may run the request.
+        instance: Instance that answers.
+        load: Load that an upstream reports: running, waiting, slots.
+        not_executed: Present where an upstream did not run the request.
+        signature: Mark of the upstream's own answer.
+    """
+
+    request_id: bytes
+    time_left_ms: bytes
+    caller_service: bytes
+    expected_instance: bytes
+    instance: bytes
+    load: bytes
+    not_executed: bytes
+    signature: bytes
+
+    @property
+    def set_by_fleet(self) -> frozenset[bytes]:
+        """Request headers that are dropped from callers and set anew."""
+        return frozenset(
+            {self.time_left_ms, self.caller_service, self.expected_instance}
+        )
--- a/packages/savoryroute/savoryroute/state/checking.py
+++ b/packages/savoryroute/savoryroute/state/checking.py
@@ -15,6 +15,7 @@
 NAME_PATTERN = re.compile(r"[a-z][a-z0-9_-]{0,63}")
 NAME_ALLOWED = "1 to 64 of a-z, 0-9, - and _, a letter first"
 SHOWN_CHARACTERS = 60
+DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 
 _REQUIRED = object()
 
@@ -150,6 +151,22 @@
         """Return an address by IP number and port."""
         return self._as_address(name, self.get(name), lowest_port)
 
+    def address_ip(self, name: str) -> str:
+        """Return an IP number."""
+        return self._as_address(name, f"{self.get(name)}:0", 0).ip
+
+    def seconds(self, name: str, low: float, high: float) -> float:
+        """Return a duration such as ``"250ms"`` or ``"1.5s"`` in seconds."""
+        value = self.get(name)
+        match = DURATION_PATTERN.fullmatch(value) if type(value) is str else None
+        seconds = 0.0
+        if match is not None:
+            seconds = float(match[1]) / (1000.0 if match[2] == "ms" else 1.0)
+        if match is None or not low <= seconds <= high:
+            allowed = f"a number with ms or s, from {low:g}s to {high:g}s"
+            self.fail(name, value, allowed)
+        return seconds
+
     def addresses(self, name: str, default: object = _REQUIRED) -> tuple[Address, ...]:
         """Return a list of addresses by IP number and port."""
         values = self._list(name, default)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/fleet_view.py
@@ -0,0 +1,123 @@
+"""Instances of upstreams as the platform lists them, with the view's revision."""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = ["FleetView", "Instance"]
+
+# Entries that lapse while the list cannot be read may be back this many seconds
+# after it can be read again (stated by the platform).
+LAPSE_GRACE_S = 2.0
+
+
+@attrs.frozen
+class Instance:
+    """One running upstream.
+
+    Attributes:
+        id: Identity, mostly new with each start.
+        service: Service that it belongs to.
+        ip: Address of its host.
+        failure_domain: Failure domain of its host.
+        slots: Requests that it runs side by side.
+        is_ready: Whether it takes new work.
+        cold_s: Seconds that it stayed slow for when the entry was written.
+    """
+
+    id: str
+    service: str
+    ip: str
+    failure_domain: str
+    slots: int
+    is_ready: bool
+    cold_s: float = 0.0
+
+
+class FleetView:
+    """Instances by id, at one revision of the platform's list.
+
+    A later revision replaces an earlier one and never the reverse, whether it comes
+    from the platform or from a peer.
+    """
+
+    def __init__(self) -> None:
+        self._revision = 0
+        self._instances: dict[str, Instance] = {}
+        self._by_service: dict[str, list[Instance]] = {}
+        self._lapsed: dict[str, tuple[Instance, float]] = {}
+
+    @property
+    def revision(self) -> int:
+        """Revision of the list that this view shows."""
+        return self._revision
+
+    @property
+    def instances(self) -> dict[str, Instance]:
+        """Instances by id."""
+        return self._instances
+
+    def of_service(self, service: str) -> list[Instance]:
+        """Return the instances of a service that take new work."""
+        return self._by_service.get(service, [])
+
+    def find_at(self, ip: str, service: str) -> Instance | None:
+        """Return the instance of a service on a host, or None."""
+        for instance in self._instances.values():
+            if instance.ip == ip and instance.service == service:
+                return instance
+        return None
+
+    def replace(self, revision: int, instances: dict[str, Instance]) -> bool:
+        """Take over a whole list; return whether it is newer than this view."""
+        if revision <= self._revision:
+            return False
+        self._revision = revision
+        self._instances = dict(instances)
+        self._index()
+        return True
+
+    def apply(
+        self,
+        revision: int,
+        changes: dict[str, Instance | None],
+        lapse_until_s: float | None = None,
+    ) -> None:
+        """Apply changed and removed entries up to a revision.
+
+        Args:
+            revision: Revision of the list after the changes.
+            changes: Instance by id, or None for a removed or unusable entry.
+            lapse_until_s: Monotonic time until which removed instances are still
+                used, because the list could not be read of late; None for removal
+                at once.
+        """
+        if revision <= self._revision:
+            return
+        self._revision = revision
+        for id_, instance in changes.items():
+            if instance is not None:
+                self._instances[id_] = instance
+                self._lapsed.pop(id_, None)
+                continue
+            removed = self._instances.pop(id_, None)
+            if removed is not None and lapse_until_s is not None and removed.is_ready:
+                self._lapsed[id_] = (removed, lapse_until_s)
+        self._index()
+
+    def expire_lapsed(self, now_s: float) -> None:
+        """Drop the instances that did not come back in time."""
+        gone = [id_ for id_, (_, until_s) in self._lapsed.items() if until_s <= now_s]
+        for id_ in gone:
+            del self._lapsed[id_]
+        if gone:
+            self._index()
+
+    def _index(self) -> None:
+        by_service: dict[str, list[Instance]] = {}
+        for instance in self._instances.values():
+            if instance.is_ready:
+                by_service.setdefault(instance.service, []).append(instance)
+        for instance, _ in self._lapsed.values():
+            by_service.setdefault(instance.service, []).append(instance)
+        self._by_service = by_service
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/mesh_settings.py
@@ -0,0 +1,107 @@
+"""Settings of a daemon whose routes and instances a platform publishes."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import re
+
+import attrs
+from result import Err, Ok, Result
+
+from ..errors import SettingsError
+from .address import Address
+from .checking import Members
+from .parsing import TEXT_BYTES_MAX, parse_object
+
+__all__ = ["MeshSettings", "parse_mesh_settings", "read_mesh_settings"]
+
+NAME_PATTERN = re.compile(r"[!-~]{1,200}")
+NAME_ALLOWED = "1 to 200 printable ASCII characters without spaces"
+SECONDS_MAX = 3600.0
+SLACK_MAX = 1e6
+RATIO_MAX = 10.0
+
+
+@attrs.frozen
+class MeshSettings:
+    """Where one daemon listens, and the bounds it works within.
+
+    Attributes:
+        host: Name of the host.
+        service: Service of the host's upstream.
+        failure_domain: Failure domain of the host.
+        callers: Listening address for callers and for the own upstream's calls.
+        links: Listening address for other daemons; the port is the same everywhere.
+        readiness: Listening address for questions whether the host takes callers.
+        metrics: Listening address for metrics.
+        upstream: Address of the host's upstream.
+        platform: Address of the platform's store.
+        seeds: Hosts to ask for routes and instances when the store does not answer.
+        retry_ratio: Repeats that the fleet may make for each request.
+        retry_slack: Repeats that the fleet may make beyond those.
+        grace_s: Seconds from a signal to stop until the process is killed.
+    """
+
+    host: str
+    service: str
+    failure_domain: str
+    callers: Address
+    links: Address
+    readiness: Address
+    metrics: Address
+    upstream: Address
+    platform: Address
+    seeds: tuple[Address, ...]
+    retry_ratio: float
+    retry_slack: float
+    grace_s: float
+
+
+def read_mesh_settings(
+    path: str | os.PathLike[str],
+) -> Result[MeshSettings, SettingsError]:
+    """Read and check a settings file, JSON with comments."""
+    source = os.fspath(path)
+    try:
+        with pathlib.Path(path).open("rb") as file:
+            text = file.read(TEXT_BYTES_MAX + 1).decode()
+    except OSError as exc:
+        return Err(SettingsError(source, "file", str(exc.strerror), "a readable file"))
+    except UnicodeDecodeError as exc:
+        return Err(SettingsError(source, f"byte {exc.start}", exc.reason, "UTF-8"))
+    return parse_mesh_settings(text, source)
+
+
+def parse_mesh_settings(text: str, source: str) -> Result[MeshSettings, SettingsError]:
+    """Parse and check the text of a settings file.
+
+    Args:
+        text: JSON with comments.
+        source: Name of the file that the text came from.
+    """
+    try:
+        plain = parse_object(text, source, SettingsError)
+        return Ok(_read(Members(plain, source, SettingsError)))
+    except SettingsError as exc:
+        return Err(exc)
+
+
+def _read(root: Members) -> MeshSettings:
+    root.only(attrs.fields_dict(MeshSettings).keys() | {"metrics_port", "ip"})
+    ip = root.address_ip("ip")
+    return MeshSettings(
+        host=root.text("host", NAME_PATTERN, NAME_ALLOWED),
+        service=root.text("service", NAME_PATTERN, NAME_ALLOWED),
+        failure_domain=root.text("failure_domain", NAME_PATTERN, NAME_ALLOWED),
+        callers=root.address("callers"),
+        links=root.address("links"),
+        readiness=root.address("readiness"),
+        metrics=Address(ip, root.integer("metrics_port", 0, 65535)),
+        upstream=root.address("upstream"),
+        platform=root.address("platform"),
+        seeds=root.addresses("seeds", []),
+        retry_ratio=root.number("retry_ratio", 0.0, RATIO_MAX),
+        retry_slack=root.number("retry_slack", 0.0, SLACK_MAX),
+        grace_s=root.seconds("grace_s", 0.0, SECONDS_MAX),
+    )
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/route_table.py
@@ -0,0 +1,155 @@
+"""Routes by virtual host and path prefix, with weighted splits."""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = [
+    "CallerLimits",
+    "RouteTable",
+    "ServiceTraits",
+    "SplitCursor",
+    "TableRoute",
+    "WeightedService",
+]
+
+
+@attrs.frozen
+class WeightedService:
+    """One part of a route's traffic.
+
+    Attributes:
+        service: Service that runs the part.
+        weight: Share in proportion to the other parts' weights.
+    """
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class TableRoute:
+    """Route of the requests whose path begins with a prefix.
+
+    Attributes:
+        name: Name of the route.
+        prefix: Beginning of the path, with a slash at either end.
+        is_idempotent: Whether a request may run more than once.
+        rank: Order of importance, 0 the most important.
+        timeout_s: Longest time in seconds until the final answer.
+        target_latency_s: Seconds within which an answer is worth most.
+        attempts_max: Upstreams to which one request may be sent.
+        parts: Services that run it, with their weights.
+    """
+
+    name: str
+    prefix: str
+    is_idempotent: bool
+    rank: int
+    timeout_s: float
+    target_latency_s: float
+    attempts_max: int
+    parts: tuple[WeightedService, ...]
+
+
+@attrs.frozen
+class ServiceTraits:
+    """What is configured of a service.
+
+    Attributes:
+        connections_max: Connections that one upstream accepts.
+    """
+
+    connections_max: int
+
+
+@attrs.frozen
+class CallerLimits:
+    """Bounds of what a caller may send.
+
+    Attributes:
+        header_bytes_max: Longest head of a request.
+        body_bytes_max: Longest body of a request.
+        header_timeout_s: Seconds within which a head must be complete.
+        idle_timeout_s: Seconds after which an idle connection is closed.
+    """
+
+    header_bytes_max: int = 16_384
+    body_bytes_max: int = 64 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.frozen
+class RouteTable:
+    """One version of the routes in force.
+
+    Attributes:
+        version: Number that grows with each change.
+        routes: Routes by host name in lower case.
+        services: Traits of the services by name.
+        limits: Bounds of what callers may send.
+    """
+
+    version: int
+    routes: dict[str, tuple[TableRoute, ...]]
+    services: dict[str, ServiceTraits]
+    limits: CallerLimits = CallerLimits()
+    _by_prefix: dict[str, dict[str, TableRoute]] = attrs.field(
+        init=False, repr=False, eq=False
+    )
+
+    def __attrs_post_init__(self) -> None:
+        by_prefix = {
+            host: {route.prefix: route for route in routes}
+            for host, routes in self.routes.items()
+        }
+        object.__setattr__(self, "_by_prefix", by_prefix)
+
+    def find(self, host: str, target: str) -> TableRoute | None:
+        """Return the route with the longest prefix of the target's path.
+
+        Args:
+            host: Value of the ``Host`` header, with or without a port.
+            target: Path and query.
+        """
+        prefixes = self._by_prefix.get(host)
+        if prefixes is None:
+            prefixes = self._by_prefix.get(host.lower().partition(":")[0])
+            if prefixes is None:
+                return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+class SplitCursor:
+    """Smooth weighted round robin over the parts of split routes.
+
+    Source: the smooth variant of weighted round robin that is used in nginx.
+    """
+
+    def __init__(self) -> None:
+        self._credits: dict[tuple[WeightedService, ...], list[float]] = {}
+
+    def next_service(self, parts: tuple[WeightedService, ...]) -> str:
+        """Return the service that runs the next request of a route."""
+        if len(parts) == 1:
+            return parts[0].service
+        credits = self._credits.get(parts)
+        if credits is None:
+            credits = self._credits[parts] = [0.0] * len(parts)
+        total = 0.0
+        best = 0
+        for index, part in enumerate(parts):
+            credits[index] += part.weight
+            total += part.weight
+            if credits[index] > credits[best]:
+                best = index
+        credits[best] -= total
+        return parts[best].service
--- /dev/null
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -0,0 +1,132 @@
+"""Connections between daemons: CBOR frames behind a length.
+
+WebSocket framing by the library costs more than the rest of a hop at the call
+rates of the deep services (docs/design/platform.md); a length is all that is used.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+import time
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+
+from .http_client import keep_probing
+
+__all__ = ["FrameHandler", "FrameLink", "FrameLinkServer"]
+
+FRAME_BYTES_MAX = 80 * 1024 * 1024
+LISTEN_BACKLOG = 1024
+
+_LENGTH = struct.Struct(">I")
+
+FrameHandler = Callable[["FrameLink", list[Any]], None]
+
+
+class FrameLink(asyncio.Protocol):
+    """One connection; frames are CBOR arrays.
+
+    Args:
+        on_frame: Takes each frame.
+        on_lost: Told when the connection has gone.
+        on_bad_frame: Told what was wrong before the connection is dropped.
+    """
+
+    def __init__(
+        self,
+        on_frame: FrameHandler,
+        on_lost: Callable[[FrameLink], None],
+        on_bad_frame: Callable[[str], None],
+    ) -> None:
+        self._on_frame = on_frame
+        self._on_lost = on_lost
+        self._on_bad_frame = on_bad_frame
+        self._transport: asyncio.Transport | None = None
+        self._buffer = b""
+        self.last_read_s = time.monotonic()
+        self.peer_ip = ""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether frames can be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def send(self, frame: list[Any]) -> None:
+        """Send one frame; it is lost if the connection has gone."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = cbor2.dumps(frame)
+        self._transport.write(_LENGTH.pack(len(data)) + data)
+
+    def close(self) -> None:
+        """Close after what was sent has left."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+        self.last_read_s = time.monotonic()
+        address = transport.get_extra_info("peername")
+        self.peer_ip = address[0] if address else ""
+        keep_probing(transport)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell the owner."""
+        self._on_lost(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Cut the bytes into frames."""
+        self.last_read_s = time.monotonic()
+        buffer = self._buffer + data if self._buffer else data
+        start, end = 0, len(buffer)
+        try:
+            while end - start >= _LENGTH.size:
+                (length,) = _LENGTH.unpack_from(buffer, start)
+                if length > FRAME_BYTES_MAX:
+                    raise ValueError(f"frame of {length} bytes")
+                if end - start - _LENGTH.size < length:
+                    break
+                start += _LENGTH.size
+                frame = cbor2.loads(buffer[start : start + length])
+                start += length
+                if not isinstance(frame, list) or not frame:
+                    raise ValueError("frame is not an array")
+                self._on_frame(self, frame)
+        except (ValueError, TypeError, IndexError, cbor2.CBORError) as error:
+            self._on_bad_frame(f"{self.peer_ip}: {error!r:.200}")
+            self.abort()
+            return
+        self._buffer = buffer[start:] if start else buffer
+
+
+class FrameLinkServer:
+    """Listening port for links of peers.
+
+    Args:
+        make_link: Returns the protocol of an accepted connection.
+    """
+
+    def __init__(self, make_link: Callable[[], FrameLink]) -> None:
+        self._make_link = make_link
+        self._server: asyncio.Server | None = None
+
+    async def start(self, ip: str, port: int) -> None:
+        """Listen on an address."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._make_link, ip, port, backlog=LISTEN_BACKLOG
+        )
+
+    def close(self) -> None:
+        """Accept no further links."""
+        if self._server is not None:
+            self._server.close()
--- /dev/null
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -0,0 +1,423 @@
+"""HTTP/1.1 client with a pool of connections to one address."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import re
+import socket
+import time
+from collections.abc import Callable
+
+import attrs
+import httptools
+
+__all__ = ["HttpPool", "Lost", "LostKind", "Pending", "WireAnswer", "keep_probing"]
+
+CONNECT_TIMEOUT_S = 1.0
+# Idle connections are reused for this long where the server states no timeout.
+IDLE_DEFAULT_S = 4.0
+# Kept back from the server's stated timeout, so that its close is not crossed.
+IDLE_MARGIN_S = 1.0
+# A request that must not repeat goes on a connection used this lately, or a new one.
+FRESH_IDLE_S = 1.5
+ANSWER_BYTES_MAX = 64 * 1024 * 1024
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBES_MAX = 2
+UNACKED_MS = 2500
+
+_TIMEOUT_VALUE = re.compile(rb"timeout\s*=\s*(\d+)")
+
+
+class LostKind(enum.Enum):
+    """How an exchange ended without a whole answer."""
+
+    NOT_SENT = "not_sent"
+    CLOSED = "closed"
+    BAD_ANSWER = "bad_answer"
+
+
+@attrs.frozen
+class Lost:
+    """End of an exchange without a whole answer.
+
+    Attributes:
+        kind: ``NOT_SENT`` only if no byte left this process.
+        detail: One sentence for a person.
+    """
+
+    kind: LostKind
+    detail: str
+
+
+@attrs.frozen
+class WireAnswer:
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Pairs of lower-case name and value.
+        body: The whole body.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of a header, or None."""
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return None
+
+
+DoneHandler = Callable[[WireAnswer | Lost], None]
+
+
+def keep_probing(transport: asyncio.BaseTransport) -> None:
+    """Have the kernel notice a peer that went silent without a reset."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_MAX),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS),
+    )
+    for level, name, value in options:
+        # Not every socket takes every option; time-outs above bound the rest.
+        with contextlib.suppress(OSError):
+            sock.setsockopt(level, name, value)
+
+
+class Pending:
+    """One exchange under way; ``cancel`` gives it up and closes its connection."""
+
+    __slots__ = (
+        "_connection",
+        "_is_done",
+        "data",
+        "expected_id",
+        "is_head",
+        "on_done",
+    )
+
+    def __init__(
+        self,
+        data: bytes,
+        expected_id: bytes | None,
+        is_head: bool,
+        on_done: DoneHandler,
+    ) -> None:
+        self.data = data
+        self.expected_id = expected_id
+        self.is_head = is_head
+        self.on_done = on_done
+        self._connection: _Connection | None = None
+        self._is_done = False
+
+    @property
+    def is_done(self) -> bool:
+        """Whether it has ended."""
+        return self._is_done
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether its bytes were handed to a connection."""
+        return self._connection is not None
+
+    def attach(self, connection: _Connection) -> None:
+        """Note the connection that carries it."""
+        self._connection = connection
+
+    def cancel(self) -> None:
+        """Give up; nothing is told to ``on_done``."""
+        if self._is_done:
+            return
+        self._is_done = True
+        if self._connection is not None:
+            self._connection.abort()
+
+    def finish(self, outcome: WireAnswer | Lost) -> None:
+        """Tell the outcome, once."""
+        if self._is_done:
+            return
+        self._is_done = True
+        self.on_done(outcome)
+
+
+class _Connection(asyncio.Protocol):
+    """One connection; one exchange at a time."""
+
+    def __init__(self, pool: HttpPool) -> None:
+        self._pool = pool
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._pending: Pending | None = None
+        self._can_reuse = True
+        self._is_message_open = False
+        self._is_until_close = False
+        self._answer: WireAnswer | None = None
+        self.idle_since_s = time.monotonic()
+        self.idle_max_s = IDLE_DEFAULT_S
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._is_framed = False
+        self._is_until_close = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a further exchange may use it."""
+        return (
+            self._can_reuse
+            and self._pending is None
+            and self._transport is not None
+            and not self._transport.is_closing()
+        )
+
+    def start(self, pending: Pending) -> None:
+        """Send a request."""
+        self._pending = pending
+        pending.attach(self)
+        self._transport.write(pending.data)
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self._can_reuse = False
+        self._pending = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        keep_probing(transport)
+        self._pool.connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._can_reuse = False
+        self._pool.forget(self)
+        pending, self._pending = self._pending, None
+        if pending is not None:
+            detail = "the connection was lost before the whole answer"
+            pending.finish(Lost(LostKind.CLOSED, detail))
+
+    def eof_received(self) -> bool:
+        self._can_reuse = False
+        if self._is_message_open and self._is_until_close:
+            self._deliver()
+            self._settle()
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        if self._pending is None:
+            # Bytes that nobody waits for belong to no request.
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._can_reuse = False
+            if self._answer is None:
+                self._fail(f"not an answer: {type(error).__name__}")
+        if self._answer is not None:
+            self._settle()
+
+    def on_message_begin(self) -> None:
+        self._reset_message()
+        self._is_message_open = True
+        if self._answer is not None:
+            self._can_reuse = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
+        self._headers.append((name, value))
+        if name == b"content-length" or name == b"transfer-encoding":
+            self._is_framed = True
+        elif name == b"keep-alive":
+            stated = _TIMEOUT_VALUE.search(value)
+            if stated:
+                self.idle_max_s = max(0.0, int(stated[1]) - IDLE_MARGIN_S)
+
+    def on_headers_complete(self) -> None:
+        status = self._parser.get_status_code()
+        has_body = status >= 200 and status not in (204, 304)
+        self._is_until_close = has_body and not self._is_framed
+        if self._pending is not None and self._pending.is_head and status >= 200:
+            self._can_reuse = False
+            self._deliver()
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > ANSWER_BYTES_MAX:
+            self._fail(f"the answer is longer than {ANSWER_BYTES_MAX} bytes")
+        else:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._is_message_open = False
+        if self._parser.get_status_code() < 200:
+            return
+        if not self._parser.should_keep_alive():
+            self._can_reuse = False
+        self._deliver()
+
+    def _deliver(self) -> None:
+        """Keep a whole answer if it belongs to the exchange under way."""
+        pending = self._pending
+        if pending is None or self._answer is not None:
+            # A second answer to one request: nobody's, and the rest is suspect.
+            self._can_reuse = False
+            return
+        if pending.expected_id is not None and self._is_of_other(pending.expected_id):
+            # A late extra answer to an earlier request; the own one follows.
+            self._can_reuse = False
+            return
+        self._is_message_open = False
+        status = self._parser.get_status_code()
+        self._answer = WireAnswer(status, self._headers, b"".join(self._body))
+
+    def _settle(self) -> None:
+        """Free the connection, then hand the answer over."""
+        answer, self._answer = self._answer, None
+        pending, self._pending = self._pending, None
+        if self._transport.get_write_buffer_size():
+            # Answered before the whole request was written.
+            self._can_reuse = False
+        if self._can_reuse:
+            self.idle_since_s = time.monotonic()
+            self._pool.give_back(self)
+        else:
+            self._transport.close()
+        if pending is not None:
+            pending.finish(answer)
+
+    def _is_of_other(self, expected_id: bytes) -> bool:
+        id_name = self._pool.id_name
+        for name, value in self._headers:
+            if name == id_name:
+                return value != expected_id
+        return False
+
+    def _fail(self, detail: str) -> None:
+        pending = self._pending
+        self.abort()
+        if pending is not None:
+            pending.finish(Lost(LostKind.BAD_ANSWER, detail))
+
+
+class HttpPool:
+    """Connections to one address, the latest used first.
+
+    Args:
+        ip: Address of the server.
+        port: Port of the server.
+        id_name: Header in which the server echoes the request's identity, or an
+            empty string.
+    """
+
+    def __init__(self, ip: str, port: int, id_name: bytes = b"") -> None:
+        self._ip = ip
+        self._port = port
+        self.id_name = id_name
+        self.connections: set[_Connection] = set()
+        self._idle: list[_Connection] = []
+        self._n_opened = 0
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def n_opened(self) -> int:
+        """Connections opened so far."""
+        return self._n_opened
+
+    def send(
+        self,
+        data: bytes,
+        on_done: DoneHandler,
+        expected_id: bytes | None = None,
+        may_repeat: bool = True,
+        is_head: bool = False,
+    ) -> Pending:
+        """Start an exchange.
+
+        Args:
+            data: The whole request.
+            on_done: Told the answer, or how it was lost.
+            expected_id: Identity that the answer must echo if it echoes one.
+            may_repeat: Whether the request is idempotent.
+            is_head: Whether its method is HEAD.
+        """
+        pending = Pending(data, expected_id, is_head, on_done)
+        connection = self._take_idle(may_repeat)
+        if connection is not None:
+            connection.start(pending)
+        else:
+            task = asyncio.get_running_loop().create_task(self._open(pending))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        return pending
+
+    def give_back(self, connection: _Connection) -> None:
+        """Keep a connection for the next exchange."""
+        self._idle.append(connection)
+
+    def forget(self, connection: _Connection) -> None:
+        """Drop a connection that was lost."""
+        self.connections.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def sweep(self) -> None:
+        """Close connections that were idle too long."""
+        now_s = time.monotonic()
+        for connection in list(self._idle):
+            if now_s - connection.idle_since_s > connection.idle_max_s:
+                self._idle.remove(connection)
+                connection.abort()
+
+    def close(self) -> None:
+        """Drop all connections."""
+        for connection in list(self.connections):
+            connection.abort()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _take_idle(self, may_repeat: bool) -> _Connection | None:
+        now_s = time.monotonic()
+        while self._idle:
+            connection = self._idle[-1]
+            age_s = now_s - connection.idle_since_s
+            if connection.is_usable and age_s <= connection.idle_max_s:
+                if not may_repeat and age_s > FRESH_IDLE_S:
+                    return None
+                self._idle.pop()
+                return connection
+            self._idle.pop()
+            connection.abort()
+        return None
+
+    async def _open(self, pending: Pending) -> None:
+        """Open a connection for an exchange and start it."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(self), self._ip, self._port
+                )
+        except (OSError, TimeoutError) as error:
+            detail = f"no connection to {self._ip}:{self._port}: {error!r:.80}"
+            pending.finish(Lost(LostKind.NOT_SENT, detail))
+            return
+        self._n_opened += 1
+        if pending.is_done:
+            self.give_back(connection)
+        else:
+            connection.start(pending)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -0,0 +1,356 @@
+"""HTTP/1.1 towards callers, over a protocol class and a C parser.
+
+aiohttp's server costs 0.35 ms of a core for an answer, which binds at the size of
+the deep services (docs/design/platform.md), so that this path parses with httptools.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+import httptools
+
+from ..state.route_table import CallerLimits
+
+__all__ = ["CallerRequest", "CallersListener", "Exchange", "format_answer"]
+
+READ_AHEAD_BYTES_MAX = 256 * 1024
+LISTEN_BACKLOG = 1024
+SWEEP_INTERVAL_S = 0.25
+# A caller that does not read its answer for this long loses its connection.
+WRITE_STALL_S = 20.0
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+_BODILESS = frozenset({204, 304})
+
+
+@attrs.define(slots=True)
+class CallerRequest:
+    """One request, read whole.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query, as sent.
+        headers: Pairs of lower-case name and value.
+        body: The whole body.
+        keep_alive: Whether the connection may serve further requests.
+        read_s: Monotonic time at which its last byte was read.
+    """
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    keep_alive: bool
+    read_s: float
+
+
+def format_answer(
+    status: int, head: bytes, body: bytes, close: bool, is_head: bool = False
+) -> bytes:
+    """Return the bytes of a whole answer.
+
+    Args:
+        status: HTTP status.
+        head: Header lines, each with its line end.
+        body: The whole body.
+        close: Whether the connection ends after it.
+        is_head: Whether the request's method was HEAD.
+    """
+    reason = _REASONS.get(status, b"Status")
+    parts = [b"HTTP/1.1 %d %b\r\n" % (status, reason), head]
+    if status not in _BODILESS:
+        parts.append(b"Content-Length: %d\r\n" % len(body))
+    if close:
+        parts.append(b"Connection: close\r\n")
+    parts.append(b"\r\n")
+    if not is_head and status not in _BODILESS:
+        parts.append(body)
+    return b"".join(parts)
+
+
+class Exchange:
+    """One request of a caller that awaits its one answer."""
+
+    __slots__ = ("_connection", "_is_done", "on_abort", "request")
+
+    def __init__(self, connection: _Connection, request: CallerRequest) -> None:
+        self._connection = connection
+        self._is_done = False
+        self.request = request
+        self.on_abort: Callable[[], None] | None = None
+
+    @property
+    def is_done(self) -> bool:
+        """Whether it was answered, or its caller has gone."""
+        return self._is_done
+
+    def respond(self, status: int, head: bytes, body: bytes) -> None:
+        """Send the answer; later calls do nothing."""
+        if self._is_done:
+            return
+        self._is_done = True
+        self._connection.answer(self.request, status, head, body)
+
+    def abort(self) -> None:
+        """Note that the caller has gone."""
+        if self._is_done:
+            return
+        self._is_done = True
+        if self.on_abort is not None:
+            self.on_abort()
+
+
+class _Connection(asyncio.Protocol):
+    """One connection of a caller; one request at a time, the others wait."""
+
+    def __init__(self, listener: CallersListener) -> None:
+        self._listener = listener
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[CallerRequest] = deque()
+        self._exchange: Exchange | None = None
+        self._is_closing = False
+        self._is_message_open = False
+        self._is_paused = False
+        self._stalled_s: float | None = None
+        self.since_s = time.monotonic()
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+
+    # asyncio's callbacks
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._listener.connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._listener.connections.discard(self)
+        self._is_closing = True
+        self._waiting.clear()
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            self._listener.n_open -= 1
+            exchange.abort()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def pause_writing(self) -> None:
+        self._stalled_s = time.monotonic()
+
+    def resume_writing(self) -> None:
+        self._stalled_s = None
+
+    def data_received(self, data: bytes) -> None:
+        if self._is_closing:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "upgrades are not supported")
+        except httptools.HttpParserError as error:
+            if not self._is_closing:
+                self._refuse(400, f"not a request: {error}")
+        if self._exchange is not None and self._waiting:
+            self._bound_read_ahead()
+
+    # httptools' callbacks
+
+    def on_message_begin(self) -> None:
+        self._reset_message()
+        self._is_message_open = True
+        self.since_s = time.monotonic()
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.append((name.lower(), value))
+        self._count_header(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        for name, value in self._headers:
+            if name == b"expect" and value.lower() == b"100-continue":
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            elif name == b"content-length" and value.isdigit():
+                self._check_body(int(value))
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if not self._is_closing:
+            self._body.append(body)
+            self._check_body(self._body_bytes)
+
+    def on_message_complete(self) -> None:
+        self._is_message_open = False
+        if self._is_closing:
+            return
+        request = CallerRequest(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=self._headers,
+            body=b"".join(self._body),
+            keep_alive=self._parser.should_keep_alive(),
+            read_s=time.monotonic(),
+        )
+        if self._exchange is None:
+            self._start(request)
+        else:
+            self._waiting.append(request)
+
+    # exchanges
+
+    def answer(
+        self, request: CallerRequest, status: int, head: bytes, body: bytes
+    ) -> None:
+        """Write the answer of the request under way, then go on with the next."""
+        self._exchange = None
+        self._listener.n_open -= 1
+        if self._transport is None or self._transport.is_closing():
+            return
+        close = not request.keep_alive or self._listener.is_leaving
+        self._transport.write(
+            format_answer(status, head, body, close, request.method == b"HEAD")
+        )
+        self.since_s = time.monotonic()
+        if close:
+            self._close()
+            return
+        if self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
+        if self._waiting:
+            self._start(self._waiting.popleft())
+
+    def sweep(self, now_s: float, limits: CallerLimits, idle_s: float) -> None:
+        """Close the connection if its head is late or it was idle too long."""
+        if self._stalled_s is not None and now_s - self._stalled_s > WRITE_STALL_S:
+            self._is_closing = True
+            self._transport.abort()
+        if self._exchange is not None or self._is_closing:
+            return
+        age_s = now_s - self.since_s
+        if self._is_message_open and not self._body_bytes:
+            if age_s > limits.header_timeout_s:
+                self._refuse(408, "the head of the request came too late")
+        elif not self._is_message_open and age_s > idle_s:
+            self._close()
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _start(self, request: CallerRequest) -> None:
+        exchange = Exchange(self, request)
+        self._exchange = exchange
+        self._listener.n_open += 1
+        self._listener.handle(exchange)
+
+    def _count_header(self, n_bytes: int) -> None:
+        self._header_bytes += n_bytes
+        if self._header_bytes > self._listener.limits().header_bytes_max:
+            self._refuse(431, "the head of the request is too long")
+
+    def _check_body(self, n_bytes: int) -> None:
+        if n_bytes > self._listener.limits().body_bytes_max:
+            self._refuse(413, "the body of the request is too long")
+
+    def _refuse(self, status: int, detail: str) -> None:
+        """Answer what could not be read as a request, and close."""
+        if self._is_closing:
+            return
+        if self._exchange is None:
+            body = detail.encode()
+            head = b"Content-Type: text/plain\r\n"
+            self._transport.write(format_answer(status, head, body, True))
+        self._listener.on_bad_request(status, detail)
+        self._close()
+
+    def _close(self) -> None:
+        self._is_closing = True
+        self._transport.close()
+
+    def _bound_read_ahead(self) -> None:
+        n_bytes = sum(len(request.body) + 512 for request in self._waiting)
+        if n_bytes > READ_AHEAD_BYTES_MAX and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+
+class CallersListener:
+    """A listening port whose requests go to one handler.
+
+    Args:
+        handle: Takes each exchange; answers it at any later time.
+        limits: Returns the bounds in force.
+        on_bad_request: Told status and detail of what was no request.
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[Exchange], None],
+        limits: Callable[[], CallerLimits],
+        on_bad_request: Callable[[int, str], None],
+    ) -> None:
+        self.handle = handle
+        self.limits = limits
+        self.on_bad_request = on_bad_request
+        self.connections: set[_Connection] = set()
+        self.n_open = 0
+        self.is_leaving = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self, ip: str, port: int) -> None:
+        """Listen on an address."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self), ip, port, backlog=LISTEN_BACKLOG
+        )
+
+    def sweep(self, idle_s: float | None = None) -> None:
+        """Close connections that are late or idle.
+
+        Args:
+            idle_s: Seconds of idleness allowed, instead of the configured ones.
+        """
+        limits = self.limits()
+        allowed_s = limits.idle_timeout_s if idle_s is None else idle_s
+        now_s = time.monotonic()
+        for connection in list(self.connections):
+            connection.sweep(now_s, limits, allowed_s)
+
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def abort(self) -> None:
+        """Drop all connections."""
+        for connection in list(self.connections):
+            connection.abort()
