tests: decisions replayed in virtual time, whole path with stand-ins, decoder fuzz

A stand-in of the store and scripted upstreams on loopback addresses drive three daemons in one loop. Found by them: a failure of the upstream was replaced by a 502 where no other instance could be asked; first_hop now keeps and delivers it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PACKAGES = packages/savoryroute packages/savoryroute_cli packages/savoryroute_lab
 BIN = $(VENV)/bin
-export PYTHONPATH = $(CURDIR)/packages/savoryroute:$(CURDIR)/packages/savoryroute_cli:$(CURDIR)/packages/savoryroute_lab:$(CURDIR)
+export PYTHONPATH = $(CURDIR)/packages/savoryroute:$(CURDIR)/packages/savoryroute_cli:$(CURDIR)/packages/savoryroute_lab:$(CURDIR)/platform:$(CURDIR)
 SECONDS ?= 120
 
 .PHONY: setup format lint test demo bench slopes fuzz
--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -43,6 +43,7 @@
         "call",
         "deadline_s",
         "exchange",
+        "failed_answer",
         "instance",
         "local",
         "may_have_run",
@@ -72,6 +73,7 @@
         self.instance: Instance | None = None
         self.local: LocalCall | None = None
         self.answer: MeshAnswer | None = None
+        self.failed_answer: MeshAnswer | None = None
         self.tried: list[str] = []
         self.n_placements = 0
         self.n_arrivals = 0
@@ -253,10 +255,11 @@
         forwarding.answer = answer
         if answer.was_sent:
             forwarding.n_arrivals += 1
-        if answer.verdict is Verdict.MAY_HAVE_RUN or (
-            answer.verdict is Verdict.RAN and answer.status >= 500
-        ):
+        if answer.verdict is Verdict.MAY_HAVE_RUN:
             forwarding.may_have_run = True
+        elif answer.verdict is Verdict.RAN:
+            forwarding.may_have_run = True
+            forwarding.failed_answer = answer
         route = forwarding.route
         step = next_step(
             answer,
@@ -331,7 +334,10 @@
     def _give_up(
         self, forwarding: _Forwarding, reason: Reason | None, detail: str
     ) -> None:
-        """Answer a request that no upstream answered."""
+        """Answer a request that no upstream answered well."""
+        if forwarding.failed_answer is not None:
+            self._deliver(forwarding, forwarding.failed_answer)
+            return
         verdict = Verdict.NOT_RUN
         if forwarding.may_have_run:
             verdict = Verdict.MAY_HAVE_RUN
--- /dev/null
+++ b/tests/load_replay.py
@@ -0,0 +1,109 @@
+"""Replay of a load against the line of one upstream, in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from savoryroute.coordination.waiting_line import LineCall, WaitingLine
+
+
+@attrs.define
+class ReplayedCall:
+    """One call of a recorded or drawn load, and what came of it.
+
+    Attributes:
+        at_s: Arrival in seconds.
+        work_s: Seconds for which it holds a slot.
+        rank: Importance, 0 the highest.
+        target_s: Seconds within which its answer is worth most.
+        timeout_s: Seconds after which its answer is worth nothing.
+        ended_s: Time of its answer, None if it was turned away.
+        refused_s: Time at which it was turned away, None if it was not.
+    """
+
+    at_s: float
+    work_s: float
+    rank: int
+    target_s: float
+    timeout_s: float
+    ended_s: float | None = None
+    refused_s: float | None = None
+
+    @property
+    def is_in_target(self) -> bool:
+        """Whether its answer came within the target latency."""
+        return self.ended_s is not None and self.ended_s - self.at_s <= self.target_s
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether its answer came before its time-out."""
+        return self.ended_s is not None and self.ended_s - self.at_s <= self.timeout_s
+
+
+class LineReplay:
+    """The line and an upstream of fixed slots, driven by an event queue."""
+
+    def __init__(self, slots: int, patience_share: float) -> None:
+        self._now_s = 0.0
+        self._events: list = []
+        self._numbers = itertools.count()
+        self._patience_share = patience_share
+        self.n_refused_while_free = 0
+        self.line = WaitingLine(slots, lambda: self._now_s)
+
+    def play(self, calls: list[ReplayedCall]) -> None:
+        """Play all calls to their ends."""
+        for call in calls:
+            self._at(call.at_s, lambda call=call: self._arrive(call))
+        while self._events:
+            self._now_s, _, action = heapq.heappop(self._events)
+            action()
+
+    def _at(self, at_s: float, action) -> None:
+        heapq.heappush(self._events, (at_s, next(self._numbers), action))
+
+    def _arrive(self, call: ReplayedCall) -> None:
+        line_call = LineCall(
+            call.rank,
+            str(call.rank),
+            call.at_s + call.timeout_s,
+            call.target_s * self._patience_share,
+            lambda: self._at(self._now_s + call.work_s, lambda: self._end(call)),
+            lambda reason: self._refuse(call),
+        )
+        if self.line.offer(line_call) is not None:
+            self._refuse(call)
+        elif line_call.expires_s:
+            self._at(line_call.expires_s, self.line.expire)
+
+    def _end(self, call: ReplayedCall) -> None:
+        call.ended_s = self._now_s
+        self.line.finish(str(call.rank), call.work_s)
+
+    def _refuse(self, call: ReplayedCall) -> None:
+        call.refused_s = self._now_s
+        if self.line.n_running < self.line.slots and not self.line.n_waiting:
+            self.n_refused_while_free += 1
+
+
+def draw_calls(
+    rng: random.Random,
+    per_s: float,
+    seconds: float,
+    work_s: float,
+    rank: int,
+    target_s: float,
+    timeout_s: float,
+    start_s: float = 0.0,
+) -> list[ReplayedCall]:
+    """Return calls with exponential gaps and log-normal work."""
+    calls = []
+    at_s = start_s
+    while (at_s := at_s + rng.expovariate(per_s)) < start_s + seconds:
+        work = work_s * rng.lognormvariate(-0.125, 0.5)
+        calls.append(ReplayedCall(at_s, work, rank, target_s, timeout_s))
+    return calls
--- /dev/null
+++ b/tests/savoryroute/coordination/test_host_choice.py
@@ -0,0 +1,68 @@
+import collections
+import random
+import unittest
+
+from savoryroute.coordination.host_choice import HostChoice
+from savoryroute.state.fleet_view import Instance
+
+
+def instance(id_, domain, ip="10.0.0.9", slots=10):
+    return Instance(id_, "planner", ip, domain, slots, True)
+
+
+class HostChoiceTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 100.0
+        self.choice = HostChoice("10.0.0.1", "a", random.Random(5), lambda: self.now_s)
+        self.near = [instance("n1", "a"), instance("n2", "a")]
+        self.far = [instance("f1", "b"), instance("f2", "b")]
+
+    def load(self, item, n_calls):
+        self.choice.note_report(item, n_calls, item.slots)
+
+    def test_own_domain_is_preferred_until_it_is_nearly_full(self):
+        self.assertIn(self.choice.choose(self.near + self.far, []), self.near)
+        for item in self.near:
+            self.load(item, 9)
+        self.assertIn(self.choice.choose(self.near + self.far, []), self.far)
+
+    def test_least_loaded_takes_the_call(self):
+        self.load(self.near[0], 6)
+        self.load(self.near[1], 2)
+        self.assertEqual(self.choice.choose(self.near, []).id, "n2")
+
+    def test_failing_instance_that_looks_idle_gets_little(self):
+        """An instance that fails half of its calls at once draws no load."""
+        counts = collections.Counter()
+        rng = random.Random(9)
+        for _ in range(2000):
+            chosen = self.choice.choose(self.near, [])
+            counts[chosen.id] += 1
+            is_failing = chosen.id == "n1"
+            self.choice.note_outcome(chosen, is_failing and rng.random() < 0.5)
+            self.load(chosen, 0 if is_failing else 4)
+            self.now_s += 0.01
+        self.assertLess(counts["n1"], 0.25 * counts["n2"])
+
+    def test_unavailable_and_tried_ones_are_left_out(self):
+        self.choice.note_unavailable(self.near[0])
+        self.assertEqual(self.choice.choose(self.near, []).id, "n2")
+        self.assertIsNone(self.choice.choose(self.near, ["n2"]))
+        self.now_s += 1.0
+        self.assertEqual(self.choice.choose(self.near, ["n2"]).id, "n1")
+
+    def test_report_fades_so_that_a_full_instance_is_tried_again(self):
+        self.load(self.near[0], 20)
+        self.now_s += 5.0
+        self.choice.record(self.near[1]).n_mine = 1
+        self.assertEqual(self.choice.choose(self.near, []).id, "n1")
+
+    def test_calls_since_the_report_count(self):
+        for item in self.near:
+            self.load(item, 0)
+        counts = collections.Counter()
+        for _ in range(10):
+            chosen = self.choice.choose(self.near, [])
+            self.choice.record(chosen).n_mine += 1
+            counts[chosen.id] += 1
+        self.assertEqual(counts, {"n1": 5, "n2": 5})
--- /dev/null
+++ b/tests/savoryroute/coordination/test_repeat_rule.py
@@ -0,0 +1,54 @@
+import itertools
+import unittest
+
+from savoryroute.coordination.repeat_rule import (
+    PLACEMENTS_MAX,
+    NextStep,
+    next_step,
+    status_of,
+)
+from savoryroute.protocol.mesh_frames import MeshAnswer
+from savoryroute.verdict import Reason, Verdict
+
+
+def answer(verdict, reason=None, was_sent=False, status=0):
+    return MeshAnswer(1, verdict, reason, was_sent=was_sent, status=status)
+
+
+class NextStepTest(unittest.TestCase):
+    def test_what_may_have_run_never_runs_again_unless_idempotent(self):
+        for reason, n in itertools.product(Reason, range(1, 4)):
+            lost = answer(Verdict.MAY_HAVE_RUN, reason, was_sent=True)
+            self.assertIs(next_step(lost, False, n, n, 5), NextStep.GIVE_UP, reason)
+
+    def test_failed_run_of_an_unsafe_request_is_delivered(self):
+        failed = answer(Verdict.RAN, was_sent=True, status=500)
+        self.assertIs(next_step(failed, False, 1, 1, 2), NextStep.DELIVER)
+        self.assertIs(next_step(failed, True, 1, 1, 2), NextStep.REPEAT)
+        self.assertIs(next_step(failed, True, 2, 2, 2), NextStep.DELIVER)
+
+    def test_upstreams_reached_stay_within_the_attempts(self):
+        lost = answer(Verdict.MAY_HAVE_RUN, Reason.CONNECTION_LOST, was_sent=True)
+        self.assertIs(next_step(lost, True, 1, 1, 2), NextStep.REPEAT)
+        self.assertIs(next_step(lost, True, 2, 2, 2), NextStep.GIVE_UP)
+        shed = answer(Verdict.NOT_RUN, Reason.OVERLOAD, was_sent=True)
+        self.assertIs(next_step(shed, False, 1, 1, 2), NextStep.REPEAT)
+        self.assertIs(next_step(shed, False, 2, 2, 2), NextStep.GIVE_UP)
+
+    def test_refusal_of_a_daemon_is_placed_elsewhere_a_few_times(self):
+        full = answer(Verdict.NOT_RUN, Reason.OVERLOAD)
+        for n in range(1, PLACEMENTS_MAX):
+            self.assertIs(next_step(full, False, n, 0, 1), NextStep.PLACE_ELSEWHERE)
+        self.assertIs(next_step(full, False, PLACEMENTS_MAX, 0, 1), NextStep.GIVE_UP)
+
+    def test_quarantine_and_deadline_are_final(self):
+        for reason in (Reason.QUARANTINED, Reason.DEADLINE):
+            refused = answer(Verdict.NOT_RUN, reason)
+            self.assertIs(next_step(refused, True, 1, 0, 5), NextStep.GIVE_UP)
+
+
+class StatusTest(unittest.TestCase):
+    def test_only_not_run_promises(self):
+        for reason in Reason:
+            self.assertEqual(status_of(Verdict.NOT_RUN, reason), 503)
+            self.assertIn(status_of(Verdict.MAY_HAVE_RUN, reason), (502, 504))
--- /dev/null
+++ b/tests/savoryroute/coordination/test_waiting_line.py
@@ -0,0 +1,138 @@
+import random
+import unittest
+
+from savoryroute.coordination.first_hop import PATIENCE_SHARE
+from savoryroute.coordination.waiting_line import LineCall, WaitingLine
+from savoryroute.verdict import Reason
+from tests.load_replay import LineReplay, draw_calls
+
+
+class WaitingLineTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 0.0
+        self.started = []
+        self.turned_away = []
+        self.line = WaitingLine(2, lambda: self.now_s)
+
+    def call(self, name, rank=1, deadline_s=5.0, patience_s=1.0):
+        return LineCall(
+            rank,
+            "route",
+            deadline_s,
+            patience_s,
+            lambda: self.started.append(name),
+            lambda reason: self.turned_away.append((name, reason)),
+        )
+
+    def test_calls_start_while_slots_are_free(self):
+        for name in "ab":
+            self.assertIsNone(self.line.offer(self.call(name)))
+        self.assertEqual(self.started, ["a", "b"])
+        self.assertEqual(self.line.n_running, 2)
+
+    def test_best_rank_starts_first_then_the_oldest(self):
+        for name, rank in (("a", 1), ("b", 1), ("c", 2), ("d", 0), ("e", 2)):
+            self.line.offer(self.call(name, rank))
+        for _ in range(4):
+            self.line.finish("route", 0.1)
+        self.assertEqual(self.started, ["a", "b", "d", "c", "e"])
+
+    def test_wait_beyond_patience_is_refused_at_once(self):
+        self.line.finish("route", None)
+        self.line = WaitingLine(1, lambda: self.now_s)
+        self.line.offer(self.call("a"))
+        self.assertIs(self.line.offer(self.call("b", patience_s=0.01)), Reason.OVERLOAD)
+        self.assertEqual(self.line.n_waiting, 0)
+
+    def test_wait_ends_when_patience_ends(self):
+        for name in "abc":
+            self.line.offer(self.call(name, patience_s=0.5))
+        self.now_s = 0.49
+        self.line.expire()
+        self.assertEqual(self.turned_away, [])
+        self.now_s = 0.5
+        self.line.expire()
+        self.assertEqual(self.turned_away, [("c", Reason.OVERLOAD)])
+
+    def test_call_that_cannot_end_in_time_never_starts(self):
+        for _ in range(50):
+            self.line.offer(self.call("warm"))
+            self.line.finish("route", 1.0)
+        self.started.clear()
+        for name in "ab":
+            self.line.offer(self.call(name))
+        self.line.offer(self.call("late", deadline_s=3.0, patience_s=9.0))
+        self.now_s = 2.5
+        self.line.finish("route", 1.0)
+        self.assertEqual(self.started, ["a", "b"])
+        self.assertEqual(self.turned_away, [("late", Reason.DEADLINE)])
+
+    def test_deadline_in_the_past_is_refused(self):
+        self.now_s = 6.0
+        self.assertIs(self.line.offer(self.call("a")), Reason.DEADLINE)
+
+    def test_withdrawn_call_does_not_start(self):
+        calls = [self.call(name) for name in "abc"]
+        for call in calls:
+            self.line.offer(call)
+        self.assertTrue(self.line.withdraw(calls[2]))
+        self.assertFalse(self.line.withdraw(calls[0]))
+        self.line.finish("route", 0.1)
+        self.assertEqual(self.started, ["a", "b"])
+
+    def test_clear_turns_away_all_that_wait(self):
+        for name in "abcd":
+            self.line.offer(self.call(name))
+        self.line.clear(Reason.LEAVING)
+        self.assertEqual([name for name, _ in self.turned_away], ["c", "d"])
+
+
+class BurstReplayTest(unittest.TestCase):
+    """A burst of 1.8 times the capacity for 20 s."""
+
+    SLOTS = 50
+
+    def play(self, seed, patience_share=PATIENCE_SHARE):
+        rng = random.Random(seed)
+        capacity_per_s = self.SLOTS / 0.12
+        calls = draw_calls(rng, capacity_per_s * 1.3, 20.0, 0.12, 2, 1.5, 0.8)
+        calls += draw_calls(rng, capacity_per_s * 0.5, 20.0, 0.12, 0, 1.5, 1.0)
+        calls.sort(key=lambda call: call.at_s)
+        replay = LineReplay(self.SLOTS, patience_share)
+        replay.play(calls)
+        return calls, replay
+
+    def test_served_is_near_what_the_slots_can_run(self):
+        for seed in range(5):
+            calls, _ = self.play(seed)
+            n_served = sum(call.is_in_time for call in calls)
+            best = 20.0 * self.SLOTS / 0.12
+            self.assertGreater(n_served, 0.95 * best, seed)
+
+    def test_important_calls_are_served_before_the_others(self):
+        for seed in range(5):
+            calls, _ = self.play(seed)
+            important = [call for call in calls if call.rank == 0]
+            n_served = sum(call.is_in_target for call in important)
+            self.assertGreater(n_served, 0.99 * len(important), seed)
+
+    def test_nothing_is_refused_while_a_slot_is_free(self):
+        for seed in range(5):
+            _, replay = self.play(seed)
+            self.assertEqual(replay.n_refused_while_free, 0)
+
+    def test_refusals_come_within_the_patience(self):
+        for seed in range(5):
+            calls, _ = self.play(seed)
+            held = [c.refused_s - c.at_s for c in calls if c.refused_s is not None]
+            self.assertLessEqual(max(held), 1.5 * PATIENCE_SHARE + 1e-9)
+
+    def test_slow_spell_is_over_soon_after_it_ends(self):
+        rng = random.Random(7)
+        per_s = 0.7 * self.SLOTS / 0.12
+        calls = draw_calls(rng, per_s, 5.0, 0.6, 2, 1.5, 0.8)
+        calls += draw_calls(rng, per_s, 10.0, 0.12, 2, 1.5, 0.8, start_s=5.0)
+        LineReplay(self.SLOTS, PATIENCE_SHARE).play(calls)
+        after = [call for call in calls if call.at_s > 7.0]
+        n_served = sum(call.is_in_target for call in after)
+        self.assertGreater(n_served, 0.99 * len(after))
--- /dev/null
+++ b/tests/savoryroute/state/test_mesh_settings.py
@@ -0,0 +1,54 @@
+import json
+import unittest
+
+from savoryroute.state.mesh_settings import parse_mesh_settings, read_mesh_settings
+
+GOOD = {
+    "host": "sidecar-a-1",
+    "ip": "10.1.0.8",
+    "failure_domain": "a",
+    "service": "planner",
+    "callers": "10.1.0.8:8304",
+    "links": "10.1.0.8:8300",
+    "readiness": "10.1.0.8:8302",
+    "metrics_port": 7635,
+    "upstream": "10.1.0.8:8301",
+    "platform": "10.200.1.7:8309",
+    "seeds": ["10.1.0.9:8310"],
+    "retry_ratio": 0.2,
+    "retry_slack": 49,
+    "grace_s": "6s",
+}
+
+
+class MeshSettingsTest(unittest.TestCase):
+    def parse(self, **changes):
+        return parse_mesh_settings(json.dumps({**GOOD, **changes}), "file")
+
+    def test_good_settings(self):
+        settings = self.parse().unwrap()
+        self.assertEqual(settings.grace_s, 6.0)
+        self.assertEqual(str(settings.metrics), "10.1.0.8:7635")
+        self.assertEqual(settings.retry_slack, 49.0)
+
+    def test_error_names_key_found_and_allowed(self):
+        for name, value in (
+            ("grace_s", "six"),
+            ("grace_s", 6),
+            ("links", "10.1.0.8"),
+            ("ip", "here"),
+            ("retry_ratio", -1),
+            ("service", ""),
+            ("seeds", {}),
+        ):
+            error = self.parse(**{name: value}).unwrap_err()
+            self.assertIn(name, str(error))
+            self.assertIn("allowed:", str(error))
+
+    def test_unknown_member_is_refused_with_a_suggestion(self):
+        error = self.parse(retry_ration=1).unwrap_err()
+        self.assertIn("did you mean retry_ratio?", str(error))
+
+    def test_missing_file(self):
+        error = read_mesh_settings("/nowhere/settings.json5").unwrap_err()
+        self.assertIn("/nowhere/settings.json5", str(error))
--- /dev/null
+++ b/tests/savoryroute/state/test_route_table.py
@@ -0,0 +1,67 @@
+import collections
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from savoryroute.state.route_table import (
+    RouteTable,
+    SplitCursor,
+    TableRoute,
+    WeightedService,
+)
+
+
+def route(prefix):
+    parts = (WeightedService("planner", 1.0),)
+    return TableRoute(prefix, prefix, True, 0, 1.0, 1.0, 2, parts)
+
+
+def table(*prefixes):
+    return RouteTable(1, {"shop.example": tuple(map(route, prefixes))}, {})
+
+
+class RouteTableTest(unittest.TestCase):
+    def test_longest_prefix_wins(self):
+        routes = table("/", "/a/", "/a/b/")
+        for target, prefix in (
+            ("/a/b/c?x=/a/", "/a/b/"),
+            ("/a/b", "/a/"),
+            ("/ab/", "/"),
+            ("/a/?q", "/a/"),
+        ):
+            self.assertEqual(routes.find("shop.example", target).prefix, prefix)
+
+    def test_host_is_matched_without_case_and_port(self):
+        routes = table("/a/")
+        self.assertIsNotNone(routes.find("Shop.Example:8300", "/a/x"))
+        self.assertIsNone(routes.find("other.example", "/a/x"))
+
+    def test_slash_in_the_query_is_no_path(self):
+        self.assertIsNone(table("/a/").find("shop.example", "?/a/"))
+
+    @given(st.text("/ab?", max_size=12), st.sets(st.text("ab/", max_size=4)))
+    def test_find_agrees_with_a_scan(self, target, middles):
+        prefixes = {f"/{middle.strip('/')}/".replace("//", "/") for middle in middles}
+        path = target.partition("?")[0]
+        fitting = [prefix for prefix in prefixes if path.startswith(prefix)]
+        found = table(*prefixes).find("shop.example", target)
+        expected = max(fitting, key=len, default=None)
+        self.assertEqual(None if found is None else found.prefix, expected)
+
+
+class SplitCursorTest(unittest.TestCase):
+    @given(st.lists(st.integers(0, 100), min_size=2, max_size=4).filter(any))
+    def test_shares_follow_the_weights(self, weights):
+        parts = tuple(
+            WeightedService(f"s{index}", float(weight))
+            for index, weight in enumerate(weights)
+        )
+        cursor = SplitCursor()
+        n_requests = 200
+        counts = collections.Counter(
+            cursor.next_service(parts) for _ in range(n_requests)
+        )
+        for part in parts:
+            expected = n_requests * part.weight / sum(weights)
+            self.assertAlmostEqual(counts[part.service], expected, delta=len(parts))
--- /dev/null
+++ b/tests/savoryroute_platform/mesh_world.py
@@ -0,0 +1,202 @@
+"""A few daemons with stand-ins on loopback addresses, in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import socket
+
+import httptools
+from savoryroute_platform.codec import decode_routes
+from savoryroute_platform.names import HEADERS, READY_PATH
+from savoryroute_platform.store import StoreClient
+from savoryroute_platform.watchers import follow_configuration, follow_instances
+
+from savoryroute.coordination.mesh_node import MeshNode
+from savoryroute.state.event_log import EventLog
+from savoryroute.state.mesh_settings import parse_mesh_settings
+
+from .stand_ins import StoreStandIn, UpstreamStandIn, configuration, entry, path
+
+_numbers = itertools.count(1)
+_nets = itertools.count(1)
+
+
+def free_ports(n_ports: int) -> list[int]:
+    """Return ports that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(n_ports)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.is_whole = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.is_whole = True
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, reader, writer) -> None:
+        self._reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, ip: str, port: int) -> Caller:
+        return cls(*await asyncio.open_connection(ip, port))
+
+    def write(self, target, method="GET", body=b"", headers=None, host="shop.example"):
+        request_id = f"q{next(_numbers):08x}"
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+        fields = {"Request-Id": request_id, "Deadline-Ms": "3000", **(headers or {})}
+        lines += [f"{name}: {value}" for name, value in fields.items()]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return fields["Request-Id"]
+
+    async def read(self) -> Answer:
+        answer = Answer()
+        parser = httptools.HttpResponseParser(answer)
+        while not answer.is_whole:
+            data = await self._reader.read(65536)
+            if not data:
+                break
+            parser.feed_data(data)
+            answer.status = parser.get_status_code()
+        return answer
+
+    async def ask(self, target, **kwargs) -> Answer:
+        self.write(target, **kwargs)
+        return await self.read()
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+class World:
+    """Daemons beside upstreams; ``services`` names the service of each host."""
+
+    def __init__(self, services: list[str], kinds: dict[str, str] | None = None):
+        self.services = services
+        self.kinds = kinds or {}
+        self.net = next(_nets) % 200 + 10
+        ports = free_ports(5)
+        self.port, self.link_port, self.ready_port, self.app_port = ports[:4]
+        self.store_port = ports[4]
+        self.store = StoreStandIn()
+        self.upstreams: list[UpstreamStandIn] = []
+        self.nodes: list[MeshNode] = []
+        self.lines: list[dict] = []
+        self._tasks: list[list[asyncio.Task]] = []
+        self._clients: list[StoreClient] = []
+
+    def ip(self, index: int) -> str:
+        return f"127.0.{self.net}.{index + 1}"
+
+    async def start(self) -> World:
+        await self.store.start("127.0.0.1", self.store_port)
+        self.publish(1)
+        for index, service in enumerate(self.services):
+            upstream = UpstreamStandIn(f"i-{index}")
+            await upstream.start(self.ip(index), self.app_port)
+            self.upstreams.append(upstream)
+            self.list(index)
+            await self.start_node(index, service)
+        await self.until(lambda: all(self.knows_all(node) for node in self.nodes))
+        return self
+
+    def knows_all(self, node: MeshNode) -> bool:
+        n_listed = sum(1 for key in self.store.items if key.startswith("servers/"))
+        return node.is_ready and len(node.keeper.view.instances) == n_listed
+
+    def publish(self, version: int, **changes) -> None:
+        names = sorted(set(self.services))
+        routes = [
+            path(f"/{name}/", name, self.kinds.get(name, "safe"), **changes)
+            for name in names
+        ]
+        source = configuration(version, {"shop.example": routes}, names)
+        self.store.put("op/config", source)
+
+    def list(self, index: int, **changes) -> None:
+        service = self.services[index]
+        value = entry(service, self.ip(index), self.app_port, **changes)
+        self.store.put(f"servers/i-{index}", value)
+
+    async def start_node(self, index: int, service: str) -> MeshNode:
+        ip = self.ip(index)
+        text = json.dumps(
+            {
+                "host": f"host-{index}",
+                "ip": ip,
+                "failure_domain": "zone-a",
+                "service": service,
+                "callers": f"{ip}:{self.port}",
+                "links": f"{ip}:{self.link_port}",
+                "readiness": f"{ip}:{self.ready_port}",
+                "metrics_port": 0,
+                "upstream": f"{ip}:{self.app_port}",
+                "platform": f"127.0.0.1:{self.store_port}",
+                "seeds": [f"{self.ip(0)}:{self.link_port}"],
+                "retry_ratio": 0.2,
+                "retry_slack": 1000.0,
+                "grace_s": "6s",
+            }
+        )
+        settings = parse_mesh_settings(text, "test").unwrap()
+        log = EventLog(1, {"host": settings.host}, write=self._keep_lines)
+        node = MeshNode(settings, HEADERS, decode_routes, log, READY_PATH)
+        client = StoreClient("127.0.0.1", self.store_port)
+        tasks = [
+            asyncio.create_task(follow_configuration(client, node.keeper)),
+            asyncio.create_task(follow_instances(client, node.keeper)),
+        ]
+        await node.start()
+        self.nodes.append(node)
+        self._tasks.append(tasks)
+        self._clients.append(client)
+        return node
+
+    def _keep_lines(self, descriptor: int, data: bytes) -> int:
+        self.lines += [json.loads(line) for line in data.splitlines()]
+        return len(data)
+
+    async def stop(self) -> None:
+        for tasks in self._tasks:
+            for task in tasks:
+                task.cancel()
+        for node in self.nodes:
+            await node.close()
+        for client in self._clients:
+            client.close()
+        for upstream in self.upstreams:
+            upstream.stop()
+        self.store.stop()
+
+    async def caller(self, index: int) -> Caller:
+        return await Caller.connect(self.ip(index), self.port)
+
+    async def until(self, condition, timeout_s: float = 5.0) -> None:
+        async with asyncio.timeout(timeout_s):
+            while not condition():
+                await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -0,0 +1,236 @@
+"""Stand-ins of the platform's store and of its upstreams, with faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections import Counter
+from urllib.parse import parse_qs, urlsplit
+
+from savoryroute.state.route_table import CallerLimits
+from savoryroute.transport.http_server import CallersListener, Exchange
+
+
+class StoreStandIn:
+    """Store that holds items, watches and a history in memory."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.items: dict[str, dict] = {}
+        self.history: list[dict] = []
+        self.history_start = 0
+        self.refused_ips: set[str] = set()
+        self.is_silent = False
+        self.n_calls: Counter[str] = Counter()
+        self._waiting: list[tuple[Exchange, str, int]] = []
+        self._listener = CallersListener(
+            self._handle, CallerLimits, lambda status, detail: None
+        )
+
+    async def start(self, ip: str, port: int) -> None:
+        await self._listener.start(ip, port)
+
+    def stop(self) -> None:
+        self._listener.stop_listening()
+        self._listener.abort()
+
+    def put(self, key: str, value: bytes) -> None:
+        self.revision += 1
+        text = base64.b64encode(value).decode()
+        item = {"key": key, "value": text, "revision": self.revision, "lease": 0}
+        self.items[key] = item
+        self._note(item)
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        del self.items[key]
+        self._note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def forget_history(self) -> None:
+        self.history_start = self.revision
+        self.history.clear()
+        waiting, self._waiting = self._waiting, []
+        for exchange, _, _ in waiting:
+            exchange.respond(410, b"", b"{}")
+
+    def cut_watches(self) -> None:
+        self._listener.abort()
+
+    def _note(self, event: dict) -> None:
+        self.history.append(event)
+        waiting, self._waiting = self._waiting, []
+        for exchange, prefix, after in waiting:
+            self._watch(exchange, prefix, after)
+
+    def _handle(self, exchange: Exchange) -> None:
+        if self.is_silent:
+            return
+        url = urlsplit(exchange.request.target.decode())
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        self.n_calls[url.path] += 1
+        ip = exchange._connection._transport.get_extra_info("peername")[0]
+        if ip in self.refused_ips:
+            exchange.respond(503, b"", b"{}")
+        elif url.path == "/api/kv-range":
+            self._range(exchange, query["prefix"], query.get("after", ""))
+        elif url.path == "/api/kv-watch":
+            self._watch(exchange, query["prefix"], int(query["after"]))
+        else:
+            exchange.respond(404, b"", b"{}")
+
+    def _range(self, exchange: Exchange, prefix: str, after: str) -> None:
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        page = [self.items[key] for key in keys[:3]]
+        answer = {
+            "items": page,
+            "has-more": len(keys) > 3,
+            "store-revision": self.revision,
+        }
+        exchange.respond(200, b"", json.dumps(answer).encode())
+
+    def _watch(self, exchange: Exchange, prefix: str, after: int) -> None:
+        if exchange.is_done:
+            return
+        if after < self.history_start:
+            exchange.respond(410, b"", b"{}")
+            return
+        events = [
+            event
+            for event in self.history
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+        if not events:
+            self._waiting.append((exchange, prefix, after))
+            return
+        answer = {"events": events, "store-revision": events[-1]["revision"]}
+        exchange.respond(200, b"", json.dumps(answer).encode())
+
+
+def configuration(
+    version: int, routes: dict[str, list[dict]], services: list[str]
+) -> bytes:
+    """Return a configuration as the operator writes it."""
+    return json.dumps(
+        {
+            "version": f"{version:08x}",
+            "services": [
+                {"name": name, "health-path": "/health", "max-connections": 100}
+                for name in services
+            ],
+            "limits": {
+                "max-header-bytes": 4096,
+                "max-body-bytes": 100_000,
+                "header-timeout": "1000ms",
+                "idle-timeout": "15s",
+            },
+            "virtual-hosts": [
+                {"hostname": host, "paths": paths} for host, paths in routes.items()
+            ],
+        }
+    ).encode()
+
+
+def path(prefix: str, service: str, kind: str = "safe", **changes) -> dict:
+    """Return one path of a virtual host."""
+    return {
+        "name": f"r{prefix.replace('/', '-')}",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout": "1500ms",
+        "target-latency": "1000ms",
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+        **changes,
+    }
+
+
+def entry(service: str, ip: str, port: int, **changes) -> bytes:
+    """Return the entry that an upstream writes of itself."""
+    return json.dumps(
+        {
+            "address": f"{ip}:{port}",
+            "info": {
+                "service": service,
+                "version": "v1",
+                "zone": changes.pop("zone", "zone-a"),
+                "slots": changes.pop("slots", 4),
+            },
+            "status": {"state": "ready", "sequence": 1, "cold-remaining": "0ms"}
+            | changes,
+        }
+    ).encode()
+
+
+class UpstreamStandIn:
+    """Upstream that answers by script and records what it was sent."""
+
+    def __init__(self, instance: str, delay_s: float = 0.0) -> None:
+        self.instance = instance
+        self.delay_s = delay_s
+        self.script: list = []
+        self.runs: list[dict] = []
+        self.n_closed = 0
+        self.slots = 4
+        self._server: asyncio.Server | None = None
+
+    async def start(self, ip: str, port: int) -> None:
+        self._server = await asyncio.start_server(self._serve, ip, port)
+
+    def stop(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                lines = head.decode("latin-1").split("\r\n")
+                fields = dict(
+                    line.lower().split(": ", 1) for line in lines[1:] if ": " in line
+                )
+                body = await reader.readexactly(int(fields.get("content-length", 0)))
+                fields["line"], fields["body"] = lines[0], body
+                if not await self._answer(fields, reader, writer):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.n_closed += 1
+            writer.close()
+
+    async def _answer(self, fields, reader, writer) -> bool:
+        """Answer one request; return whether the connection goes on."""
+        if fields.get("expected-instance", self.instance) != self.instance:
+            writer.write(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")
+            return True
+        action = self.script.pop(0) if self.script else None
+        if action == "shed":
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+            return True
+        self.runs.append(fields)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if action == "drop":
+            writer.transport.abort()
+            return False
+        request_id = fields["request-id"].encode()
+        whole = whole_answer(request_id, b"answer to " + request_id, self.slots)
+        if action is None:
+            writer.write(whole)
+            return True
+        if isinstance(action, bytes):
+            writer.write(action.replace(b"ID", request_id))
+            return not action.startswith(b"HTTP/1.0")
+        return await action(fields, writer, whole)
+
+
+def whole_answer(request_id: bytes, body: bytes, slots: int = 4) -> bytes:
+    """Return an answer as an upstream sends it."""
+    return (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n"
+        b"Server-Load: 1,0,%d\r\nContent-Length: %d\r\n\r\n%b"
+        % (request_id, slots, len(body), body)
+    )
--- /dev/null
+++ b/tests/savoryroute_platform/test_path.py
@@ -0,0 +1,324 @@
+"""The whole path with stand-ins: answers, verdicts, attempts, leaving, views."""
+
+import asyncio
+import unittest
+
+from .mesh_world import Caller, World
+from .stand_ins import configuration, path, whole_answer
+
+
+class PathTest(unittest.IsolatedAsyncioTestCase):
+    services = ("front", "planner", "planner")
+    kinds = {"planner": "safe"}
+
+    async def asyncSetUp(self):
+        self.world = await World(list(self.services), self.kinds).start()
+        self.addAsyncCleanup(self.world.stop)
+        self.caller = await self.world.caller(0)
+        self.planners = self.world.upstreams[1:]
+
+    @property
+    def n_runs(self):
+        return sum(len(upstream.runs) for upstream in self.planners)
+
+    async def ask(self, target="/planner/x", **kwargs):
+        return await self.caller.ask(target, **kwargs)
+
+
+class WholeAnswerTest(PathTest):
+    async def test_request_reaches_an_upstream_unchanged(self):
+        answer = await self.ask(
+            "/planner/a%20b?x=1", method="POST", body=b"b" * 5000, headers={"X-A": "1"}
+        )
+        self.assertEqual(answer.status, 200)
+        run = (self.planners[0].runs + self.planners[1].runs)[0]
+        self.assertEqual(run["line"], "POST /planner/a%20b?x=1 HTTP/1.1")
+        self.assertEqual(run["body"], b"b" * 5000)
+        self.assertEqual(run["x-a"], "1")
+        self.assertEqual(run["caller-service"], "front")
+        self.assertLessEqual(int(run["deadline-ms"]), 1500)
+        self.assertEqual(answer.body.decode(), "answer to " + run["request-id"])
+        self.assertNotIn("transfer-encoding", answer.headers)
+
+    async def test_caller_cannot_name_itself(self):
+        await self.ask(headers={"Caller-Service": "admin", "Expected-Instance": "z"})
+        run = (self.planners[0].runs + self.planners[1].runs)[0]
+        self.assertEqual(run["caller-service"], "front")
+        self.assertEqual(run["expected-instance"][:2], "i-")
+
+    async def test_unknown_route_is_404_and_other_host_too(self):
+        self.assertEqual((await self.ask("/nothing/x")).status, 404)
+        answer = await self.ask("/planner/x", host="other.example")
+        self.assertEqual(answer.status, 404)
+
+    async def test_pipelined_requests_get_their_own_answers_in_order(self):
+        ids = [self.caller.write(f"/planner/{n}") for n in range(5)]
+        for request_id in ids:
+            answer = await self.caller.read()
+            self.assertEqual(answer.body.decode(), "answer to " + request_id)
+
+    async def test_limits_of_what_a_caller_sends(self):
+        answer = await self.ask(headers={"X-Long": "v" * 5000})
+        self.assertEqual(answer.status, 431)
+        caller = await self.world.caller(0)
+        answer = await caller.ask("/planner/x", method="POST", body=b"b" * 100_001)
+        self.assertEqual(answer.status, 413)
+        self.assertEqual(self.n_runs, 0)
+
+
+class FaultyUpstreamTest(PathTest):
+    """One upstream, so that each request meets the scripted fault."""
+
+    services = ("front", "planner")
+
+    async def first_answer(self, script, method="GET"):
+        self.planners[0].script.append(script)
+        return await self.ask(method=method)
+
+    async def test_truncated_answer_is_never_delivered_as_whole(self):
+        cut = whole_answer(b"ID", b"x" * 100)[:-10].replace(b"1.1 200", b"1.0 200")
+        answer = await self.first_answer(cut)
+        self.assertEqual(answer.status, 502)
+
+    async def test_bytes_that_are_no_answer(self):
+        for junk in (b"garbage\r\n\r\n", b"HTTP/1.1 2x0 OK\r\n\r\n"):
+            self.assertEqual((await self.first_answer(junk)).status, 502)
+
+    async def test_success_without_signature_is_not_delivered(self):
+        unsigned = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 1\r\n\r\nx"
+        self.assertEqual((await self.first_answer(unsigned)).status, 502)
+
+    async def test_extra_bytes_after_an_answer_belong_to_nobody(self):
+        own = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+        own += b"Content-Length: 2\r\n\r\nok"
+        for extra in (own, b"junk", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1"):
+            answer = await self.first_answer(own + extra)
+            self.assertEqual((answer.status, answer.body), (200, b"ok"))
+            answer = await self.ask()
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.body.startswith(b"answer to q"))
+
+    async def test_late_answer_of_another_request_is_skipped(self):
+        async def late_first(fields, writer, whole):
+            writer.write(whole_answer(b"other", b"of another") + whole)
+            return True
+
+        answer = await self.first_answer(late_first)
+        self.assertTrue(answer.body.startswith(b"answer to q"))
+
+    async def test_answer_without_length_ends_with_its_connection(self):
+        unframed = b"HTTP/1.0 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n\r\nbody"
+        answer = await self.first_answer(unframed)
+        self.assertEqual((answer.status, answer.body), (200, b"body"))
+        self.assertEqual(answer.headers["content-length"], "4")
+
+    async def test_early_answer_to_a_long_body_keeps_bytes_apart(self):
+        async def early(fields, writer, whole):
+            writer.write(whole)
+            return True
+
+        self.planners[0].script.append(early)
+        await self.ask(method="POST", body=b"b" * 90_000)
+        self.assertEqual((await self.ask()).status, 200)
+
+    async def test_failure_of_the_upstream_is_returned_unchanged(self):
+        failed = b"HTTP/1.1 500 Bad\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n"
+        failed += b"Content-Length: 4\r\n\r\noops"
+        answer = await self.first_answer(failed)
+        self.assertEqual((answer.status, answer.body), (500, b"oops"))
+        self.assertEqual(answer.headers["server-stamp"], "s")
+
+
+class UnsafeTest(PathTest):
+    kinds = {"planner": "unsafe"}
+
+    async def test_lost_answer_is_told_as_such_and_never_run_again(self):
+        for planner in self.planners:
+            planner.script.append("drop")
+        for method in ("DELETE", "POST", "GET", "PUT"):
+            before = self.n_runs
+            for planner in self.planners:
+                planner.script[:] = ["drop"]
+            answer = await self.ask(method=method)
+            self.assertEqual(answer.status, 502, method)
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.n_runs, before + 1, method)
+
+    async def test_shed_request_runs_elsewhere_once(self):
+        for planner in self.planners:
+            planner.script.append("shed")
+        first = await self.ask(method="POST")
+        self.assertEqual(first.status, 503)
+        self.assertEqual(self.n_runs, 0)
+        self.assertIn("retry-after", first.headers)
+        second = await self.ask(method="POST")
+        self.assertEqual(second.status, 200)
+        self.assertEqual(self.n_runs, 1)
+
+    async def test_refused_request_did_not_run(self):
+        for planner in self.planners:
+            planner.delay_s = 0.3
+        callers = [await self.world.caller(0) for _ in range(30)]
+        answers = await asyncio.gather(
+            *(caller.ask("/planner/x", method="POST") for caller in callers)
+        )
+        n_ok = sum(answer.status == 200 for answer in answers)
+        n_refused = sum(answer.status == 503 for answer in answers)
+        self.assertEqual(n_ok + n_refused, 30)
+        self.assertGreater(n_refused, 0)
+        self.assertEqual(self.n_runs, n_ok)
+
+
+class SafeTest(PathTest):
+    async def test_lost_answer_is_repeated_at_another_upstream(self):
+        self.planners[0].script.append("drop")
+        self.planners[1].script.append("drop")
+        first, second = await self.ask(), await self.ask()
+        self.assertEqual({first.status, second.status}, {200, 502})
+        self.assertLessEqual(self.n_runs, 4)
+
+    async def test_stopped_upstream_is_passed_over(self):
+        self.planners[0].stop()
+        for _ in range(10):
+            self.assertEqual((await self.ask()).status, 200)
+
+    async def test_reused_address_runs_nothing_of_the_old_service(self):
+        self.planners[0].instance = "i-of-another-service"
+        for _ in range(10):
+            self.assertEqual((await self.ask()).status, 200)
+        self.assertEqual(len(self.planners[0].runs), 0)
+
+    async def test_timeout_of_the_route_ends_the_wait(self):
+        for planner in self.planners:
+            planner.delay_s = 3.0
+        self.world.publish(2, timeout="300ms")
+        await self.world.until(
+            lambda: all(n.keeper.table.version == 2 for n in self.world.nodes)
+        )
+        started_s = asyncio.get_running_loop().time()
+        answer = await self.ask()
+        self.assertIn(answer.status, (502, 504))
+        self.assertLess(asyncio.get_running_loop().time() - started_s, 0.7)
+
+    async def test_gone_caller_ends_the_run(self):
+        for planner in self.planners:
+            planner.delay_s = 3.0
+        self.caller.write("/planner/x")
+        await self.world.until(lambda: self.n_runs == 1)
+        line = [node._line for node in self.world.nodes]
+        self.caller.close()
+        await self.world.until(lambda: sum(item.n_running for item in line) == 0, 0.5)
+
+
+class LeavingTest(PathTest):
+    async def test_planned_stop_finishes_what_was_read(self):
+        for planner in self.planners:
+            planner.delay_s = 0.5
+        callers = [await self.world.caller(1) for _ in range(4)]
+        for caller in callers:
+            caller.write("/planner/x")
+        await self.world.until(lambda: self.n_runs == 4)
+        node = self.world.nodes[1]
+        stop = asyncio.create_task(node.stop())
+        await asyncio.sleep(0.05)
+        self.assertFalse(node.is_ready)
+        late = await Caller.connect(self.world.ip(1), self.world.port)
+        answer = await late.ask("/planner/late")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["connection"], "close")
+        for caller in callers:
+            self.assertEqual((await caller.read()).status, 200)
+        await stop
+
+    async def test_leaving_daemon_gets_no_calls_of_others(self):
+        stop = asyncio.create_task(self.world.nodes[1].stop())
+        await asyncio.sleep(0.05)
+        for _ in range(10):
+            self.assertEqual((await self.ask()).status, 200)
+        self.assertEqual(len(self.planners[0].runs), 0)
+        await stop
+
+    async def test_draining_upstream_gets_nothing_new(self):
+        self.world.list(1, state="draining")
+        await self.world.until(
+            lambda: all(
+                len(n.keeper.view.of_service("planner")) == 1 for n in self.world.nodes
+            )
+        )
+        for _ in range(10):
+            self.assertEqual((await self.ask()).status, 200)
+        self.assertEqual(len(self.planners[0].runs), 0)
+
+
+class ViewTest(PathTest):
+    def versions(self):
+        return [node.keeper.table.version for node in self.world.nodes]
+
+    async def test_host_that_the_store_refuses_follows_by_its_peers(self):
+        await self.ask()
+        # Loopback connections of all nodes come from one address, so the watches of
+        # one node are stopped instead.
+        for task in self.world._tasks[0]:
+            task.cancel()
+        self.world.nodes[0].keeper.note_platform(False, "refused")
+        self.world.publish(5)
+        self.world.store.remove("servers/i-1")
+        await self.world.until(lambda: self.versions() == [5, 5, 5], 3.0)
+        await self.world.until(
+            lambda: len(self.world.nodes[0].keeper.view.instances) == 2, 3.0
+        )
+
+    async def test_older_version_is_never_taken(self):
+        self.world.publish(9)
+        await self.world.until(lambda: self.versions() == [9, 9, 9])
+        self.world.publish(4)
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.versions(), [9, 9, 9])
+
+    async def test_refused_configuration_leaves_the_old_one(self):
+        self.world.store.put("op/config", b'{"version": "0000000a"}')
+        await self.world.until(
+            lambda: any(line["event"] == "routes_refused" for line in self.world.lines)
+        )
+        self.assertEqual((await self.ask()).status, 200)
+
+    async def test_lost_history_and_cut_watches_are_made_up_for(self):
+        self.world.store.forget_history()
+        self.world.publish(3)
+        self.world.store.cut_watches()
+        self.world.list(1, state="draining")
+        await self.world.until(lambda: self.versions() == [3, 3, 3])
+        await self.world.until(
+            lambda: all(
+                len(n.keeper.view.of_service("planner")) == 1 for n in self.world.nodes
+            )
+        )
+
+    async def test_entries_of_other_writers_name_no_instance(self):
+        for number, value in enumerate(
+            (b"", b"\xff\xfe", b"[]", b'{"address": 1}', b'{"info": {"slots": "x"}}')
+        ):
+            self.world.store.put(f"servers/odd-{number}", value)
+        self.world.publish(2)
+        await self.world.until(lambda: self.versions() == [2, 2, 2])
+        for node in self.world.nodes:
+            self.assertEqual(len(node.keeper.view.instances), 3)
+
+    async def test_split_follows_the_weights(self):
+        parts = [
+            {"service": "planner", "weight": 80},
+            {"service": "front", "weight": 20},
+        ]
+        route = path("/split/", "planner")
+        del route["service"]
+        route["traffic-split"] = parts
+        source = configuration(2, {"shop.example": [route]}, ["front", "planner"])
+        self.world.store.put("op/config", source)
+        await self.world.until(lambda: self.versions() == [2, 2, 2])
+        for _ in range(50):
+            self.assertEqual((await self.ask("/split/x")).status, 200)
+        self.assertEqual(len(self.world.upstreams[0].runs), 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
