throttle: whole actions are refused where they enter, by pressure down the chain

An upstream's calls are told by their parent's deadline and take its rank. Bookings still fail more than price checks are refused.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -19,15 +19,19 @@
 from .fleet_retries import FleetRetryBudget
 from .host_choice import HostChoice
 from .local_upstream import LocalCall, LocalUpstream
+from .parent_calls import ParentCalls
 from .peer_links import PeerLinks
 from .repeat_rule import NextStep, next_step, status_of
 from .return_time import return_time_s
+from .throttle import ActionThrottle
 
 __all__ = ["FirstHop"]
 
 # Part of the target latency that a call may wait for a slot: beyond it an answer
 # would seldom still come within the target.
 PATIENCE_SHARE = 0.15
+# The same for calls of upstreams: refusing one wastes what its action has taken.
+INNER_PATIENCE_SHARE = 0.5
 # Time in seconds below which an attempt is not worth sending.
 SHORTEST_ATTEMPT_S = 0.01
 FINGERPRINT_BYTES = 8
@@ -45,6 +49,7 @@
         "exchange",
         "failed_answer",
         "instance",
+        "is_inner",
         "local",
         "may_have_run",
         "n_arrivals",
@@ -74,6 +79,7 @@
         self.local: LocalCall | None = None
         self.answer: MeshAnswer | None = None
         self.failed_answer: MeshAnswer | None = None
+        self.is_inner = False
         self.tried: list[str] = []
         self.n_placements = 0
         self.n_arrivals = 0
@@ -94,6 +100,8 @@
         links: Links to other daemons.
         upstream: The upstream on this host.
         budget: Budget of repeats.
+        throttle: Refusal of whole actions where they enter.
+        parents: Runs at the own upstream that may make further calls.
         metrics: Counters and latencies.
         log: Log of decisions.
         rng: Source of jitter.
@@ -110,6 +118,8 @@
         links: PeerLinks,
         upstream: LocalUpstream,
         budget: FleetRetryBudget,
+        throttle: ActionThrottle,
+        parents: ParentCalls,
         metrics: Metrics,
         log: EventLog,
         rng: random.Random,
@@ -123,6 +133,8 @@
         self._links = links
         self._upstream = upstream
         self._budget = budget
+        self._throttle = throttle
+        self._parents = parents
         self._metrics = metrics
         self._log = log
         self._rng = rng
@@ -138,7 +150,12 @@
             f"repeats_left_{service}": tokens
             for service, tokens in self._budget.tokens.items()
         }
+        shares = {
+            f"admitted_share_{route}": share
+            for route, share in self._throttle.shares.items()
+        }
         return {
+            **shares,
             "repeats": self._n_repeats,
             "repeats_refused": self._n_repeats_refused,
             **left,
@@ -178,13 +195,21 @@
         forwarding = _Forwarding(
             exchange, route, service, request_id, request.read_s + time_left_s
         )
+        parent_rank = None
+        if time_left.isdigit():
+            parent_rank = self._parents.rank_of_parent(
+                route.name, request.read_s, int(time_left)
+            )
+        forwarding.is_inner = self._parents.is_inner(route.name)
+        rank = route.rank if parent_rank is None else parent_rank
+        patience_share = INNER_PATIENCE_SHARE if forwarding.is_inner else PATIENCE_SHARE
         forwarding.call = MeshCall(
             id=0,
             service=service,
             instance="",
             group=route.name,
-            rank=route.rank,
-            patience_ms=int(route.target_latency_s * PATIENCE_SHARE * 1000),
+            rank=rank,
+            patience_ms=int(route.target_latency_s * patience_share * 1000),
             time_left_ms=0,
             may_repeat=route.is_idempotent,
             is_head=request.method == b"HEAD",
@@ -193,6 +218,12 @@
             head=b"".join(head),
             body=request.body,
         )
+        if not forwarding.is_inner and not self._throttle.admits(
+            route.name, route.rank
+        ):
+            detail = "requests like this one fail for want of capacity"
+            self._give_up(forwarding, Reason.OVERLOAD, detail)
+            return
         exchange.on_abort = lambda: self._abandon(forwarding)
         forwarding.timer = asyncio.get_running_loop().call_later(
             max(0.0, forwarding.deadline_s - time.monotonic()),
@@ -315,6 +346,7 @@
 
     def _deliver(self, forwarding: _Forwarding, answer: MeshAnswer) -> None:
         forwarding.timer.cancel()
+        self._note_end(forwarding, answer.status >= 500 and answer.is_load)
         latency_s = time.monotonic() - forwarding.exchange.request.read_s
         route = forwarding.route
         self._metrics.count(
@@ -343,6 +375,8 @@
             verdict = Verdict.MAY_HAVE_RUN
         if forwarding.timer is not None:
             forwarding.timer.cancel()
+            is_load = forwarding.answer is not None and forwarding.answer.is_load
+            self._note_end(forwarding, is_load or reason is Reason.DEADLINE)
         answer = forwarding.answer
         wait_s = 0.0 if answer is None else answer.wait_ms / 1000
         time_left_s = forwarding.deadline_s - time.monotonic()
@@ -356,7 +390,7 @@
             "refused" if verdict is Verdict.NOT_RUN else "gave_up",
             forwarding.request_id.decode("latin-1"),
             route=forwarding.route.name,
-            rank=forwarding.route.rank,
+            rank=forwarding.call.rank,
             service=forwarding.service,
             reason=reason,
             verdict=verdict,
@@ -370,6 +404,14 @@
         )
         self._answer_problem(forwarding.exchange, status, reason, detail, back_s)
 
+    def _note_end(self, forwarding: _Forwarding, is_load_failure: bool) -> None:
+        """Learn from the end of a request that had entered."""
+        pressure = 0.0 if forwarding.answer is None else forwarding.answer.pressure
+        if forwarding.is_inner:
+            self._upstream.note_inner_call(pressure, is_load_failure)
+        else:
+            self._throttle.note_end(forwarding.route.name, pressure, is_load_failure)
+
     def _answer_problem(
         self,
         exchange: Exchange,
@@ -398,6 +440,7 @@
     def _abandon(self, forwarding: _Forwarding) -> None:
         """Give up a request whose caller has gone."""
         forwarding.timer.cancel()
+        self._note_end(forwarding, False)
         seconds = time.monotonic() - forwarding.exchange.request.read_s
         self._metrics.count(forwarding.route.name, "", "caller_gone", seconds)
         self._cancel_attempt(forwarding)
--- a/packages/savoryroute/savoryroute/coordination/host_choice.py
+++ b/packages/savoryroute/savoryroute/coordination/host_choice.py
@@ -23,9 +23,11 @@
 NEAR_LOAD_MAX = 0.75
 # Advantage of the instance on the own host, which costs no hop.
 OWN_BONUS = 0.1
-# Load added for each failure of ten; a failing instance looks idle otherwise.
-FAILURE_LOAD = 2.0
+# Load added where all calls fail; a failing instance looks idle otherwise.
+FAILURE_LOAD = 1.5
 FAILURE_WEIGHT = 0.1
+# An instance that failed is tried again as its failures fade.
+FAILURE_HALF_LIFE_S = 1.0
 # Reports fade, so that an instance once full is tried again.
 REPORT_HALF_LIFE_S = 0.5
 UNAVAILABLE_S = 0.5
@@ -46,7 +48,8 @@
         n_told: Calls running and waiting there by the last answer.
         limit: Slots by the last answer, 0 if unknown.
         told_s: Monotonic time of the last answer.
-        failure_rate: Moving share of failed calls, 0 to 1.
+        failure_rate: Moving share of failed calls, 0 to 1, as of the last one.
+        failure_s: Monotonic time of the last outcome.
         unavailable_until_s: Monotonic time until which it takes no calls.
         cold_until_s: Monotonic time until which it is slow after its start.
     """
@@ -57,6 +60,7 @@
     limit: int = 0
     told_s: float = float("-inf")
     failure_rate: float = 0.0
+    failure_s: float = 0.0
     unavailable_until_s: float = 0.0
     cold_until_s: float = 0.0
 
@@ -68,7 +72,13 @@
         load = n_calls / (self.limit or slots or 1)
         if now_s < self.cold_until_s:
             load *= COLD_LOAD_FACTOR
-        return load + self.failure_rate * FAILURE_LOAD
+        return load + self.failures(now_s) * FAILURE_LOAD
+
+    def failures(self, now_s: float) -> float:
+        """Return the share of failed calls, faded since the last one."""
+        return self.failure_rate * 0.5 ** (
+            (now_s - self.failure_s) / FAILURE_HALF_LIFE_S
+        )
 
 
 class HostChoice:
@@ -154,7 +164,10 @@
         """Count how a call went."""
         record = self.record(instance)
         sample = 1.0 if is_failure else 0.0
-        record.failure_rate += (sample - record.failure_rate) * FAILURE_WEIGHT
+        now_s = self._clock()
+        rate = record.failures(now_s)
+        record.failure_rate = rate + (sample - rate) * FAILURE_WEIGHT
+        record.failure_s = now_s
 
     def forget_others(self, known: Iterable[str]) -> None:
         """Drop the observations of instances that are gone."""
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
@@ -14,9 +15,10 @@
 from ..state.quarantine import Quarantine
 from ..transport.http_client import HttpPool, Lost, LostKind, Pending, WireAnswer
 from ..verdict import Reason, Verdict
+from .parent_calls import ParentCalls
 from .waiting_line import LineCall, WaitingLine
 
-__all__ = ["LocalCall", "LocalUpstream"]
+__all__ = ["LocalCall", "LocalUpstream", "usable_slots"]
 
 # Time beyond a call's deadline in which the upstream's own answer may still come.
 ANSWER_GRACE_S = 0.1
@@ -25,15 +27,26 @@
 # Calls are refused at once for this long after a connection was refused.
 DOWN_PAUSE_S = 0.25
 
+# Seconds in which the pressure that the upstream's calls met loses its weight.
+INNER_PRESSURE_MEMORY_S = 0.2
+# Part of the slots that is used; some upstreams slow down when nearly full.
+SLOTS_SHARE = 0.95
+
 AnswerHandler = Callable[[MeshAnswer], None]
 
 
+def usable_slots(slots: int) -> int:
+    """Return how many calls to run side by side at an upstream."""
+    return max(1, math.ceil(slots * SLOTS_SHARE) - 1)
+
+
 class LocalCall:
     """One call on its way to the own upstream."""
 
     __slots__ = (
         "_upstream",
         "call",
+        "deadline_s",
         "is_over",
         "line_call",
         "on_answer",
@@ -51,6 +64,7 @@
         self.line_call: LineCall | None = None
         self.pending: Pending | None = None
         self.started_s = 0.0
+        self.deadline_s = 0.0
         self.timer: asyncio.TimerHandle | None = None
         self.is_over = False
 
@@ -76,6 +90,7 @@
         quarantine: Evidence of requests that crash upstreams.
         log: Log of decisions.
         on_crash: Told when requests were lost in a crash.
+        parents: Runs that may make further calls.
     """
 
     def __init__(
@@ -87,6 +102,7 @@
         quarantine: Quarantine,
         log: EventLog,
         on_crash: Callable[[], None],
+        parents: ParentCalls,
     ) -> None:
         self._service = service
         self._pool = pool
@@ -95,6 +111,10 @@
         self._quarantine = quarantine
         self._log = log
         self._on_crash = on_crash
+        self._parents = parents
+        self._inner_load_s = float("-inf")
+        self._inner_pressure = 0.0
+        self._inner_pressure_s = 0.0
         self._lost_calls: list[_LostCall] = []
         self._down_until_s = 0.0
         self._was_down = False
@@ -161,12 +181,15 @@
         call = local.call
         now_s = time.monotonic()
         local.started_s = now_s
-        time_left_s = local.line_call.deadline_s - now_s
+        time_left_ms = max(1, int((local.line_call.deadline_s - now_s) * 1000))
+        time_left_s = time_left_ms / 1000
+        local.deadline_s = now_s + time_left_s
+        self._parents.begin(local.deadline_s, call.rank, call.group)
         names = self._names
         data = b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
             call.head,
             names.time_left_ms,
-            max(1, int(time_left_s * 1000)),
+            time_left_ms,
             names.expected_instance,
             call.instance.encode(),
             call.body,
@@ -191,7 +214,7 @@
         local.pending.cancel()
         was_sent = local.pending.is_sent
         verdict = Verdict.MAY_HAVE_RUN if was_sent else Verdict.NOT_RUN
-        self._line.finish(local.call.group, time.monotonic() - local.started_s)
+        self._free(local, time.monotonic() - local.started_s)
         self._end(
             local,
             MeshAnswer(
@@ -200,6 +223,7 @@
                 Reason.DEADLINE,
                 "the upstream did not answer in time",
                 was_sent=was_sent,
+                is_load=True,
             ),
         )
 
@@ -210,11 +234,11 @@
         latency_s = time.monotonic() - local.started_s
         if isinstance(outcome, Lost):
             answer = self._after_loss(local, outcome)
-            self._line.finish(local.call.group, None)
+            self._free(local, None)
         else:
             answer = self._after_answer(local, outcome)
             ran = answer.verdict is Verdict.RAN
-            self._line.finish(local.call.group, latency_s if ran else None)
+            self._free(local, latency_s if ran else None)
         self._end(local, answer)
 
     def _after_answer(self, local: LocalCall, answer: WireAnswer) -> MeshAnswer:
@@ -240,7 +264,12 @@
         if is_not_executed:
             detail = f"the upstream turned the request away with {answer.status}"
             return MeshAnswer(
-                call.id, Verdict.NOT_RUN, Reason.OVERLOAD, detail, was_sent=True
+                call.id,
+                Verdict.NOT_RUN,
+                Reason.OVERLOAD,
+                detail,
+                was_sent=True,
+                is_load=True,
             )
         if answer.header(names.signature) is None:
             return MeshAnswer(
@@ -259,6 +288,7 @@
             head=b"".join(head),
             body=answer.body,
             was_sent=True,
+            is_load=answer.status >= 500 and self._inner_load_s >= local.started_s,
         )
 
     def _after_loss(self, local: LocalCall, lost: Lost) -> MeshAnswer:
@@ -295,8 +325,8 @@
     def _note_load(self, value: bytes) -> None:
         """Take the number of slots from the upstream's report of its load."""
         slots = value.rpartition(b",")[2].strip()
-        if slots.isdigit() and int(slots) != self._line.slots and int(slots) > 0:
-            self._line.slots = int(slots)
+        if slots.isdigit() and int(slots) > 0:
+            self._line.slots = usable_slots(int(slots))
 
     def _cancel(self, local: LocalCall) -> None:
         if local.is_over:
@@ -306,11 +336,35 @@
                 self._line.withdraw(local.line_call)
         else:
             local.pending.cancel()
-            self._line.finish(local.call.group, None)
+            self._free(local, None)
         self._close(local)
 
+    def _free(self, local: LocalCall, latency_s: float | None) -> None:
+        """Give back the slot of a call that ran."""
+        self._parents.end(local.deadline_s, local.call.rank, local.call.group)
+        self._line.finish(local.call.group, latency_s)
+
+    def note_inner_call(self, pressure: float, is_load_failure: bool) -> None:
+        """Take note of how a further call of the upstream ended.
+
+        Args:
+            pressure: Load of the fullest line on its way.
+            is_load_failure: Whether it failed for want of capacity.
+        """
+        if is_load_failure:
+            self._inner_load_s = time.monotonic()
+        now_s = time.monotonic()
+        elapsed_s = now_s - self._inner_pressure_s
+        self._inner_pressure_s = now_s
+        # Calls at the same moment still count a little each.
+        weight = max(0.02, 1.0 - math.exp(-elapsed_s / INNER_PRESSURE_MEMORY_S))
+        self._inner_pressure += (pressure - self._inner_pressure) * weight
+
     def _refuse(self, local: LocalCall, reason: Reason, detail: str) -> None:
-        answer = MeshAnswer(local.call.id, Verdict.NOT_RUN, reason, detail)
+        is_load = reason in (Reason.OVERLOAD, Reason.DEADLINE)
+        answer = MeshAnswer(
+            local.call.id, Verdict.NOT_RUN, reason, detail, is_load=is_load
+        )
         self._end(local, answer)
 
     def _end(self, local: LocalCall, answer: MeshAnswer) -> None:
@@ -319,6 +373,9 @@
         self._close(local)
         line = self._line
         answer.n_told = line.n_running + line.n_waiting
+        answer.pressure = answer.n_told / line.slots
+        if self._parents.makes_calls(local.call.group):
+            answer.pressure = max(answer.pressure, self._inner_pressure)
         answer.limit = line.slots
         answer.wait_ms = int(line.expected_wait_s(line.n_waiting) * 1000)
         local.on_answer(answer)
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -22,8 +22,10 @@
 from .first_hop import FirstHop
 from .fleet_retries import FleetRetryBudget
 from .host_choice import HostChoice
-from .local_upstream import LocalCall, LocalUpstream
+from .local_upstream import LocalCall, LocalUpstream, usable_slots
+from .parent_calls import ParentCalls
 from .peer_links import PeerLinks
+from .throttle import ActionThrottle
 from .view_keeper import RouteDecoder, ViewKeeper
 from .waiting_line import WaitingLine
 
@@ -74,6 +76,7 @@
         self._pool = HttpPool(
             settings.upstream.ip, settings.upstream.port, names.request_id
         )
+        parents = ParentCalls()
         self._upstream = LocalUpstream(
             settings.service,
             self._pool,
@@ -82,6 +85,7 @@
             self._quarantine,
             log,
             self._tell_suspects,
+            parents,
         )
         self._keeper = ViewKeeper(decode_routes, log, self._rng, self._on_view)
         self._choice = HostChoice(
@@ -100,6 +104,8 @@
             self._links,
             self._upstream,
             self._budget,
+            ActionThrottle(time.monotonic, self._rng),
+            parents,
             self._metrics,
             log,
             self._rng,
@@ -191,15 +197,19 @@
             self._ask_peers()
 
     def _ask_peers(self) -> None:
-        open_ips = self._links.open_ips
+        """Ask peers for newer routes and instances, on links of either side."""
         own_ip = self._settings.callers.ip
+        linked = {link.peer_ip: link for link in self._links_in if link.is_open}
+        open_ips = [*{*self._links.open_ips, *linked}]
         others: list[str] = []
         if not open_ips:
             others = [seed.ip for seed in self._settings.seeds]
             others += [item.ip for item in self._keeper.view.instances.values()]
         question = self._keeper.question().to_frame()
         for ip in self._keeper.peers_to_ask(open_ips, others):
-            if ip != own_ip and not self._links.tell(ip, question):
+            if ip in linked:
+                linked[ip].send(question)
+            elif ip != own_ip and not self._links.tell(ip, question):
                 self._links.dial(ip)
 
     def _limits(self) -> CallerLimits:
@@ -222,7 +232,7 @@
         ]
         if own:
             self._was_listed = True
-            self._line.slots = own[0].slots
+            self._line.slots = usable_slots(own[0].slots)
         is_taking = any(instance.is_ready for instance in own) or not self._was_listed
         if self._is_leaving or is_taking != self._upstream.is_leaving:
             return
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -112,6 +112,8 @@
         n_told: Calls running and waiting at the upstream.
         limit: Slots of the upstream.
         wait_ms: Milliseconds that a new call would wait there.
+        is_load: Whether it failed for want of capacity, here or further down.
+        pressure: Load of the fullest line on the way, calls over slots.
     """
 
     id: int
@@ -125,6 +127,8 @@
     n_told: int = 0
     limit: int = 0
     wait_ms: int = 0
+    is_load: bool = False
+    pressure: float = 0.0
 
     def to_frame(self) -> list[Any]:
         """Return the frame."""
@@ -141,6 +145,8 @@
             self.n_told,
             self.limit,
             self.wait_ms,
+            self.is_load,
+            round(self.pressure, 3),
         ]
 
     @classmethod
--- /dev/null
+++ b/tests/savoryroute/coordination/test_throttle.py
@@ -0,0 +1,167 @@
+import heapq
+import itertools
+import random
+import unittest
+
+from savoryroute.coordination.throttle import ActionThrottle
+from savoryroute.coordination.waiting_line import LineCall, WaitingLine
+
+CALLS = 4
+CALL_S = 0.03
+SLOTS = 40
+TIMEOUT_S = 0.8
+N_FIRST_HOPS = 6
+
+
+class ChainReplay:
+    """Actions of ``CALLS`` calls one after the other at one short service.
+
+    Args:
+        is_throttled: Whether the first hops refuse whole actions.
+        slow: Times as long that calls take, by time.
+    """
+
+    def __init__(self, seed, is_throttled, slow=lambda now_s: 1.0):
+        self.now_s = 0.0
+        self.rng = random.Random(seed)
+        self.events, self.numbers = [], itertools.count()
+        self.line = WaitingLine(SLOTS, lambda: self.now_s)
+        self.throttles = [
+            ActionThrottle(lambda: self.now_s, self.rng) for _ in range(N_FIRST_HOPS)
+        ]
+        self.is_throttled, self.slow = is_throttled, slow
+        self.served = []
+        self.arrived = []
+
+    def at(self, at_s, action):
+        heapq.heappush(self.events, (at_s, next(self.numbers), action))
+
+    def play(self, per_s, seconds):
+        for rank, rate in per_s.items():
+            at_s = 0.0
+            while (at_s := at_s + self.rng.expovariate(rate)) < seconds:
+                self.at(at_s, lambda rank=rank: self.arrive(rank))
+        while self.events:
+            self.now_s, _, action = heapq.heappop(self.events)
+            action()
+        return self
+
+    def arrive(self, rank):
+        self.arrived.append((self.now_s, rank))
+        hop = self.rng.randrange(N_FIRST_HOPS)
+        admitted = self.throttles[hop].admits(f"r{rank}", rank)
+        if not self.is_throttled or admitted:
+            self.call(hop, rank, self.now_s, 0)
+
+    def call(self, hop, rank, began_s, n_done):
+        if n_done == CALLS:
+            self.served.append((began_s, rank))
+            self.end(hop, rank, False)
+            return
+        call = LineCall(
+            rank,
+            "call",
+            began_s + TIMEOUT_S,
+            0.045,
+            lambda: self.at(
+                self.now_s
+                + CALL_S * self.slow(self.now_s) * self.rng.uniform(0.5, 1.5),
+                lambda: self.finish(hop, rank, began_s, n_done),
+            ),
+            lambda reason: self.end(hop, rank, True),
+        )
+        if self.line.offer(call) is not None:
+            self.end(hop, rank, True)
+        elif call.expires_s:
+            self.at(call.expires_s, self.line.expire)
+
+    def work_s(self):
+        return CALL_S * self.slow(self.now_s) * self.rng.uniform(0.5, 1.5)
+
+    def finish(self, hop, rank, began_s, n_done):
+        self.line.finish("call", CALL_S * self.slow(self.now_s))
+        self.call(hop, rank, began_s, n_done + 1)
+
+    def end(self, hop, rank, is_load_failure):
+        pressure = (self.line.n_running + self.line.n_waiting) / SLOTS
+        self.throttles[hop].note_end(f"r{rank}", pressure, is_load_failure)
+
+    def share(self, rank, start_s, end_s):
+        arrived = sum(start_s <= t < end_s and r == rank for t, r in self.arrived)
+        served = sum(start_s <= t < end_s and r == rank for t, r in self.served)
+        return served / arrived
+
+    def n_served(self, start_s, end_s):
+        return sum(start_s <= t < end_s for t, _ in self.served)
+
+
+CAPACITY_PER_S = SLOTS / CALL_S / CALLS
+BURST = {2: 1.4 * CAPACITY_PER_S, 0: 0.4 * CAPACITY_PER_S}
+CALM = {2: 0.5 * CAPACITY_PER_S, 0: 0.25 * CAPACITY_PER_S}
+
+
+class BurstTest(unittest.TestCase):
+    """A service deep in the chain is asked for 1.8 times what it can do, 20 s."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.plays = [ChainReplay(seed, True).play(BURST, 20.0) for seed in range(5)]
+
+    def test_most_of_the_capacity_serves_whole_actions(self):
+        for play in self.plays:
+            n_best = 16.0 * CAPACITY_PER_S
+            self.assertGreater(play.n_served(4.0, 20.0), 0.85 * n_best)
+
+    def test_refusing_single_calls_serves_far_less(self):
+        for seed, play in enumerate(self.plays):
+            without = ChainReplay(seed, False).play(BURST, 20.0)
+            n_without = without.n_served(4.0, 20.0)
+            self.assertGreater(play.n_served(4.0, 20.0), 1.2 * n_without)
+
+    def test_important_actions_are_served(self):
+        for play in self.plays:
+            self.assertGreater(play.share(0, 4.0, 20.0), 0.95)
+
+
+class RecoveryTest(unittest.TestCase):
+    """The deep service is six times slower for 6 s, then sound again."""
+
+    def test_service_is_back_within_seconds(self):
+        def slow(now_s):
+            return 6.0 if 3.0 <= now_s < 9.0 else 1.0
+
+        for seed in range(5):
+            play = ChainReplay(seed, True, slow).play(CALM, 20.0)
+            # Actions begun later meet the slow spell.
+            self.assertGreater(play.share(2, 0.0, 2.5), 0.98)
+            self.assertGreater(play.share(2, 13.0, 20.0), 0.97)
+            self.assertGreater(play.share(0, 11.0, 20.0), 0.98)
+
+
+class AccountTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 0.0
+        self.throttle = ActionThrottle(lambda: self.now_s, random.Random(1))
+
+    def windows(self, n_windows, rank, pressure, n_failed=0):
+        for _ in range(n_windows):
+            self.throttle.admits("r", rank)
+            for number in range(20):
+                self.throttle.note_end("r", pressure, number < n_failed)
+            self.now_s += 0.31
+        self.throttle.admits("r", rank)
+        return self.throttle.shares["r"]
+
+    def test_nothing_is_refused_while_there_is_room(self):
+        self.assertEqual(self.windows(10, 2, 0.95), 1.0)
+        self.assertTrue(all(self.throttle.admits("r", 2) for _ in range(100)))
+
+    def test_less_important_gives_way_first(self):
+        self.assertEqual(self.windows(10, 0, 1.3), 1.0)
+        self.assertLess(self.windows(10, 2, 1.3), 0.5)
+
+    def test_failures_for_load_count_without_any_pressure(self):
+        self.assertLess(self.windows(10, 2, 0.2, n_failed=10), 0.2)
+
+    def test_some_requests_enter_at_all_times(self):
+        self.assertGreater(self.windows(100, 2, 9.0), 0.04)
