--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -19,7 +19,6 @@
 from .fleet_retries import FleetRetryBudget
 from .host_choice import HostChoice
 from .local_upstream import LocalCall, LocalUpstream
-from .parent_calls import ParentCalls
 from .peer_links import PeerLinks
 from .repeat_rule import NextStep, next_step, status_of
 from .return_time import return_time_s
@@ -49,11 +48,11 @@
         "exchange",
         "failed_answer",
         "instance",
-        "is_inner",
         "local",
         "may_have_run",
         "n_arrivals",
         "n_placements",
+        "parent",
         "request_id",
         "route",
         "service",
@@ -79,7 +78,7 @@
         self.local: LocalCall | None = None
         self.answer: MeshAnswer | None = None
         self.failed_answer: MeshAnswer | None = None
-        self.is_inner = False
+        self.parent: LocalCall | None = None
         self.tried: list[str] = []
         self.n_placements = 0
         self.n_arrivals = 0
@@ -101,7 +100,6 @@
         upstream: The upstream on this host.
         budget: Budget of repeats.
         throttle: Refusal of whole actions where they enter.
-        parents: Runs at the own upstream that may make further calls.
         metrics: Counters and latencies.
         log: Log of decisions.
         rng: Source of jitter.
@@ -119,7 +117,6 @@
         upstream: LocalUpstream,
         budget: FleetRetryBudget,
         throttle: ActionThrottle,
-        parents: ParentCalls,
         metrics: Metrics,
         log: EventLog,
         rng: random.Random,
@@ -134,7 +131,6 @@
         self._upstream = upstream
         self._budget = budget
         self._throttle = throttle
-        self._parents = parents
         self._metrics = metrics
         self._log = log
         self._rng = rng
@@ -195,14 +191,10 @@
         forwarding = _Forwarding(
             exchange, route, service, request_id, request.read_s + time_left_s
         )
-        parent_rank = None
-        if time_left.isdigit():
-            parent_rank = self._parents.rank_of_parent(
-                route.name, request.read_s, int(time_left)
-            )
-        forwarding.is_inner = self._parents.is_inner(route.name)
-        rank = route.rank if parent_rank is None else parent_rank
-        patience_share = INNER_PATIENCE_SHARE if forwarding.is_inner else PATIENCE_SHARE
+        parent = self._upstream.parent_of(request_id)
+        forwarding.parent = parent
+        rank = route.rank if parent is None else parent.call.rank
+        patience_share = PATIENCE_SHARE if parent is None else INNER_PATIENCE_SHARE
         forwarding.call = MeshCall(
             id=0,
             service=service,
@@ -218,9 +210,7 @@
             head=b"".join(head),
             body=request.body,
         )
-        if not forwarding.is_inner and not self._throttle.admits(
-            route.name, route.rank
-        ):
+        if parent is None and not self._throttle.admits(route.name, route.rank):
             detail = "requests like this one fail for want of capacity"
             self._give_up(forwarding, Reason.OVERLOAD, detail)
             return
@@ -407,8 +397,8 @@
     def _note_end(self, forwarding: _Forwarding, is_load_failure: bool) -> None:
         """Learn from the end of a request that had entered."""
         pressure = 0.0 if forwarding.answer is None else forwarding.answer.pressure
-        if forwarding.is_inner:
-            self._upstream.note_inner_call(pressure, is_load_failure)
+        if forwarding.parent is not None:
+            forwarding.parent.note_call_below(pressure, is_load_failure)
         else:
             self._throttle.note_end(forwarding.route.name, pressure, is_load_failure)
 
--- a/packages/savoryroute/savoryroute/coordination/host_choice.py
+++ b/packages/savoryroute/savoryroute/coordination/host_choice.py
@@ -23,8 +23,9 @@
 NEAR_LOAD_MAX = 0.75
 # Advantage of the instance on the own host, which costs no hop.
 OWN_BONUS = 0.1
-# Load added where all calls fail; a failing instance looks idle otherwise.
-FAILURE_LOAD = 1.5
+# Load added where all calls fail: an instance that sheds half of its calls at once
+# looks idle, and is used only where the sound ones have long lines.
+FAILURE_LOAD = 4.0
 FAILURE_WEIGHT = 0.1
 # An instance that failed is tried again as its failures fade.
 FAILURE_HALF_LIFE_S = 1.0
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -15,7 +15,7 @@
 from ..state.quarantine import Quarantine
 from ..transport.http_client import HttpPool, Lost, LostKind, Pending, WireAnswer
 from ..verdict import Reason, Verdict
-from .parent_calls import ParentCalls
+from .running_calls import RunningCalls
 from .waiting_line import LineCall, WaitingLine
 
 __all__ = ["LocalCall", "LocalUpstream", "usable_slots"]
@@ -27,8 +27,6 @@
 # Calls are refused at once for this long after a connection was refused.
 DOWN_PAUSE_S = 0.25
 
-# Seconds in which the pressure that the upstream's calls met loses its weight.
-INNER_PRESSURE_MEMORY_S = 0.2
 # Part of the slots that is used; some upstreams slow down when nearly full.
 SLOTS_SHARE = 0.95
 
@@ -46,11 +44,12 @@
     __slots__ = (
         "_upstream",
         "call",
-        "deadline_s",
+        "has_load_failure_below",
         "is_over",
         "line_call",
         "on_answer",
         "pending",
+        "pressure_below",
         "started_s",
         "timer",
     )
@@ -64,10 +63,21 @@
         self.line_call: LineCall | None = None
         self.pending: Pending | None = None
         self.started_s = 0.0
-        self.deadline_s = 0.0
+        self.pressure_below = 0.0
+        self.has_load_failure_below = False
         self.timer: asyncio.TimerHandle | None = None
         self.is_over = False
 
+    def note_call_below(self, pressure: float, is_load_failure: bool) -> None:
+        """Take note of how a further call of this run ended.
+
+        Args:
+            pressure: Load of the fullest line on its way.
+            is_load_failure: Whether it failed for want of capacity.
+        """
+        self.pressure_below = max(self.pressure_below, pressure)
+        self.has_load_failure_below |= is_load_failure
+
     def cancel(self) -> None:
         """Give the call up; nothing more is told about it."""
         self._upstream._cancel(self)
@@ -90,7 +100,6 @@
         quarantine: Evidence of requests that crash upstreams.
         log: Log of decisions.
         on_crash: Told when requests were lost in a crash.
-        parents: Runs that may make further calls.
     """
 
     def __init__(
@@ -102,7 +111,6 @@
         quarantine: Quarantine,
         log: EventLog,
         on_crash: Callable[[], None],
-        parents: ParentCalls,
     ) -> None:
         self._service = service
         self._pool = pool
@@ -111,10 +119,7 @@
         self._quarantine = quarantine
         self._log = log
         self._on_crash = on_crash
-        self._parents = parents
-        self._inner_load_s = float("-inf")
-        self._inner_pressure = 0.0
-        self._inner_pressure_s = 0.0
+        self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
         self._lost_calls: list[_LostCall] = []
         self._down_until_s = 0.0
         self._was_down = False
@@ -183,8 +188,7 @@
         local.started_s = now_s
         time_left_ms = max(1, int((local.line_call.deadline_s - now_s) * 1000))
         time_left_s = time_left_ms / 1000
-        local.deadline_s = now_s + time_left_s
-        self._parents.begin(local.deadline_s, call.rank, call.group)
+        self._running.begin(call.request_id, local)
         names = self._names
         data = b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
             call.head,
@@ -288,7 +292,7 @@
             head=b"".join(head),
             body=answer.body,
             was_sent=True,
-            is_load=answer.status >= 500 and self._inner_load_s >= local.started_s,
+            is_load=answer.status >= 500 and local.has_load_failure_below,
         )
 
     def _after_loss(self, local: LocalCall, lost: Lost) -> MeshAnswer:
@@ -341,24 +345,12 @@
 
     def _free(self, local: LocalCall, latency_s: float | None) -> None:
         """Give back the slot of a call that ran."""
-        self._parents.end(local.deadline_s, local.call.rank, local.call.group)
+        self._running.end(local.call.request_id, local)
         self._line.finish(local.call.group, latency_s)
 
-    def note_inner_call(self, pressure: float, is_load_failure: bool) -> None:
-        """Take note of how a further call of the upstream ended.
-
-        Args:
-            pressure: Load of the fullest line on its way.
-            is_load_failure: Whether it failed for want of capacity.
-        """
-        if is_load_failure:
-            self._inner_load_s = time.monotonic()
-        now_s = time.monotonic()
-        elapsed_s = now_s - self._inner_pressure_s
-        self._inner_pressure_s = now_s
-        # Calls at the same moment still count a little each.
-        weight = max(0.02, 1.0 - math.exp(-elapsed_s / INNER_PRESSURE_MEMORY_S))
-        self._inner_pressure += (pressure - self._inner_pressure) * weight
+    def parent_of(self, request_id: bytes) -> LocalCall | None:
+        """Return the run here that made a request, None if none did."""
+        return self._running.parent_of(request_id)
 
     def _refuse(self, local: LocalCall, reason: Reason, detail: str) -> None:
         is_load = reason in (Reason.OVERLOAD, Reason.DEADLINE)
@@ -373,9 +365,7 @@
         self._close(local)
         line = self._line
         answer.n_told = line.n_running + line.n_waiting
-        answer.pressure = answer.n_told / line.slots
-        if self._parents.makes_calls(local.call.group):
-            answer.pressure = max(answer.pressure, self._inner_pressure)
+        answer.pressure = max(line.load_for(local.call.rank), local.pressure_below)
         answer.limit = line.slots
         answer.wait_ms = int(line.expected_wait_s(line.n_waiting) * 1000)
         local.on_answer(answer)
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -23,7 +23,6 @@
 from .fleet_retries import FleetRetryBudget
 from .host_choice import HostChoice
 from .local_upstream import LocalCall, LocalUpstream, usable_slots
-from .parent_calls import ParentCalls
 from .peer_links import PeerLinks
 from .throttle import ActionThrottle
 from .view_keeper import RouteDecoder, ViewKeeper
@@ -76,7 +75,6 @@
         self._pool = HttpPool(
             settings.upstream.ip, settings.upstream.port, names.request_id
         )
-        parents = ParentCalls()
         self._upstream = LocalUpstream(
             settings.service,
             self._pool,
@@ -85,7 +83,6 @@
             self._quarantine,
             log,
             self._tell_suspects,
-            parents,
         )
         self._keeper = ViewKeeper(decode_routes, log, self._rng, self._on_view)
         self._choice = HostChoice(
@@ -105,7 +102,6 @@
             self._upstream,
             self._budget,
             ActionThrottle(time.monotonic, self._rng),
-            parents,
             self._metrics,
             log,
             self._rng,
--- a/packages/savoryroute/savoryroute/coordination/repeat_rule.py
+++ b/packages/savoryroute/savoryroute/coordination/repeat_rule.py
@@ -46,8 +46,12 @@
         ``REPEAT`` where one did and the budget of retries has to pay.
     """
     if answer.verdict is Verdict.RAN:
+        # A failure for load further down would only be repeated there.
         is_worth_another = (
-            answer.status >= 500 and is_idempotent and n_arrivals < attempts_max
+            answer.status >= 500
+            and is_idempotent
+            and not answer.is_load
+            and n_arrivals < attempts_max
         )
         return NextStep.REPEAT if is_worth_another else NextStep.DELIVER
     if answer.reason in (Reason.DEADLINE, Reason.QUARANTINED):
--- a/packages/savoryroute/savoryroute/coordination/throttle.py
+++ b/packages/savoryroute/savoryroute/coordination/throttle.py
@@ -23,9 +23,10 @@
 
 # Seconds between changes of the admitted share: about the time of one action.
 WINDOW_S = 0.3
-# Load of the fullest line at which a route gives way, by rank. A line serves the
-# important first, so that a little waiting is no loss for them.
-PRESSURE_TARGETS = (1.6, 1.2, 1.0)
+# Load of the fullest line at which a route gives way, by rank; a line counts only
+# calls that are served before or with the route's own. The excess over 1 waits, for
+# about that part of one call's time.
+PRESSURE_TARGETS = (1.5, 1.35, 1.25)
 # Part of the answers that fail for load at which a route gives way, by rank.
 FAILURE_TARGETS = (0.3, 0.1, 0.04)
 # Excess of load that one part of failures beyond the target stands for.
--- a/packages/savoryroute/savoryroute/coordination/waiting_line.py
+++ b/packages/savoryroute/savoryroute/coordination/waiting_line.py
@@ -93,6 +93,11 @@
         """Moving average of the seconds for which a call holds its slot."""
         return self._mean_s
 
+    def load_for(self, rank: int) -> float:
+        """Return running calls, and waiting ones of this rank or better, over slots."""
+        n_ahead = bisect.bisect(self._waiting, (rank + 1, 0), key=_order)
+        return (self._n_running + n_ahead) / self._slots
+
     def usual_s(self, group: str) -> float:
         """Return the usual seconds of a group's calls, 0 where unknown."""
         return self._group_s.get(group, 0.0)
--- a/packages/savoryroute/savoryroute/protocol/header_names.py
+++ b/packages/savoryroute/savoryroute/protocol/header_names.py
@@ -37,6 +37,8 @@
         load: Load that an upstream reports: running, waiting, slots.
         not_executed: Present where an upstream did not run the request.
         signature: Mark of the upstream's own answer.
+        id_separator: What stands between the identity of an action and the rest of
+            the identity of a further call that it makes.
     """
 
     request_id: bytes
@@ -47,6 +49,7 @@
     load: bytes
     not_executed: bytes
     signature: bytes
+    id_separator: bytes
 
     @property
     def set_by_fleet(self) -> frozenset[bytes]:
