leaving: nothing new is taken late in the grace; silent peers get no calls

Calls went on to a peer behind a cut for two seconds, until its link was given up. Ruled out: a daemon slow to notice the signal (it was not ready at once).

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -235,7 +235,9 @@
         if time_left_s < SHORTEST_ATTEMPT_S:
             self._give_up(forwarding, Reason.DEADLINE, "no time left")
             return
-        instances = self._view.of_service(forwarding.service)
+        listed = self._view.of_service(forwarding.service)
+        # Where all are suspect, the evidence is more likely wrong than they.
+        instances = [i for i in listed if not self._links.is_suspect(i.ip)] or listed
         instance = self._choice.choose(instances, forwarding.tried)
         if instance is None:
             detail = f"none of {len(instances)} instances can be asked"
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -38,7 +38,7 @@
 # Seconds after a signal to stop in which callers learn of it and go elsewhere.
 LEAVE_LISTEN_S = 2.6
 # Idle connections of callers are closed while leaving after this many seconds.
-LEAVE_IDLE_S = 1.0
+LEAVE_IDLE_S = 0.3
 # Kept back from the time until the process is killed.
 LEAVE_MARGIN_S = 0.4
 
@@ -153,6 +153,8 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             if time.monotonic() - started_s < LEAVE_LISTEN_S:
                 continue
+            # What came later could be cut off at the end of the grace.
+            self._callers.stop_listening()
             self._callers.sweep(LEAVE_IDLE_S)
             if not self._callers.n_open and not self._upstream.n_open:
                 break
@@ -183,9 +185,9 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             n_ticks += 1
             self._upstream.sweep()
+            self._links.sweep()
             self._log.flush()
             if n_ticks % 5 == 0:
-                self._links.sweep()
                 self._callers.sweep()
                 self._readiness.sweep()
                 self._scrapes.sweep()
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -20,7 +20,10 @@
 # A host that could not be reached is not dialled again for this long.
 DIAL_PAUSE_S = 0.5
 # Silence of a link with calls in flight after which the peer is asked for a sign.
-PING_AFTER_S = 0.4
+PING_AFTER_S = 0.15
+# Silence after that question in which the peer gets no further calls: some round
+# trips and the longest pauses of a sound event loop.
+SUSPECT_AFTER_S = 0.25
 # Silence after that question which ends the link: above the longest pause that a
 # loaded peer was seen to make.
 SILENT_AFTER_S = 1.6
@@ -73,6 +76,18 @@
         """Addresses of the hosts with an open link."""
         return [ip for ip, link in self._links.items() if link.wire.is_open]
 
+    def is_suspect(self, ip: str) -> bool:
+        """Return whether a host is silent, or could not be reached of late."""
+        link = self._links.get(ip)
+        if link is None:
+            return time.monotonic() < self._unreachable_until_s.get(ip, 0.0)
+        asked_s = link.asked_s
+        return (
+            asked_s is not None
+            and link.wire.last_read_s <= asked_s
+            and time.monotonic() - asked_s > SUSPECT_AFTER_S
+        )
+
     def call(self, ip: str, call: MeshCall, on_answer: AnswerHandler) -> None:
         """Send a call; ``on_answer`` is told exactly once, perhaps at once.
 
@@ -84,7 +99,10 @@
         link = self._links.get(ip)
         if link is not None and link.wire.is_open:
             self._send(link, call, on_answer)
-        elif time.monotonic() < self._unreachable_until_s.get(ip, 0.0):
+        elif ip in self._unreachable_until_s:
+            # Tried again in the background, so that no call waits for it.
+            if time.monotonic() >= self._unreachable_until_s[ip]:
+                self.dial(ip)
             on_answer(_unreachable(f"{ip} could not be reached of late"))
         else:
             self._queued.setdefault(ip, []).append((call, on_answer))
--- a/tests/savoryroute_platform/test_path.py
+++ b/tests/savoryroute_platform/test_path.py
@@ -230,6 +230,19 @@
             self.assertEqual((await caller.read()).status, 200)
         await stop
 
+    async def test_nothing_new_is_taken_late_in_the_grace(self):
+        """A request of the last seconds would be cut off when the grace ends."""
+        stop = asyncio.create_task(self.world.nodes[1].stop())
+        busy = await self.world.caller(1)
+        self.planners[0].delay_s = self.planners[1].delay_s = 1.4
+        await asyncio.sleep(2.0)
+        busy.write("/planner/x")
+        await asyncio.sleep(0.9)
+        with self.assertRaises(OSError):
+            await self.world.caller(1)
+        self.assertEqual((await busy.read()).status, 200)
+        await stop
+
     async def test_leaving_daemon_gets_no_calls_of_others(self):
         stop = asyncio.create_task(self.world.nodes[1].stop())
         await asyncio.sleep(0.05)
