--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -55,6 +55,7 @@
         "parent",
         "request_id",
         "route",
+        "sent_s",
         "service",
         "timer",
         "tried",
@@ -81,6 +82,7 @@
         self.parent: LocalCall | None = None
         self.tried: list[str] = []
         self.n_placements = 0
+        self.sent_s = 0.0
         self.n_arrivals = 0
         self.may_have_run = False
         self.timer: asyncio.TimerHandle | None = None
@@ -254,6 +256,7 @@
         call.instance = instance.id
         call.time_left_ms = int(time_left_s * 1000)
         self._choice.record(instance).n_mine += 1
+        forwarding.sent_s = time.monotonic()
         forwarding.local = None
         if instance.ip == self._ip:
             local = self._upstream.run(
@@ -272,7 +275,7 @@
         self, forwarding: _Forwarding, instance: Instance, answer: MeshAnswer
     ) -> None:
         """Learn from an attempt's end and take the next step."""
-        self._note_instance(instance, answer)
+        self._note_instance(forwarding, instance, answer)
         if forwarding.exchange.is_done:
             return
         forwarding.answer = answer
@@ -318,16 +321,26 @@
         ran = answer.verdict is Verdict.RAN
         return NextStep.DELIVER if ran else NextStep.GIVE_UP
 
-    def _note_instance(self, instance: Instance, answer: MeshAnswer) -> None:
+    def _note_instance(
+        self, forwarding: _Forwarding, instance: Instance, answer: MeshAnswer
+    ) -> None:
         """Keep what an attempt tells about the instance."""
         choice = self._choice
         choice.record(instance).n_mine -= 1
         if answer.limit:
             choice.note_report(instance, answer.n_told, answer.limit)
-        if answer.verdict is Verdict.RAN:
-            choice.note_outcome(instance, answer.status >= 500)
-        elif answer.was_sent and answer.reason is not Reason.DEADLINE:
-            choice.note_outcome(instance, True)
+        if answer.was_sent:
+            is_run_out = answer.reason is Reason.DEADLINE
+            is_whole = answer.verdict is Verdict.RAN and answer.status < 500
+            # A failure for load further down is not the instance's own.
+            is_failure = not (is_whole or is_run_out or answer.is_load)
+            latency_s = time.monotonic() - forwarding.sent_s
+            if is_whole or is_run_out or is_failure:
+                choice.note_outcome(
+                    instance, is_failure, forwarding.route.name, latency_s
+                )
+            elif answer.verdict is Verdict.NOT_RUN:
+                choice.note_outcome(instance, True, forwarding.route.name, latency_s)
         if answer.reason in (
             Reason.LEAVING,
             Reason.NO_UPSTREAM,
@@ -431,6 +444,11 @@
         if local is None or local.pending is not None:
             # A call at a peer may be running; one that waits here is not.
             forwarding.may_have_run = True
+        if forwarding.instance is not None:
+            latency_s = time.monotonic() - forwarding.sent_s
+            self._choice.note_outcome(
+                forwarding.instance, False, forwarding.route.name, latency_s
+            )
         self._cancel_attempt(forwarding)
         self._give_up(forwarding, Reason.DEADLINE, "the time for an answer is over")
 
--- a/packages/savoryroute/savoryroute/coordination/host_choice.py
+++ b/packages/savoryroute/savoryroute/coordination/host_choice.py
@@ -1,9 +1,10 @@
 """Choice of the instance that runs a call.
 
-Load pattern: instances differ in speed by a factor of three, some shed or fail part
-of their calls, and failure domains get unequal traffic. The load that an instance
-reported with its last answer, plus what this daemon has sent since, decides; the own
-failure domain is preferred until it is nearly full.
+Load pattern: instances differ in speed by a factor of three, one turns five times
+slower, some shed or fail part of their calls, and failure domains get unequal
+traffic. An instance costs its load (that of its last answer, plus what this daemon
+has sent since), times how slow it is beside the others; another failure domain and
+failures cost extra.
 
 Source: Mitzenmacher, The Power of Two Choices in Randomized Load Balancing (2001).
 """
@@ -19,8 +20,16 @@
 
 __all__ = ["HostChoice", "InstanceRecord"]
 
-# Load, as part of the slots, up to which the own failure domain is preferred.
-NEAR_LOAD_MAX = 0.75
+# Cost of another failure domain: its links are priced, and add to the latency.
+FAR_COST = 0.35
+# Load that an idle instance counts as, so that slowness tells between idle ones.
+BASE_LOAD = 0.25
+# Weight of one answer in the usual latency of a route and in an instance's slowness.
+USUAL_WEIGHT = 0.02
+SLOWNESS_WEIGHT = 0.08
+SLOWNESS_MAX = 8.0
+# A slow instance is tried again as what was seen of it fades.
+SLOWNESS_HALF_LIFE_S = 3.0
 # Advantage of the instance on the own host, which costs no hop.
 OWN_BONUS = 0.1
 # Load added where all calls fail: an instance that sheds half of its calls at once
@@ -51,6 +60,8 @@
         told_s: Monotonic time of the last answer.
         failure_rate: Moving share of failed calls, 0 to 1, as of the last one.
         failure_s: Monotonic time of the last outcome.
+        slowness: Latency over the usual one of the same routes, as of the last answer.
+        slowness_s: Monotonic time of that answer.
         unavailable_until_s: Monotonic time until which it takes no calls.
         cold_until_s: Monotonic time until which it is slow after its start.
     """
@@ -62,18 +73,30 @@
     told_s: float = float("-inf")
     failure_rate: float = 0.0
     failure_s: float = 0.0
+    slowness: float = 1.0
+    slowness_s: float = 0.0
     unavailable_until_s: float = 0.0
     cold_until_s: float = 0.0
 
     def load(self, now_s: float, slots: int) -> float:
-        """Return running and waiting calls over slots, failures weighed in."""
+        """Return running and waiting calls over slots."""
         weight = 0.5 ** ((now_s - self.told_s) / REPORT_HALF_LIFE_S)
         n_new = max(0, self.n_mine - self.n_mine_at_report)
         n_calls = max(self.n_mine, self.n_told * weight + n_new)
         load = n_calls / (self.limit or slots or 1)
         if now_s < self.cold_until_s:
             load *= COLD_LOAD_FACTOR
-        return load + self.failures(now_s) * FAILURE_LOAD
+        return load
+
+    def cost(self, now_s: float, slots: int) -> float:
+        """Return the figure to compare instances by."""
+        load = self.load(now_s, slots) + BASE_LOAD
+        return load * self.slow(now_s) + self.failures(now_s) * FAILURE_LOAD
+
+    def slow(self, now_s: float) -> float:
+        """Return the slowness, faded towards 1 since the last answer."""
+        kept = 0.5 ** ((now_s - self.slowness_s) / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + (self.slowness - 1.0) * kept
 
     def failures(self, now_s: float) -> float:
         """Return the share of failed calls, faded since the last one."""
@@ -104,6 +127,7 @@
         self._rng = rng
         self._clock = clock
         self._records: dict[str, InstanceRecord] = {}
+        self._usual_s: dict[str, float] = {}
 
     @property
     def records(self) -> dict[str, InstanceRecord]:
@@ -138,12 +162,10 @@
         if not usable:
             return None
         near = [i for i in usable if i.failure_domain == self._failure_domain]
-        best, load = self._least(near, now_s)
-        if best is not None and load < NEAR_LOAD_MAX:
-            return best
         far = [i for i in usable if i.failure_domain != self._failure_domain]
-        best_far, load_far = self._least(far, now_s)
-        return best_far if load_far < load else best
+        best, cost = self._cheapest(near, now_s)
+        best_far, cost_far = self._cheapest(far, now_s)
+        return best_far if cost_far + FAR_COST < cost else best
 
     def note_unavailable(self, instance: Instance) -> None:
         """Send an instance nothing for a moment."""
@@ -161,14 +183,31 @@
         record.told_s = self._clock()
         record.n_mine_at_report = record.n_mine
 
-    def note_outcome(self, instance: Instance, is_failure: bool) -> None:
-        """Count how a call went."""
+    def note_outcome(
+        self, instance: Instance, is_failure: bool, group: str, latency_s: float
+    ) -> None:
+        """Count how a call went.
+
+        Args:
+            instance: Where it ran.
+            is_failure: Whether it failed there.
+            group: Name of its route.
+            latency_s: Seconds until its end.
+        """
         record = self.record(instance)
         sample = 1.0 if is_failure else 0.0
         now_s = self._clock()
         rate = record.failures(now_s)
         record.failure_rate = rate + (sample - rate) * FAILURE_WEIGHT
         record.failure_s = now_s
+        if is_failure:
+            return
+        usual_s = self._usual_s.get(group, latency_s)
+        self._usual_s[group] = usual_s + (latency_s - usual_s) * USUAL_WEIGHT
+        ratio = min(SLOWNESS_MAX, latency_s / max(usual_s, 1e-6))
+        slow = record.slow(now_s)
+        record.slowness = slow + (ratio - slow) * SLOWNESS_WEIGHT
+        record.slowness_s = now_s
 
     def forget_others(self, known: Iterable[str]) -> None:
         """Drop the observations of instances that are gone."""
@@ -177,19 +216,20 @@
             if not self._records[id_].n_mine:
                 del self._records[id_]
 
-    def _least(
+    def _cheapest(
         self, instances: list[Instance], now_s: float
     ) -> tuple[Instance | None, float]:
-        """Return the least loaded of a sample, and its load."""
+        """Return the cheapest of a sample, and its cost."""
         if len(instances) > SAMPLE_SIZE:
             instances = self._rng.sample(instances, SAMPLE_SIZE)
         best: Instance | None = None
         least = float("inf")
         for instance in instances:
-            load = self.record(instance).load(now_s, instance.slots)
+            cost = self.record(instance).cost(now_s, instance.slots)
             if instance.ip == self._ip:
-                load -= OWN_BONUS
-            load += self._rng.random() * 0.01
-            if load < least:
-                best, least = instance, load
+                cost -= OWN_BONUS
+            # Spreads the choice among equals.
+            cost += self._rng.random() * 0.01
+            if cost < least:
+                best, least = instance, cost
         return best, least
--- a/tests/savoryroute/coordination/test_host_choice.py
+++ b/tests/savoryroute/coordination/test_host_choice.py
@@ -39,11 +39,33 @@
             chosen = self.choice.choose(self.near, [])
             counts[chosen.id] += 1
             is_failing = chosen.id == "n1"
-            self.choice.note_outcome(chosen, is_failing and rng.random() < 0.5)
+            self.choice.note_outcome(
+                chosen, is_failing and rng.random() < 0.5, "r", 0.1
+            )
             self.load(chosen, 0 if is_failing else 4)
             self.now_s += 0.01
         self.assertLess(counts["n1"], 0.25 * counts["n2"])
 
+    def test_slow_instance_gets_less_even_while_all_are_idle(self):
+        """One of two instances takes five times as long; no line builds up."""
+        counts = collections.Counter()
+        for _ in range(2000):
+            chosen = self.choice.choose(self.near, [])
+            counts[chosen.id] += 1
+            latency_s = 0.5 if chosen.id == "n1" else 0.1
+            self.choice.note_outcome(chosen, False, "r", latency_s)
+            self.load(chosen, 2)
+            self.now_s += 0.01
+        self.assertLess(counts["n1"], 0.2 * counts["n2"])
+        self.assertGreater(counts["n1"], 0)
+
+    def test_routes_that_take_long_make_no_instance_slow(self):
+        for _ in range(500):
+            self.choice.note_outcome(self.near[0], False, "long", 1.0)
+            self.choice.note_outcome(self.near[1], False, "short", 0.01)
+        slow = [self.choice.record(item).slow(self.now_s) for item in self.near]
+        self.assertAlmostEqual(slow[0], slow[1], places=3)
+
     def test_unavailable_and_tried_ones_are_left_out(self):
         self.choice.note_unavailable(self.near[0])
         self.assertEqual(self.choice.choose(self.near, []).id, "n2")
