--- a/tests/savoryroute/coordination/test_placement.py
+++ b/tests/savoryroute/coordination/test_placement.py
@@ -125,6 +125,13 @@
         self.now_s += POLICY.base_s + 60
         self.assertEqual(self.choose(excluded=("a1",)).member.host, "a2")
 
+    def test_ten_failures_in_a_row_are_enough(self):
+        """The bound is the promise's, not the constant's of the code."""
+        for _ in range(10):
+            self.lose("a1")
+        record = self.placement.record("a1")
+        self.assertGreater(record.ejected_until_s, self.now_s)
+
     def test_ejection_is_capped(self):
         for host in ("a1", "a2", "b1"):
             for _ in range(2 * EJECT_AFTER_FAILURES):
