--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -8,8 +8,9 @@
 import time
 from collections.abc import Callable
 
-from ..protocol.header_names import HOP_BY_HOP, HeaderNames
+from ..protocol.header_names import HeaderNames
 from ..protocol.mesh_frames import MeshAnswer, MeshCall
+from ..protocol.request_head import RequestHead, read_request_head
 from ..state.event_log import EventLog
 from ..state.fleet_view import FleetView, Instance
 from ..state.metrics import Metrics
@@ -17,8 +18,9 @@
 from ..transport.http_server import Exchange
 from ..verdict import Reason, Verdict
 from .fleet_retries import FleetRetryBudget
+from .forwarding import Forwarding
 from .host_choice import HostChoice
-from .local_upstream import LocalCall, LocalUpstream
+from .local_upstream import LocalUpstream
 from .peer_links import PeerLinks
 from .repeat_rule import NextStep, next_step, status_of
 from .return_time import return_time_s
@@ -33,61 +35,13 @@
 INNER_PATIENCE_SHARE = 0.5
 # Time in seconds below which an attempt is not worth sending.
 SHORTEST_ATTEMPT_S = 0.01
+# Seconds after which a caller may come back to a daemon that has no routes yet.
+NO_ROUTES_BACK_S = 0.5
 FINGERPRINT_BYTES = 8
 
 _JSON = b"Content-Type: application/json\r\n"
 
 
-class _Forwarding:
-    """One request from its arrival to its final answer."""
-
-    __slots__ = (
-        "answer",
-        "call",
-        "deadline_s",
-        "exchange",
-        "failed_answer",
-        "instance",
-        "local",
-        "may_have_run",
-        "n_arrivals",
-        "n_placements",
-        "parent",
-        "request_id",
-        "route",
-        "sent_s",
-        "service",
-        "timer",
-        "tried",
-    )
-
-    def __init__(
-        self,
-        exchange: Exchange,
-        route: TableRoute,
-        service: str,
-        request_id: bytes,
-        deadline_s: float,
-    ) -> None:
-        self.exchange = exchange
-        self.route = route
-        self.service = service
-        self.request_id = request_id
-        self.deadline_s = deadline_s
-        self.call: MeshCall | None = None
-        self.instance: Instance | None = None
-        self.local: LocalCall | None = None
-        self.answer: MeshAnswer | None = None
-        self.failed_answer: MeshAnswer | None = None
-        self.parent: LocalCall | None = None
-        self.tried: list[str] = []
-        self.n_placements = 0
-        self.sent_s = 0.0
-        self.n_arrivals = 0
-        self.may_have_run = False
-        self.timer: asyncio.TimerHandle | None = None
-
-
 class FirstHop:
     """Where requests enter the fleet.
 
@@ -139,7 +93,6 @@
         self._split = SplitCursor()
         self._n_repeats = 0
         self._n_repeats_refused = 0
-        self._dropped_headers = HOP_BY_HOP | names.set_by_fleet
         self._caller_line = b"%b: %b\r\n" % (names.caller_service, service.encode())
 
     def gauges(self) -> dict[str, float]:
@@ -148,12 +101,9 @@
             f"repeats_left_{service}": tokens
             for service, tokens in self._budget.tokens.items()
         }
-        shares = {
-            f"admitted_share_{route}": share
-            for route, share in self._throttle.shares.items()
-        }
+        shares = self._throttle.shares
         return {
-            **shares,
+            **{f"admitted_share_{route}": share for route, share in shares.items()},
             "repeats": self._n_repeats,
             "repeats_refused": self._n_repeats_refused,
             **left,
@@ -164,66 +114,62 @@
         request = exchange.request
         table = self._table()
         if table is None:
-            self._answer_problem(exchange, 503, Reason.NOT_READY, "no routes yet", 0.5)
+            self._answer_problem(exchange, 503, Reason.NOT_READY, NO_ROUTES_BACK_S)
             return
-        host = request_id = time_left = b""
-        head = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
-        for name, value in request.headers:
-            if name == b"host":
-                host = value
-            elif name == self._names.request_id:
-                request_id = value
-            elif name == self._names.time_left_ms:
-                time_left = value
-            if name not in self._dropped_headers:
-                head.append(b"%b: %b\r\n" % (name, value))
-        target = request.target.decode("latin-1")
-        route = table.find(host.decode("latin-1"), target)
+        fields = read_request_head(request, self._names, self._caller_line)
+        route = table.find(fields.host, request.target.decode("latin-1"))
         if route is None:
-            detail = f"no route for {target:.80}"
-            self._answer_problem(exchange, 404, Reason.UNKNOWN_ROUTE, detail, None)
+            self._answer_problem(exchange, 404, Reason.UNKNOWN_ROUTE, None)
             return
-        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
-            head.append(b"content-length: %d\r\n" % len(request.body))
-        head.append(self._caller_line)
+        forwarding = self._open(exchange, route, fields)
+        if forwarding.parent is None and not self._throttle.admits(
+            route.name, route.rank
+        ):
+            detail = "requests like this one fail for want of capacity"
+            self._give_up(forwarding, Reason.OVERLOAD, detail)
+            return
+        exchange.on_abort = lambda: self._abandon(forwarding)
+        forwarding.timer = asyncio.get_running_loop().call_later(
+            max(0.0, forwarding.deadline_s - time.monotonic()),
+            self._run_out,
+            forwarding,
+        )
+        self._budget.note_request(forwarding.service)
+        self._place(forwarding)
+
+    def _open(
+        self, exchange: Exchange, route: TableRoute, fields: RequestHead
+    ) -> Forwarding:
+        """Return a request with its service, deadline and importance."""
+        request = exchange.request
         time_left_s = route.timeout_s
-        if time_left.isdigit():
-            time_left_s = min(time_left_s, int(time_left) / 1000)
-        service = self._split.next_service(route.parts)
-        forwarding = _Forwarding(
-            exchange, route, service, request_id, request.read_s + time_left_s
+        if fields.time_left_s is not None:
+            time_left_s = min(time_left_s, fields.time_left_s)
+        forwarding = Forwarding(
+            exchange,
+            route,
+            self._split.next_service(route.parts),
+            fields.request_id,
+            request.read_s + time_left_s,
         )
-        parent = self._upstream.parent_of(request_id)
-        forwarding.parent = parent
-        rank = route.rank if parent is None else parent.call.rank
+        parent = forwarding.parent = self._upstream.parent_of(fields.request_id)
         patience_share = PATIENCE_SHARE if parent is None else INNER_PATIENCE_SHARE
         forwarding.call = MeshCall(
             id=0,
-            service=service,
+            service=forwarding.service,
             instance="",
             group=route.name,
-            rank=rank,
+            rank=route.rank if parent is None else parent.call.rank,
             patience_ms=int(route.target_latency_s * patience_share * 1000),
             time_left_ms=0,
             may_repeat=route.is_idempotent,
             is_head=request.method == b"HEAD",
-            request_id=request_id,
+            request_id=fields.request_id,
             fingerprint=self._fingerprint(request.target, request.body),
-            head=b"".join(head),
+            head=fields.head,
             body=request.body,
         )
-        if parent is None and not self._throttle.admits(route.name, route.rank):
-            detail = "requests like this one fail for want of capacity"
-            self._give_up(forwarding, Reason.OVERLOAD, detail)
-            return
-        exchange.on_abort = lambda: self._abandon(forwarding)
-        forwarding.timer = asyncio.get_running_loop().call_later(
-            max(0.0, forwarding.deadline_s - time.monotonic()),
-            self._run_out,
-            forwarding,
-        )
-        self._budget.note_request(service)
-        self._place(forwarding)
+        return forwarding
 
     def _fingerprint(self, target: bytes, body: bytes) -> bytes:
         digest = hashlib.blake2b(target, digest_size=FINGERPRINT_BYTES)
@@ -231,7 +177,7 @@
         digest.update(body)
         return digest.digest()
 
-    def _place(self, forwarding: _Forwarding) -> None:
+    def _place(self, forwarding: Forwarding) -> None:
         """Send the next attempt of a request."""
         time_left_s = forwarding.deadline_s - time.monotonic()
         if time_left_s < SHORTEST_ATTEMPT_S:
@@ -272,10 +218,11 @@
             )
 
     def _on_answer(
-        self, forwarding: _Forwarding, instance: Instance, answer: MeshAnswer
+        self, forwarding: Forwarding, instance: Instance, answer: MeshAnswer
     ) -> None:
         """Learn from an attempt's end and take the next step."""
-        self._note_instance(forwarding, instance, answer)
+        latency_s = time.monotonic() - forwarding.sent_s
+        self._choice.note_answer(instance, answer, forwarding.route.name, latency_s)
         if forwarding.exchange.is_done:
             return
         forwarding.answer = answer
@@ -312,7 +259,7 @@
             )
             self._place(forwarding)
 
-    def _pay_repeat(self, forwarding: _Forwarding, answer: MeshAnswer) -> NextStep:
+    def _pay_repeat(self, forwarding: Forwarding, answer: MeshAnswer) -> NextStep:
         """Return ``REPEAT`` if the budget pays for it, else how to end."""
         if self._budget.try_repeat(forwarding.service):
             self._n_repeats += 1
@@ -321,35 +268,7 @@
         ran = answer.verdict is Verdict.RAN
         return NextStep.DELIVER if ran else NextStep.GIVE_UP
 
-    def _note_instance(
-        self, forwarding: _Forwarding, instance: Instance, answer: MeshAnswer
-    ) -> None:
-        """Keep what an attempt tells about the instance."""
-        choice = self._choice
-        choice.record(instance).n_mine -= 1
-        if answer.limit:
-            choice.note_report(instance, answer.n_told, answer.limit)
-        if answer.was_sent:
-            is_run_out = answer.reason is Reason.DEADLINE
-            is_whole = answer.verdict is Verdict.RAN and answer.status < 500
-            # A failure for load further down is not the instance's own.
-            is_failure = not (is_whole or is_run_out or answer.is_load)
-            latency_s = time.monotonic() - forwarding.sent_s
-            if is_whole or is_run_out or is_failure:
-                choice.note_outcome(
-                    instance, is_failure, forwarding.route.name, latency_s
-                )
-            elif answer.verdict is Verdict.NOT_RUN:
-                choice.note_outcome(instance, True, forwarding.route.name, latency_s)
-        if answer.reason in (
-            Reason.LEAVING,
-            Reason.NO_UPSTREAM,
-            Reason.UNREACHABLE,
-            Reason.CONNECTION_LOST,
-        ) and not (answer.was_sent and answer.limit):
-            choice.note_unavailable(instance)
-
-    def _deliver(self, forwarding: _Forwarding, answer: MeshAnswer) -> None:
+    def _deliver(self, forwarding: Forwarding, answer: MeshAnswer) -> None:
         forwarding.timer.cancel()
         self._note_end(forwarding, answer.status >= 500 and answer.is_load)
         latency_s = time.monotonic() - forwarding.exchange.request.read_s
@@ -374,7 +293,7 @@
         forwarding.exchange.respond(answer.status, answer.head, answer.body)
 
     def _give_up(
-        self, forwarding: _Forwarding, reason: Reason | None, detail: str
+        self, forwarding: Forwarding, reason: Reason | None, detail: str
     ) -> None:
         """Answer a request that no upstream answered well."""
         if forwarding.failed_answer is not None:
@@ -412,9 +331,9 @@
             list_revision=self._view.revision,
             seconds=round(seconds, 4),
         )
-        self._answer_problem(forwarding.exchange, status, reason, detail, back_s)
+        self._answer_problem(forwarding.exchange, status, reason, back_s)
 
-    def _note_end(self, forwarding: _Forwarding, is_load_failure: bool) -> None:
+    def _note_end(self, forwarding: Forwarding, is_load_failure: bool) -> None:
         """Learn from the end of a request that had entered."""
         pressure = 0.0 if forwarding.answer is None else forwarding.answer.pressure
         if forwarding.parent is not None:
@@ -427,16 +346,16 @@
         exchange: Exchange,
         status: int,
         reason: Reason | None,
-        detail: str,
         back_s: float | None,
     ) -> None:
+        """Answer with a refusal that names its reason."""
         head = _JSON
         if back_s is not None:
             head += b"Retry-After: %.3f\r\n" % back_s
         body = b'{"reason":"%b"}' % str(reason).encode()
         exchange.respond(status, head, body)
 
-    def _run_out(self, forwarding: _Forwarding) -> None:
+    def _run_out(self, forwarding: Forwarding) -> None:
         """End a request whose time is over."""
         if forwarding.exchange.is_done:
             return
@@ -452,7 +371,7 @@
         self._cancel_attempt(forwarding)
         self._give_up(forwarding, Reason.DEADLINE, "the time for an answer is over")
 
-    def _abandon(self, forwarding: _Forwarding) -> None:
+    def _abandon(self, forwarding: Forwarding) -> None:
         """Give up a request whose caller has gone."""
         forwarding.timer.cancel()
         self._note_end(forwarding, False)
@@ -465,7 +384,7 @@
         self._metrics.count(forwarding.route.name, "", "caller_gone", seconds)
         self._cancel_attempt(forwarding)
 
-    def _cancel_attempt(self, forwarding: _Forwarding) -> None:
+    def _cancel_attempt(self, forwarding: Forwarding) -> None:
         instance = forwarding.instance
         if instance is None:
             return
--- a/packages/savoryroute/savoryroute/coordination/host_choice.py
+++ b/packages/savoryroute/savoryroute/coordination/host_choice.py
@@ -16,7 +16,9 @@
 
 import attrs
 
+from ..protocol.mesh_frames import MeshAnswer
 from ..state.fleet_view import Instance
+from ..verdict import Reason, Verdict
 
 __all__ = ["HostChoice", "InstanceRecord"]
 
@@ -167,6 +169,26 @@
         best_far, cost_far = self._cheapest(far, now_s)
         return best_far if cost_far + FAR_COST < cost else best
 
+    def note_answer(
+        self, instance: Instance, answer: MeshAnswer, group: str, latency_s: float
+    ) -> None:
+        """Learn from the end of an attempt.
+
+        Args:
+            instance: Where it was sent.
+            answer: How it ended.
+            group: Name of the request's route.
+            latency_s: Seconds from sending to the end.
+        """
+        self.record(instance).n_mine -= 1
+        if answer.limit:
+            self.note_report(instance, answer.n_told, answer.limit)
+        if answer.was_sent and not _says_nothing(answer):
+            self.note_outcome(instance, _is_own_failure(answer), group, latency_s)
+        is_out_of_reach = answer.reason in _OUT_OF_REACH
+        if is_out_of_reach and not (answer.was_sent and answer.limit):
+            self.note_unavailable(instance)
+
     def note_unavailable(self, instance: Instance) -> None:
         """Send an instance nothing for a moment."""
         self.record(instance).unavailable_until_s = self._clock() + UNAVAILABLE_S
@@ -233,3 +255,28 @@
             if cost < least:
                 best, least = instance, cost
         return best, least
+
+
+_OUT_OF_REACH = frozenset(
+    {
+        Reason.LEAVING,
+        Reason.NO_UPSTREAM,
+        Reason.UNREACHABLE,
+        Reason.CONNECTION_LOST,
+    }
+)
+
+
+def _says_nothing(answer: MeshAnswer) -> bool:
+    """Return whether a failure was that of a service further down."""
+    return answer.verdict is Verdict.RAN and answer.status >= 500 and answer.is_load
+
+
+def _is_own_failure(answer: MeshAnswer) -> bool:
+    """Return whether an attempt that was sent failed at the instance itself.
+
+    A time-out is no failure; it counts as a long latency.
+    """
+    if answer.verdict is Verdict.RAN:
+        return answer.status >= 500
+    return answer.reason is not Reason.DEADLINE
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -13,7 +13,8 @@
 from ..protocol.mesh_frames import MeshAnswer, MeshCall
 from ..state.event_log import EventLog
 from ..state.quarantine import Quarantine
-from ..transport.http_client import HttpPool, Lost, LostKind, Pending, WireAnswer
+from ..transport.http_client import HttpPool, Pending
+from ..transport.wire_answer import Lost, LostKind, WireAnswer
 from ..verdict import Reason, Verdict
 from .running_calls import RunningCalls
 from .waiting_line import LineCall, WaitingLine
--- a/packages/savoryroute/savoryroute/protocol/header_names.py
+++ b/packages/savoryroute/savoryroute/protocol/header_names.py
@@ -52,8 +52,6 @@
     id_separator: bytes
 
     @property
-    def set_by_fleet(self) -> frozenset[bytes]:
+    def set_by_fleet(self) -> tuple[bytes, ...]:
         """Request headers that are dropped from callers and set anew."""
-        return frozenset(
-            {self.time_left_ms, self.caller_service, self.expected_instance}
-        )
+        return (self.time_left_ms, self.caller_service, self.expected_instance)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/protocol/request_head.py
@@ -0,0 +1,64 @@
+"""Head of a caller's request, as it is forwarded to an upstream."""
+
+from __future__ import annotations
+
+import attrs
+
+from ..transport.http_server import CallerRequest
+from .header_names import HOP_BY_HOP, HeaderNames
+
+__all__ = ["RequestHead", "read_request_head"]
+
+# Methods whose requests need no length where there is no body.
+_BODILESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE"})
+
+
+@attrs.frozen(slots=True)
+class RequestHead:
+    """Fields that decide, and the head to forward.
+
+    Attributes:
+        host: Value of the ``Host`` header.
+        request_id: Identity of the request.
+        time_left_s: Seconds that the caller waits, None if it does not say.
+        head: Request line and headers, without the empty line; headers that concern
+            one connection or that the fleet sets itself are left out.
+    """
+
+    host: str
+    request_id: bytes
+    time_left_s: float | None
+    head: bytes
+
+
+def read_request_head(
+    request: CallerRequest, names: HeaderNames, caller_line: bytes
+) -> RequestHead:
+    """Return the head of a request.
+
+    Args:
+        request: The request, read whole.
+        names: Header names of the platform.
+        caller_line: Header line that names the caller's service.
+    """
+    host = request_id = time_left = b""
+    set_by_fleet = names.set_by_fleet
+    head = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
+    for name, value in request.headers:
+        if name == b"host":
+            host = value
+        elif name == names.request_id:
+            request_id = value
+        elif name == names.time_left_ms:
+            time_left = value
+        if name not in HOP_BY_HOP and name not in set_by_fleet:
+            head.append(b"%b: %b\r\n" % (name, value))
+    if request.body or request.method not in _BODILESS_METHODS:
+        head.append(b"content-length: %d\r\n" % len(request.body))
+    head.append(caller_line)
+    return RequestHead(
+        host.decode("latin-1"),
+        request_id,
+        int(time_left) / 1000 if time_left.isdigit() else None,
+        b"".join(head),
+    )
--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -14,7 +14,7 @@
 
 import cbor2
 
-from .http_client import keep_probing
+from .keepalive import keep_probing
 
 __all__ = ["FrameHandler", "FrameLink", "FrameLinkServer"]
 
--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -3,98 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import enum
 import re
-import socket
 import time
 from collections.abc import Callable
 
-import attrs
 import httptools
 
-__all__ = ["HttpPool", "Lost", "LostKind", "Pending", "WireAnswer", "keep_probing"]
+from .keepalive import keep_probing
+from .wire_answer import Lost, LostKind, WireAnswer
+
+__all__ = ["HttpPool", "Pending"]
 
 CONNECT_TIMEOUT_S = 1.0
 # Idle connections are reused for this long where the server states no timeout.
 IDLE_DEFAULT_S = 4.0
-# Kept back from the server's stated timeout, so that its close is not crossed.
+# Kept back from the server's stated timeout, so as not to cross its close.
 IDLE_MARGIN_S = 1.0
 # A request that must not repeat goes on a connection used this lately, or a new one.
 FRESH_IDLE_S = 1.5
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
-PROBE_IDLE_S = 1
-PROBE_INTERVAL_S = 1
-PROBES_MAX = 2
-UNACKED_MS = 2500
 
 _TIMEOUT_VALUE = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
-class LostKind(enum.Enum):
-    """How an exchange ended without a whole answer."""
-
-    NOT_SENT = "not_sent"
-    CLOSED = "closed"
-    BAD_ANSWER = "bad_answer"
-
-
-@attrs.frozen
-class Lost:
-    """End of an exchange without a whole answer.
-
-    Attributes:
-        kind: ``NOT_SENT`` only if no byte left this process.
-        detail: One sentence for a person.
-    """
-
-    kind: LostKind
-    detail: str
-
-
-@attrs.frozen
-class WireAnswer:
-    """A whole answer.
-
-    Attributes:
-        status: HTTP status.
-        headers: Pairs of lower-case name and value.
-        body: The whole body.
-    """
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
-
-    def header(self, name: bytes) -> bytes | None:
-        """Return the value of a header, or None."""
-        for known, value in self.headers:
-            if known == name:
-                return value
-        return None
-
-
 DoneHandler = Callable[[WireAnswer | Lost], None]
 
 
-def keep_probing(transport: asyncio.BaseTransport) -> None:
-    """Have the kernel notice a peer that went silent without a reset."""
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES_MAX),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS),
-    )
-    for level, name, value in options:
-        # Not every socket takes every option; time-outs above bound the rest.
-        with contextlib.suppress(OSError):
-            sock.setsockopt(level, name, value)
-
-
 class Pending:
     """One exchange under way; ``cancel`` gives it up and closes its connection."""
 
--- /dev/null
+++ b/tests/savoryroute/protocol/test_request_head.py
@@ -0,0 +1,43 @@
+import unittest
+
+from savoryroute_platform.names import HEADERS
+
+from savoryroute.protocol.request_head import read_request_head
+from savoryroute.transport.http_server import CallerRequest
+
+
+class RequestHeadTest(unittest.TestCase):
+    def read(self, headers, method=b"GET", body=b""):
+        request = CallerRequest(method, b"/a?b", headers, body, True, 0.0)
+        return read_request_head(request, HEADERS, b"caller-service: s\r\n")
+
+    def test_connection_headers_and_those_of_the_fleet_are_left_out(self):
+        read = self.read(
+            [
+                (b"host", b"h"),
+                (b"connection", b"close"),
+                (b"transfer-encoding", b"chunked"),
+                (b"caller-service", b"forged"),
+                (b"expected-instance", b"forged"),
+                (b"deadline-ms", b"1500"),
+                (b"request-id", b"q1"),
+                (b"x-a", b"1"),
+            ]
+        )
+        self.assertEqual(
+            read.head,
+            b"GET /a?b HTTP/1.1\r\nhost: h\r\nrequest-id: q1\r\nx-a: 1\r\n"
+            b"caller-service: s\r\n",
+        )
+        self.assertEqual((read.host, read.request_id), ("h", b"q1"))
+        self.assertEqual(read.time_left_s, 1.5)
+
+    def test_length_is_set_anew(self):
+        read = self.read([(b"content-length", b"99")], b"POST", b"abc")
+        self.assertIn(b"content-length: 3\r\n", read.head)
+        self.assertNotIn(b"99", read.head)
+        self.assertIn(b"content-length: 0\r\n", self.read([], b"POST").head)
+
+    def test_time_left_that_is_no_number_counts_as_none(self):
+        self.assertIsNone(self.read([(b"deadline-ms", b"soon")]).time_left_s)
+        self.assertIsNone(self.read([]).time_left_s)
