metrics: figures by route and service are labels, so that a scrape works

Cause: names of routes and services stood in metric names; a route such as r-zw8s6yj made each scrape fail with ValueError. Before: Metrics.render raised. After: MetricsTest holds every line of a scrape to the text form.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -95,18 +95,13 @@
         self._n_repeats_refused = 0
         self._caller_line = b"%b: %b\r\n" % (names.caller_service, service.encode())
 
-    def gauges(self) -> dict[str, float]:
-        """Return counts of repeats, and the budget that is left by service."""
-        left = {
-            f"repeats_left_{service}": tokens
-            for service, tokens in self._budget.tokens.items()
-        }
-        shares = self._throttle.shares
+    def gauges(self) -> dict[str, float | dict[str, float]]:
+        """Return repeats, what is left of them by service, and admitted shares."""
         return {
-            **{f"admitted_share_{route}": share for route, share in shares.items()},
+            "admitted_share": self._throttle.shares,
             "repeats": self._n_repeats,
             "repeats_refused": self._n_repeats_refused,
-            **left,
+            "repeats_left": self._budget.tokens,
         }
 
     def handle(self, exchange: Exchange) -> None:
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -254,9 +254,9 @@
         head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         exchange.respond(200, head.encode(), body)
 
-    def _gauges(self) -> dict[str, float]:
+    def _gauges(self) -> dict[str, float | dict[str, float]]:
         keeper = self._keeper
-        gauges = {
+        gauges: dict[str, float | dict[str, float]] = {
             "calls_running": self._line.n_running,
             "calls_waiting": self._line.n_waiting,
             "slots": self._line.slots,
--- a/packages/savoryroute/savoryroute/state/metrics.py
+++ b/packages/savoryroute/savoryroute/state/metrics.py
@@ -17,10 +17,13 @@
     """Counters that the daemon raises, and gauges read at each scrape.
 
     Args:
-        read_gauges: Returns the present value of each gauge by name.
+        read_gauges: Returns the present value of each gauge by name, or its values
+            by label ``of``, such as a route's or a service's name.
     """
 
-    def __init__(self, read_gauges: Callable[[], Mapping[str, float]]) -> None:
+    def __init__(
+        self, read_gauges: Callable[[], Mapping[str, float | Mapping[str, float]]]
+    ) -> None:
         self._read_gauges = read_gauges
         self._registry = Registry()
         self._outcomes = Counter(
@@ -60,7 +63,11 @@
             accept: Value of the scraper's ``Accept`` header.
         """
         for name, value in self._read_gauges().items():
-            self._gauge(name).set({}, value)
+            if not isinstance(value, Mapping):
+                self._gauge(name).set({}, value)
+                continue
+            for label, figure in value.items():
+                self._gauge(name).set({"of": label}, figure)
         for (class_name, verdict, reason), n_requests in self._counts.items():
             labels = {"class": class_name, "verdict": verdict, "reason": reason}
             self._outcomes.set(labels, n_requests)
--- a/tests/savoryroute_platform/test_path.py
+++ b/tests/savoryroute_platform/test_path.py
@@ -210,6 +210,21 @@
         await self.world.until(lambda: sum(item.n_running for item in line) == 0, 0.5)
 
 
+class MetricsTest(PathTest):
+    async def test_scrape_holds_counts_gauges_and_labels(self):
+        for _ in range(3):
+            await self.ask()
+        body, _ = self.world.nodes[0]._metrics.render("text/plain")
+        text = body.decode()
+        self.assertIn('savoryroute_admitted_share{of="r-planner-"} 1', text)
+        self.assertRegex(text, r'repeats_left\{of="planner"\} [0-9.]+')
+        self.assertRegex(text, r'requests_total\{[^}]*verdict="ran"[^}]*\} 3')
+        self.assertIn("savoryroute_calls_running 0", text)
+        for line in text.splitlines():
+            if not line.startswith("#"):
+                self.assertRegex(line, r"^[a-z_]+(\{[^}]*\})? [0-9.e+-]+$")
+
+
 class LeavingTest(PathTest):
     async def test_planned_stop_finishes_what_was_read(self):
         for planner in self.planners:
