--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,7 +9,13 @@
     python3 -m compileall -q "$deps"
     cp deploy/requirements.txt target/requirements.txt
 fi
-rm -rf "$deps/savoryroute" "$deps/savoryroute_platform"
-cp -r packages/savoryroute/savoryroute "$deps/savoryroute"
-cp -r platform/savoryroute_platform "$deps/savoryroute_platform"
-python3 -m compileall -q "$deps/savoryroute" "$deps/savoryroute_platform"
+# Copied only where it differs: a build must not pull modules from under a running day.
+install_package() {
+    local source=$1 target=$deps/$(basename "$1")
+    diff -rq --exclude=__pycache__ "$source" "$target" >/dev/null 2>&1 && return
+    rm -rf "$target"
+    cp -r "$source" "$target"
+    python3 -m compileall -q "$target"
+}
+install_package packages/savoryroute/savoryroute
+install_package platform/savoryroute_platform
