upstream: the memory of lost answers is bounded

Cause: answers lost without a crash after them were remembered for ever; found on reading the diff. Before: 600 lost answers left 600 entries. After: 512 at most, by test_memory_of_lost_answers_is_bounded.

--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import time
+from collections import deque
 from collections.abc import Callable
 
 import attrs
@@ -25,6 +26,8 @@
 ANSWER_GRACE_S = 0.1
 # Refused connections within this time after lost ones show that the upstream crashed.
 CRASH_WINDOW_S = 1.5
+# Lost calls that are remembered: more than an upstream has slots today.
+LOST_CALLS_MAX = 512
 # Calls are refused at once for this long after a connection was refused.
 DOWN_PAUSE_S = 0.25
 
@@ -121,7 +124,7 @@
         self._log = log
         self._on_crash = on_crash
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
-        self._lost_calls: list[_LostCall] = []
+        self._lost_calls: deque[_LostCall] = deque(maxlen=LOST_CALLS_MAX)
         self._down_until_s = 0.0
         self._was_down = False
         self.is_leaving = False
--- a/tests/savoryroute_platform/test_path.py
+++ b/tests/savoryroute_platform/test_path.py
@@ -169,6 +169,18 @@
         self.assertEqual(self.n_runs, n_ok)
 
 
+class LostCallsTest(PathTest):
+    services = ("front", "planner")
+    kinds = {"planner": "unsafe"}
+
+    async def test_memory_of_lost_answers_is_bounded(self):
+        upstream = self.world.nodes[1]._upstream
+        for _ in range(600):
+            self.planners[0].script.append("drop")
+            self.assertEqual((await self.ask(method="POST")).status, 502)
+        self.assertLessEqual(len(upstream._lost_calls), 512)
+
+
 class SafeTest(PathTest):
     async def test_lost_answer_is_repeated_at_another_upstream(self):
         self.planners[0].script.append("drop")
