--- a/packages/savoryroute/savoryroute/protocol/header_names.py
+++ b/packages/savoryroute/savoryroute/protocol/header_names.py
@@ -33,7 +33,6 @@
         time_left_ms: Milliseconds that the caller goes on waiting.
         caller_service: Service of the host where the request began.
         expected_instance: Upstream instance that alone may run the request.
-        instance: Instance that answers.
         load: Load that an upstream reports: running, waiting, slots.
         not_executed: Present where an upstream did not run the request.
         signature: Mark of the upstream's own answer.
@@ -45,7 +44,6 @@
     time_left_ms: bytes
     caller_service: bytes
     expected_instance: bytes
-    instance: bytes
     load: bytes
     not_executed: bytes
     signature: bytes
--- a/packages/savoryroute/savoryroute/state/fleet_view.py
+++ b/packages/savoryroute/savoryroute/state/fleet_view.py
@@ -61,13 +61,6 @@
         """Return the instances of a service that take new work."""
         return self._by_service.get(service, [])
 
-    def find_at(self, ip: str, service: str) -> Instance | None:
-        """Return the instance of a service on a host, or None."""
-        for instance in self._instances.values():
-            if instance.ip == ip and instance.service == service:
-                return instance
-        return None
-
     def replace(self, revision: int, instances: dict[str, Instance]) -> bool:
         """Take over a whole list; return whether it is newer than this view."""
         if revision <= self._revision:
--- a/packages/savoryroute/savoryroute/state/mesh_settings.py
+++ b/packages/savoryroute/savoryroute/state/mesh_settings.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import os
-import pathlib
 import re
 
 import attrs
-from result import Err, Ok, Result
+from result import Result
 
 from ..errors import SettingsError
 from .address import Address
 from .checking import Members
-from .parsing import TEXT_BYTES_MAX, parse_object
+from .settings_file import parse_settings_text, read_settings_file
 
 __all__ = ["MeshSettings", "parse_mesh_settings", "read_mesh_settings"]
 
@@ -62,15 +61,7 @@
     path: str | os.PathLike[str],
 ) -> Result[MeshSettings, SettingsError]:
     """Read and check a settings file, JSON with comments."""
-    source = os.fspath(path)
-    try:
-        with pathlib.Path(path).open("rb") as file:
-            text = file.read(TEXT_BYTES_MAX + 1).decode()
-    except OSError as exc:
-        return Err(SettingsError(source, "file", str(exc.strerror), "a readable file"))
-    except UnicodeDecodeError as exc:
-        return Err(SettingsError(source, f"byte {exc.start}", exc.reason, "UTF-8"))
-    return parse_mesh_settings(text, source)
+    return read_settings_file(path, _read)
 
 
 def parse_mesh_settings(text: str, source: str) -> Result[MeshSettings, SettingsError]:
@@ -80,11 +71,7 @@
         text: JSON with comments.
         source: Name of the file that the text came from.
     """
-    try:
-        plain = parse_object(text, source, SettingsError)
-        return Ok(_read(Members(plain, source, SettingsError)))
-    except SettingsError as exc:
-        return Err(exc)
+    return parse_settings_text(text, source, _read)
 
 
 def _read(root: Members) -> MeshSettings:
--- a/packages/savoryroute/savoryroute/state/settings.py
+++ b/packages/savoryroute/savoryroute/state/settings.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import os
-import pathlib
 import re
 
 import attrs
-from result import Err, Ok, Result
+from result import Result
 
 from ..errors import SettingsError
 from .address import Address
 from .checking import Members
-from .parsing import TEXT_BYTES_MAX, parse_object
+from .settings_file import parse_settings_text, read_settings_file
 
 __all__ = ["Address", "Settings", "parse_settings", "read_settings"]
 
@@ -68,15 +67,7 @@
     Args:
         path: Path of the file, JSON with comments.
     """
-    source = os.fspath(path)
-    try:
-        with pathlib.Path(path).open("rb") as file:
-            text = file.read(TEXT_BYTES_MAX + 1).decode()
-    except OSError as exc:
-        return Err(SettingsError(source, "file", str(exc.strerror), "a readable file"))
-    except UnicodeDecodeError as exc:
-        return Err(SettingsError(source, f"byte {exc.start}", exc.reason, "UTF-8"))
-    return parse_settings(text, source)
+    return read_settings_file(path, _read_members)
 
 
 def parse_settings(text: str, source: str) -> Result[Settings, SettingsError]:
@@ -86,11 +77,7 @@
         text: JSON with comments.
         source: Name of the file that the text came from.
     """
-    try:
-        plain = parse_object(text, source, SettingsError)
-        return Ok(_read_members(Members(plain, source, SettingsError)))
-    except SettingsError as exc:
-        return Err(exc)
+    return parse_settings_text(text, source, _read_members)
 
 
 def _read_members(root: Members) -> Settings:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -61,18 +61,18 @@
 
 @fault
 async def harm_upstream(fleet, index, rng):
-    proxy = fleet.upstream_proxies[index]
-    proxy.fault = rng.choice(list(Fault))
-    await asyncio.sleep(rng.uniform(0.2, 1.5))
-    proxy.fault = Fault.NONE
-    proxy.reset()
+    await harm(fleet.upstream_proxies[index], rng, 1.5)
 
 
 @fault
 async def harm_store(fleet, index, rng):
-    proxy = fleet.store_proxies[index]
+    await harm(fleet.store_proxies[index], rng, 2.0)
+
+
+async def harm(proxy, rng, longest_s):
+    """Have a proxy misbehave for a while, then reset what it left behind."""
     proxy.fault = rng.choice(list(Fault))
-    await asyncio.sleep(rng.uniform(0.2, 2.0))
+    await asyncio.sleep(rng.uniform(0.2, longest_s))
     proxy.fault = Fault.NONE
     proxy.reset()
 
