fleet view: of entries at one address only the instance born last is used

A request that crashes its upstreams was noticed only when a later call met a refused connection, and only beside upstreams, not where requests enter: with few calls it took down all five of a service.

Ruled out: choosing by the revision of the entry; the platform says that its start time tells. Waiting for the next call to see the crash; it may be the one that crashes another upstream.

Change: the entry's start time is decoded (one without is of another writer), the view keeps the last started instance at each address. A lost answer is followed at once by a try to connect, whose connection then serves the next call. The first hop holds a quarantined request back and tells when it may come again. One function for fingerprints of requests. What became of calls to the own upstream is in upstream_health.py, lines and counts of ends of requests in request_records.py. Cases of faulty answers are recorded in a file.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import random
 import time
 from collections.abc import Callable
@@ -11,9 +10,8 @@
 from ..protocol.header_names import HeaderNames
 from ..protocol.mesh_frames import MeshAnswer, MeshCall
 from ..protocol.request_head import RequestHead, read_request_head
-from ..state.event_log import EventLog
 from ..state.fleet_view import FleetView, Instance
-from ..state.metrics import Metrics
+from ..state.quarantine import Quarantine, fingerprint
 from ..state.route_table import RouteTable, SplitCursor, TableRoute
 from ..transport.http_server import Exchange
 from ..verdict import Reason, Verdict
@@ -23,6 +21,7 @@
 from .local_upstream import LocalUpstream
 from .peer_links import PeerLinks
 from .repeat_rule import NextStep, next_step, status_of
+from .request_records import RequestRecords
 from .return_time import return_time_s
 from .throttle import ActionThrottle
 
@@ -37,7 +36,6 @@
 SHORTEST_ATTEMPT_S = 0.01
 # Seconds after which a caller may come back to a daemon that has no routes yet.
 NO_ROUTES_BACK_S = 0.5
-FINGERPRINT_BYTES = 8
 
 _JSON = b"Content-Type: application/json\r\n"
 
@@ -56,8 +54,8 @@
         upstream: The upstream on this host.
         budget: Budget of repeats.
         throttle: Refusal of whole actions where they enter.
-        metrics: Counters and latencies.
-        log: Log of decisions.
+        quarantine: Requests that crashed upstreams, as peers told.
+        records: Log lines and counts of how requests went.
         rng: Source of jitter.
     """
 
@@ -73,8 +71,8 @@
         upstream: LocalUpstream,
         budget: FleetRetryBudget,
         throttle: ActionThrottle,
-        metrics: Metrics,
-        log: EventLog,
+        quarantine: Quarantine,
+        records: RequestRecords,
         rng: random.Random,
     ) -> None:
         self._service = service
@@ -87,8 +85,8 @@
         self._upstream = upstream
         self._budget = budget
         self._throttle = throttle
-        self._metrics = metrics
-        self._log = log
+        self._quarantine = quarantine
+        self._records = records
         self._rng = rng
         self._split = SplitCursor()
         self._n_repeats = 0
@@ -160,24 +158,32 @@
             may_repeat=route.is_idempotent,
             is_head=request.method == b"HEAD",
             request_id=fields.request_id,
-            fingerprint=self._fingerprint(request.target, request.body),
+            fingerprint=fingerprint(
+                request.method.decode("latin-1"),
+                forwarding.service,
+                request.target.decode("latin-1"),
+                request.body,
+            ),
             head=fields.head,
             body=request.body,
         )
         return forwarding
 
-    def _fingerprint(self, target: bytes, body: bytes) -> bytes:
-        digest = hashlib.blake2b(target, digest_size=FINGERPRINT_BYTES)
-        digest.update(self._service.encode())
-        digest.update(body)
-        return digest.digest()
-
     def _place(self, forwarding: Forwarding) -> None:
         """Send the next attempt of a request."""
         time_left_s = forwarding.deadline_s - time.monotonic()
         if time_left_s < SHORTEST_ATTEMPT_S:
             self._give_up(forwarding, Reason.DEADLINE, "no time left")
             return
+        suspicion = self._quarantine.check(forwarding.call.fingerprint)
+        if suspicion is not None:
+            self._give_up(
+                forwarding,
+                Reason.QUARANTINED,
+                suspicion.detail,
+                suspicion.retry_after_s,
+            )
+            return
         listed = self._view.of_service(forwarding.service)
         # Where all are suspect, the evidence is more likely wrong than they.
         instances = [i for i in listed if not self._links.is_suspect(i.ip)] or listed
@@ -243,15 +249,7 @@
         elif step is NextStep.GIVE_UP:
             self._give_up(forwarding, answer.reason, answer.detail)
         else:
-            self._log.request(
-                "placed_again",
-                forwarding.request_id.decode("latin-1"),
-                route=route.name,
-                instance=instance.id,
-                reason=answer.reason,
-                verdict=answer.verdict,
-                was_sent=answer.was_sent,
-            )
+            self._records.placed_again(forwarding, answer)
             self._place(forwarding)
 
     def _pay_repeat(self, forwarding: Forwarding, answer: MeshAnswer) -> NextStep:
@@ -266,31 +264,24 @@
     def _deliver(self, forwarding: Forwarding, answer: MeshAnswer) -> None:
         forwarding.timer.cancel()
         self._note_end(forwarding, answer.status >= 500 and answer.is_load)
-        latency_s = time.monotonic() - forwarding.exchange.request.read_s
-        route = forwarding.route
-        self._metrics.count(
-            route.name, Verdict.RAN, f"status {answer.status // 100}xx", latency_s
-        )
-        self._log.request(
-            "answered",
-            forwarding.request_id.decode("latin-1"),
-            route=route.name,
-            rank=forwarding.call.rank,
-            instance=forwarding.instance.id,
-            status=answer.status,
-            is_load=answer.is_load,
-            pressure=round(answer.pressure, 2),
-            arrivals=forwarding.n_arrivals,
-            routes_version=self._version(),
-            list_revision=self._view.revision,
-            seconds=round(latency_s, 4),
-        )
+        self._records.answered(forwarding, answer)
         forwarding.exchange.respond(answer.status, answer.head, answer.body)
 
     def _give_up(
-        self, forwarding: Forwarding, reason: Reason | None, detail: str
+        self,
+        forwarding: Forwarding,
+        reason: Reason | None,
+        detail: str,
+        back_s: float | None = None,
     ) -> None:
-        """Answer a request that no upstream answered well."""
+        """Answer a request that no upstream answered well.
+
+        Args:
+            forwarding: The request.
+            reason: Why it has no answer.
+            detail: One sentence for a person.
+            back_s: Seconds until it can be served, None to go by the load.
+        """
         if forwarding.failed_answer is not None:
             self._deliver(forwarding, forwarding.failed_answer)
             return
@@ -301,32 +292,19 @@
             forwarding.timer.cancel()
             is_load = forwarding.answer is not None and forwarding.answer.is_load
             self._note_end(forwarding, is_load or reason is Reason.DEADLINE)
+        if verdict is not Verdict.NOT_RUN:
+            back_s = None
+        elif back_s is None:
+            back_s = self._return_time_s(forwarding)
+        status = status_of(verdict, reason)
+        self._records.given_up(forwarding, verdict, reason, status, detail)
+        self._answer_problem(forwarding.exchange, status, reason, back_s)
+
+    def _return_time_s(self, forwarding: Forwarding) -> float | None:
         answer = forwarding.answer
         wait_s = 0.0 if answer is None else answer.wait_ms / 1000
         time_left_s = forwarding.deadline_s - time.monotonic()
-        back_s = None
-        if verdict is Verdict.NOT_RUN:
-            back_s = return_time_s(wait_s, time_left_s, self._rng)
-        status = status_of(verdict, reason)
-        seconds = time.monotonic() - forwarding.exchange.request.read_s
-        self._metrics.count(forwarding.route.name, verdict, str(reason), seconds)
-        self._log.request(
-            "refused" if verdict is Verdict.NOT_RUN else "gave_up",
-            forwarding.request_id.decode("latin-1"),
-            route=forwarding.route.name,
-            rank=forwarding.call.rank,
-            service=forwarding.service,
-            reason=reason,
-            verdict=verdict,
-            status=status,
-            detail=detail,
-            tried=forwarding.tried,
-            arrivals=forwarding.n_arrivals,
-            routes_version=self._version(),
-            list_revision=self._view.revision,
-            seconds=round(seconds, 4),
-        )
-        self._answer_problem(forwarding.exchange, status, reason, back_s)
+        return return_time_s(wait_s, time_left_s, self._rng)
 
     def _note_end(self, forwarding: Forwarding, is_load_failure: bool) -> None:
         """Learn from the end of a request that had entered."""
@@ -370,13 +348,7 @@
         """Give up a request whose caller has gone."""
         forwarding.timer.cancel()
         self._note_end(forwarding, False)
-        self._log.request(
-            "caller_gone",
-            forwarding.request_id.decode("latin-1"),
-            route=forwarding.route.name,
-        )
-        seconds = time.monotonic() - forwarding.exchange.request.read_s
-        self._metrics.count(forwarding.route.name, "", "caller_gone", seconds)
+        self._records.caller_gone(forwarding)
         self._cancel_attempt(forwarding)
 
     def _cancel_attempt(self, forwarding: Forwarding) -> None:
@@ -388,7 +360,3 @@
             forwarding.local.cancel()
         else:
             self._links.cancel(instance.ip, forwarding.call)
-
-    def _version(self) -> int:
-        table = self._table()
-        return -1 if table is None else table.version
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -5,11 +5,8 @@
 import asyncio
 import math
 import time
-from collections import deque
 from collections.abc import Callable
 
-import attrs
-
 from ..protocol.header_names import HOP_BY_HOP, HeaderNames
 from ..protocol.mesh_frames import MeshAnswer, MeshCall
 from ..state.event_log import EventLog
@@ -18,19 +15,13 @@
 from ..transport.wire_answer import Lost, LostKind, WireAnswer
 from ..verdict import Reason, Verdict
 from .running_calls import RunningCalls
+from .upstream_health import UpstreamHealth
 from .waiting_line import LineCall, WaitingLine
 
 __all__ = ["LocalCall", "LocalUpstream", "usable_slots"]
 
 # Time beyond a call's deadline in which the upstream's own answer may still come.
 ANSWER_GRACE_S = 0.1
-# Refused connections within this time after lost ones show that the upstream crashed.
-CRASH_WINDOW_S = 1.5
-# Lost calls that are remembered: more than an upstream has slots today.
-LOST_CALLS_MAX = 512
-# Calls are refused at once for this long after a connection was refused.
-DOWN_PAUSE_S = 0.25
-
 # Part of the slots that is used; some upstreams slow down when nearly full.
 SLOTS_SHARE = 0.95
 
@@ -87,12 +78,6 @@
         self._upstream._cancel(self)
 
 
-@attrs.define
-class _LostCall:
-    at_s: float
-    fingerprint: bytes
-
-
 class LocalUpstream:
     """The upstream on this host.
 
@@ -101,9 +86,9 @@
         pool: Connections to it.
         line: Its slots and who waits for them.
         names: Header names of the platform.
+        health: Whether it takes connections, and what crashed it.
         quarantine: Evidence of requests that crash upstreams.
         log: Log of decisions.
-        on_crash: Told when requests were lost in a crash.
     """
 
     def __init__(
@@ -112,21 +97,18 @@
         pool: HttpPool,
         line: WaitingLine,
         names: HeaderNames,
+        health: UpstreamHealth,
         quarantine: Quarantine,
         log: EventLog,
-        on_crash: Callable[[], None],
     ) -> None:
         self._service = service
         self._pool = pool
         self._line = line
         self._names = names
+        self._health = health
         self._quarantine = quarantine
         self._log = log
-        self._on_crash = on_crash
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
-        self._lost_calls: deque[_LostCall] = deque(maxlen=LOST_CALLS_MAX)
-        self._down_until_s = 0.0
-        self._was_down = False
         self.is_leaving = False
         self.n_open = 0
         self.n_runs = 0
@@ -179,7 +161,7 @@
             return Reason.NO_UPSTREAM, detail
         if self.is_leaving:
             return Reason.LEAVING, "the upstream is leaving"
-        if time.monotonic() < self._down_until_s:
+        if self._health.is_down:
             return Reason.UNREACHABLE, "the upstream refused connections of late"
         if call.fingerprint and self._quarantine.check(call.fingerprint) is not None:
             return Reason.QUARANTINED, "upstreams crashed each time that it ran"
@@ -261,9 +243,7 @@
                 is_not_executed = True
             if name not in HOP_BY_HOP:
                 head.append(b"%b: %b\r\n" % (name, value))
-        if self._was_down:
-            self._was_down = False
-            self._log.change("upstream_back", service=self._service)
+        self._health.note_answer()
         call = local.call
         if answer.status == 421:
             detail = f"another instance answers here, not {call.instance}"
@@ -302,14 +282,13 @@
 
     def _after_loss(self, local: LocalCall, lost: Lost) -> MeshAnswer:
         call = local.call
-        now_s = time.monotonic()
         if lost.kind is LostKind.NOT_SENT:
-            self._note_down(now_s, lost.detail)
+            self._health.note_refused(lost.detail)
             return MeshAnswer(call.id, Verdict.NOT_RUN, Reason.UNREACHABLE, lost.detail)
         reason = Reason.BAD_ANSWER
         if lost.kind is LostKind.CLOSED:
             reason = Reason.CONNECTION_LOST
-            self._lost_calls.append(_LostCall(now_s, call.fingerprint))
+            self._health.note_lost(call.fingerprint)
         return MeshAnswer(
             call.id, Verdict.MAY_HAVE_RUN, reason, lost.detail, was_sent=True
         )
@@ -329,23 +308,6 @@
             seconds=round(time.monotonic() - local.started_s, 4),
         )
 
-    def _note_down(self, now_s: float, detail: str) -> None:
-        """Take note of a refused connection, and of a crash that it shows."""
-        self._down_until_s = now_s + DOWN_PAUSE_S
-        if not self._was_down:
-            self._was_down = True
-            self._log.change("upstream_down", service=self._service, error=detail)
-        recent_s = now_s - CRASH_WINDOW_S
-        victims = {
-            lost.fingerprint
-            for lost in self._lost_calls
-            if lost.at_s >= recent_s and lost.fingerprint
-        }
-        self._lost_calls.clear()
-        if victims:
-            self._quarantine.note_crash(victims)
-            self._on_crash()
-
     def _note_load(self, value: bytes) -> None:
         """Take the number of slots from the upstream's report of its load."""
         slots = value.rpartition(b",")[2].strip()
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -15,7 +15,7 @@
 from ..state.mesh_settings import MeshSettings
 from ..state.metrics import Metrics
 from ..state.quarantine import Quarantine
-from ..state.route_table import CallerLimits
+from ..state.route_table import CallerLimits, RouteTable
 from ..transport.frame_link import FrameLink, FrameLinkServer
 from ..transport.http_client import HttpPool
 from ..transport.http_server import CallersListener, Exchange
@@ -24,7 +24,9 @@
 from .host_choice import HostChoice
 from .local_upstream import LocalCall, LocalUpstream, usable_slots
 from .peer_links import PeerLinks
+from .request_records import RequestRecords
 from .throttle import ActionThrottle
+from .upstream_health import UpstreamHealth
 from .view_keeper import RouteDecoder, ViewKeeper
 from .waiting_line import WaitingLine
 
@@ -80,9 +82,15 @@
             self._pool,
             self._line,
             names,
+            UpstreamHealth(
+                settings.service,
+                self._pool,
+                self._quarantine,
+                log,
+                self._tell_suspects,
+            ),
             self._quarantine,
             log,
-            self._tell_suspects,
         )
         self._keeper = ViewKeeper(decode_routes, log, self._rng, self._on_view)
         self._choice = HostChoice(
@@ -91,19 +99,23 @@
         self._budget = FleetRetryBudget(settings.retry_ratio, settings.retry_slack)
         self._links = PeerLinks(settings.links.port, log, self._on_news)
         self._metrics = Metrics(self._gauges)
+
+        def table() -> RouteTable | None:
+            return self._keeper.table
+
         self._first_hop = FirstHop(
             settings.service,
             settings.callers.ip,
             names,
-            lambda: self._keeper.table,
+            table,
             self._keeper.view,
             self._choice,
             self._links,
             self._upstream,
             self._budget,
             ActionThrottle(time.monotonic, self._rng),
-            self._metrics,
-            log,
+            self._quarantine,
+            RequestRecords(log, self._metrics, table, self._keeper.view),
             self._rng,
         )
         self._callers = CallersListener(
@@ -222,16 +234,13 @@
         self._budget.set_daemons(len(ips))
         self._links.keep_only(ips)
         self._choice.forget_others(view.instances)
-        own = [
-            instance
-            for instance in view.instances.values()
-            if instance.ip == settings.callers.ip
-            and instance.service == settings.service
-        ]
-        if own:
+        own = view.at(settings.callers.ip)
+        if own is not None and own.service != settings.service:
+            own = None
+        if own is not None:
             self._was_listed = True
-            self._line.slots = usable_slots(own[0].slots)
-        is_taking = any(instance.is_ready for instance in own) or not self._was_listed
+            self._line.slots = usable_slots(own.slots)
+        is_taking = own.is_ready if own is not None else not self._was_listed
         if self._is_leaving or is_taking != self._upstream.is_leaving:
             return
         if is_taking:
--- a/packages/savoryroute/savoryroute/state/fleet_view.py
+++ b/packages/savoryroute/savoryroute/state/fleet_view.py
@@ -23,6 +23,7 @@
         slots: Requests that it runs side by side.
         is_ready: Whether it takes new work.
         cold_s: Seconds that it stayed slow for when the entry was written.
+        born_ms: Start by the upstream's clock, in Unix milliseconds.
     """
 
     id: str
@@ -32,19 +33,23 @@
     slots: int
     is_ready: bool
     cold_s: float = 0.0
+    born_ms: int = 0
 
 
 class FleetView:
     """Instances by id, at one revision of the platform's list.
 
     A later revision replaces an earlier one and never the reverse, whether it comes
-    from the platform or from a peer.
+    from the platform or from a peer. A host runs one upstream: of several entries at
+    one address, the one that started last holds it, and the others name upstreams
+    that were lost without a word and whose entries have not expired yet.
     """
 
     def __init__(self) -> None:
         self._revision = 0
         self._instances: dict[str, Instance] = {}
         self._by_service: dict[str, list[Instance]] = {}
+        self._holders: dict[str, Instance] = {}
         self._lapsed: dict[str, tuple[Instance, float]] = {}
 
     @property
@@ -61,6 +66,10 @@
         """Return the instances of a service that take new work."""
         return self._by_service.get(service, [])
 
+    def at(self, ip: str) -> Instance | None:
+        """Return the listed instance that holds an address."""
+        return self._holders.get(ip)
+
     def replace(self, revision: int, instances: dict[str, Instance]) -> bool:
         """Take over a whole list; return whether it is newer than this view."""
         if revision <= self._revision:
@@ -107,10 +116,17 @@
             self._index()
 
     def _index(self) -> None:
-        by_service: dict[str, list[Instance]] = {}
+        holders: dict[str, Instance] = {}
         for instance in self._instances.values():
+            holder = holders.get(instance.ip)
+            if holder is None or holder.born_ms <= instance.born_ms:
+                holders[instance.ip] = instance
+        by_service: dict[str, list[Instance]] = {}
+        for instance in holders.values():
             if instance.is_ready:
                 by_service.setdefault(instance.service, []).append(instance)
         for instance, _ in self._lapsed.values():
-            by_service.setdefault(instance.service, []).append(instance)
+            if instance.ip not in holders:
+                by_service.setdefault(instance.service, []).append(instance)
+        self._holders = holders
         self._by_service = by_service
--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
 import httptools
 
@@ -294,11 +294,17 @@
         if connection is not None:
             connection.start(pending)
         else:
-            task = asyncio.get_running_loop().create_task(self._open(pending))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._run(self._open(pending))
         return pending
 
+    def open_spare(self, on_opened: Callable[[str | None], None]) -> None:
+        """Open a connection for a later exchange.
+
+        Args:
+            on_opened: Told None, or why there is no connection.
+        """
+        self._run(self._open_spare(on_opened))
+
     def give_back(self, connection: _Connection) -> None:
         """Keep a connection for the next exchange."""
         self._idle.append(connection)
@@ -338,8 +344,31 @@
             connection.abort()
         return None
 
+    def _run(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _open(self, pending: Pending) -> None:
         """Open a connection for an exchange and start it."""
+        connection = await self._connect()
+        if isinstance(connection, str):
+            pending.finish(Lost(LostKind.NOT_SENT, connection))
+        elif pending.is_done:
+            self.give_back(connection)
+        else:
+            connection.start(pending)
+
+    async def _open_spare(self, on_opened: Callable[[str | None], None]) -> None:
+        connection = await self._connect()
+        if isinstance(connection, str):
+            on_opened(connection)
+            return
+        self.give_back(connection)
+        on_opened(None)
+
+    async def _connect(self) -> _Connection | str:
+        """Return a new connection, or why there is none."""
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -347,11 +376,6 @@
                     lambda: _Connection(self), self._ip, self._port
                 )
         except (OSError, TimeoutError) as error:
-            detail = f"no connection to {self._ip}:{self._port}: {error!r:.80}"
-            pending.finish(Lost(LostKind.NOT_SENT, detail))
-            return
+            return f"no connection to {self._ip}:{self._port}: {error!r:.80}"
         self._n_opened += 1
-        if pending.is_done:
-            self.give_back(connection)
-        else:
-            connection.start(pending)
+        return connection
--- a/tests/savoryroute/state/test_fleet_view.py
+++ b/tests/savoryroute/state/test_fleet_view.py
@@ -3,8 +3,9 @@
 from savoryroute.state.fleet_view import FleetView, Instance
 
 
-def instance(id_, is_ready=True):
-    return Instance(id_, "planner", "10.0.0.1", "a", 4, is_ready)
+def instance(id_, is_ready=True, ip=None, service="planner", born_ms=0):
+    ip = ip or f"10.0.0.{ord(id_)}"
+    return Instance(id_, service, ip, "a", 4, is_ready, born_ms=born_ms)
 
 
 class FleetViewTest(unittest.TestCase):
@@ -38,3 +39,27 @@
         self.view.apply(6, {"a": instance("a", False)})
         self.view.apply(7, {"a": None}, lapse_until_s=12.0)
         self.assertEqual(self.ids(), ["b"])
+
+    def test_of_two_entries_at_one_address_the_one_started_last_is_used(self):
+        new = instance("n", ip=instance("a").ip, born_ms=9)
+        self.view.apply(6, {"n": new})
+        self.assertEqual(self.ids(), ["b", "n"])
+        self.assertEqual(self.view.at(new.ip), new)
+        self.view.apply(7, {"a": None})
+        self.assertEqual(self.ids(), ["b", "n"])
+
+    def test_address_taken_over_by_another_service_is_not_used_for_the_first(self):
+        ip = instance("a").ip
+        self.view.apply(6, {"n": instance("n", True, ip, "printshop", 9)})
+        self.assertEqual(self.ids(), ["b"])
+
+    def test_draining_successor_does_not_bring_the_dead_one_back(self):
+        ip = instance("a").ip
+        self.view.apply(6, {"n": instance("n", False, ip, born_ms=9)})
+        self.assertEqual(self.ids(), ["b"])
+
+    def test_lapsed_entry_yields_to_a_successor_at_its_address(self):
+        ip = instance("a").ip
+        changes = {"a": None, "n": instance("n", ip=ip, born_ms=9)}
+        self.view.apply(6, changes, lapse_until_s=12.0)
+        self.assertEqual(self.ids(), ["b", "n"])
--- /dev/null
+++ b/tests/savoryroute/transport/test_http_client.py
@@ -0,0 +1,145 @@
+"""The client against what faulty servers send, recorded in faulty_answers.json5."""
+
+import asyncio
+import socket
+import struct
+import unittest
+from pathlib import Path
+
+import json5
+
+from savoryroute.transport.http_client import HttpPool
+from savoryroute.transport.wire_answer import Lost, LostKind
+
+CASES = json5.loads((Path(__file__).parent / "faulty_answers.json5").read_text())
+ANSWER = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 4\r\n\r\nnext"
+SECOND = {"chunks": [ANSWER], "then": "keep"}
+REQUEST = b"GET / HTTP/1.1\r\nRequest-Id: %b\r\n\r\n"
+# Long enough for the client to read one piece before the next is sent.
+PIECE_PAUSE_S = 0.003
+# Linger of 0 s: a close resets the connection.
+RESET_NOW = struct.pack("ii", 1, 0)
+
+
+class ScriptedServer:
+    """Server that answers each request with the next case."""
+
+    def __init__(self):
+        self.script = []
+        self.n_connections = 0
+        self.n_played = 0
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self._server.sockets[0].getsockname()[1]
+
+    def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.n_connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                request_id = head.split("Request-Id: ")[1].split("\r\n")[0]
+                case = self.script.pop(0)
+                for chunk in case["chunks"]:
+                    writer.write(chunk.replace("ID", request_id).encode("latin-1"))
+                    await asyncio.sleep(PIECE_PAUSE_S)
+                self.n_played += 1
+                if case["then"] == "reset":
+                    sock = writer.get_extra_info("socket")
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_NOW)
+                if case["then"] != "keep":
+                    break
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+class FaultyAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = ScriptedServer()
+        self.port = await self.server.start()
+        self.addCleanup(self.server.stop)
+        self.n_told = 0
+
+    def new_pool(self):
+        pool = HttpPool("127.0.0.1", self.port, b"request-id")
+        self.addCleanup(pool.close)
+        return pool
+
+    async def exchange(self, pool, request_id):
+        told = asyncio.get_running_loop().create_future()
+
+        def on_done(outcome):
+            self.n_told += 1
+            told.set_result(outcome)
+
+        pool.send(REQUEST % request_id, on_done, request_id)
+        return await asyncio.wait_for(told, 2.0)
+
+    async def test_recorded_cases(self):
+        for case in CASES:
+            with self.subTest(case["about"]):
+                await self.replay(case)
+
+    async def replay(self, case):
+        # Its own server, so that what ends late counts for no other case.
+        self.server = ScriptedServer()
+        self.port = await self.server.start()
+        self.addCleanup(self.server.stop)
+        pool = self.new_pool()
+        self.n_told = 0
+        self.server.script = [case, SECOND]
+        outcome = await self.exchange(pool, b"q1")
+        if "lost" in case:
+            self.assertIsInstance(outcome, Lost)
+            self.assertEqual(outcome.kind, LostKind(case["lost"]))
+        else:
+            delivered = (outcome.status, outcome.body.decode())
+            self.assertEqual(delivered, (case["status"], case["body"]))
+        # Whatever came before, the next request gets its own answer.
+        is_reused = case.get("reused", False)
+        await self.until(lambda: self.server.n_played == 1)
+        await self.until(lambda: bool(pool.connections) == is_reused)
+        following = await self.exchange(pool, b"q2")
+        self.assertEqual(following.body, b"next")
+        self.assertEqual(self.n_told, 2)
+        self.assertEqual(self.server.n_connections, 1 if is_reused else 2)
+
+    async def until(self, condition):
+        async with asyncio.timeout(2.0):
+            while not condition():
+                await asyncio.sleep(0.001)
+
+    async def test_nothing_was_sent_where_no_connection_opens(self):
+        self.server.stop()
+        outcome = await self.exchange(self.new_pool(), b"q1")
+        self.assertEqual(outcome.kind, LostKind.NOT_SENT)
+
+    async def test_spare_connection_carries_the_next_request(self):
+        pool = self.new_pool()
+        opened = asyncio.get_running_loop().create_future()
+        pool.open_spare(opened.set_result)
+        self.assertIsNone(await asyncio.wait_for(opened, 2.0))
+        self.server.script = [SECOND]
+        self.assertEqual((await self.exchange(pool, b"q1")).body, b"next")
+        self.assertEqual(pool.n_opened, 1)
+
+    async def test_spare_connection_that_does_not_open_tells_why(self):
+        self.server.stop()
+        opened = asyncio.get_running_loop().create_future()
+        self.new_pool().open_spare(opened.set_result)
+        self.assertIn("no connection", await asyncio.wait_for(opened, 2.0))
+
+    async def test_cancelled_exchange_tells_nothing_and_ends_its_connection(self):
+        pool = self.new_pool()
+        self.server.script = [{"chunks": [], "then": "keep"}, SECOND]
+        pending = pool.send(REQUEST % b"q1", lambda outcome: self.fail(outcome), b"q1")
+        await asyncio.sleep(0.02)
+        pending.cancel()
+        self.assertEqual((await self.exchange(pool, b"q2")).body, b"next")
+        self.assertEqual(pool.n_opened, 2)
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -151,6 +151,7 @@
     return json.dumps(
         {
             "address": f"{ip}:{port}",
+            "born": changes.pop("born", 1_700_000_000_000),
             "info": {
                 "service": service,
                 "version": "v1",
@@ -173,7 +174,10 @@
         self.runs: list[dict] = []
         self.n_closed = 0
         self.slots = 4
+        # A body with these bytes crashes the upstream before it answers.
+        self.poison: bytes | None = None
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, ip: str, port: int) -> None:
         self._server = await asyncio.start_server(self._serve, ip, port)
@@ -181,7 +185,14 @@
     def stop(self) -> None:
         self._server.close()
 
+    def crash(self) -> None:
+        """Stop listening and reset all connections."""
+        self.stop()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -197,6 +208,7 @@
             pass
         finally:
             self.n_closed += 1
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, fields, reader, writer) -> bool:
@@ -211,6 +223,9 @@
             )
             return True
         self.runs.append(fields)
+        if self.poison is not None and self.poison in fields["body"]:
+            self.crash()
+            return False
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if action == "drop":
--- a/tests/savoryroute_platform/test_codec.py
+++ b/tests/savoryroute_platform/test_codec.py
@@ -63,6 +63,11 @@
         )
         self.assertTrue(instance.is_ready)
 
+    def test_entry_without_a_whole_start_time_names_none(self):
+        for born in ("1700000000000", 1.5, None, True):
+            value = entry("planner", "10.1.0.8", 8080, born=born)
+            self.assertIsNone(decode_instance("i-1", value))
+
     def test_draining_entry(self):
         value = entry("planner", "10.1.0.8", 8080, state="draining")
         self.assertFalse(decode_instance("i-1", value).is_ready)
--- a/tests/savoryroute_platform/test_path.py
+++ b/tests/savoryroute_platform/test_path.py
@@ -178,7 +178,7 @@
         for _ in range(600):
             self.planners[0].script.append("drop")
             self.assertEqual((await self.ask(method="POST")).status, 502)
-        self.assertLessEqual(len(upstream._lost_calls), 512)
+        self.assertLessEqual(upstream._health.n_lost_calls, 512)
 
 
 class SafeTest(PathTest):
