demo: print why the latest request was refused for load

Cause: a refusal at the first hop for pressure further down was in no daemon's decisions, so that explain showed only what came after it. The demo showed no explanation at all.

Change: what the caller was told is noted as a decision of the action; the demo asks all daemons at the end of the overload and prints what they tell.

--- a/packages/savoryroute/savoryroute/coordination/node.py
+++ b/packages/savoryroute/savoryroute/coordination/node.py
@@ -155,6 +155,7 @@
             self._hops,
             self._keys,
             self._quarantine,
+            self._decisions,
             self._rng,
         )
         self._callers = CallersServer(
--- a/packages/savoryroute/savoryroute/coordination/outbound.py
+++ b/packages/savoryroute/savoryroute/coordination/outbound.py
@@ -11,6 +11,7 @@
 
 from ..protocol.callers_http import Outcome
 from ..protocol.request import Request, Response
+from ..state.decisions import DecisionLog
 from ..state.quarantine import Quarantine
 from ..verdict import Reason, Refusal, Verdict
 from .action import Action, ActionOpener
@@ -36,6 +37,7 @@
         hops: HopTable,
         keys: KeyRing,
         quarantine: Quarantine,
+        decisions: DecisionLog,
         rng: random.Random,
     ) -> None:
         self._opener = opener
@@ -45,6 +47,7 @@
         self._hops = hops
         self._keys = keys
         self._quarantine = quarantine
+        self._decisions = decisions
         self._rng = rng
 
     async def from_caller(self, request: Request) -> Outcome:
@@ -54,6 +57,7 @@
             refusal = await self._keys.confirm(request.key, action.err_value)
             return Outcome(Err(refusal))
         outcome = await self._serve(action.ok_value)
+        self._note_refusal(outcome)
         return Outcome(
             outcome.result,
             outcome.action,
@@ -83,10 +87,19 @@
             action = self._opener.open(request, hop)
             if isinstance(action, Err):
                 return Outcome(action)
-            return await self._serve(action.ok_value)
+            outcome = await self._serve(action.ok_value)
+            self._note_refusal(outcome)
+            return outcome
         finally:
             hop.end_call()
 
+    def _note_refusal(self, outcome: Outcome) -> None:
+        """Keep why a request got no answer of an upstream."""
+        if isinstance(outcome.result, Err):
+            refusal = outcome.result.err_value
+            what = f"told the caller {refusal.reason}: {refusal.verdict}"
+            self._decisions.note(outcome.action, what, refusal.detail)
+
     async def _serve(self, action: Action) -> Outcome:
         """Run an action and say how its caller may go on."""
         if action.time_left_s <= 0:
--- a/packages/savoryroute_lab/savoryroute_lab/caller.py
+++ b/packages/savoryroute_lab/savoryroute_lab/caller.py
@@ -276,4 +276,5 @@
         reason=problem.get("reason", ""),
         retry_after_s=problem.get("retry_after_s"),
         next_key=problem.get("idempotency_key", ""),
+        action=problem.get("action", ""),
     )
--- a/packages/savoryroute_lab/savoryroute_lab/demo.py
+++ b/packages/savoryroute_lab/savoryroute_lab/demo.py
@@ -25,6 +25,7 @@
 from .caller import Caller
 from .calls import Mark, Plan
 from .deployment import NAIROBI
+from .explained import explain_refusal, latest_refusal
 from .launcher import Launcher, NotReadyError, daemon_name, upstream_name
 from .load import Load
 from .oracle import Findings, judge
@@ -132,6 +133,7 @@
         self._wiring = Wiring.new(NAIROBI.scaled(SCALE))
         self._launcher = Launcher(self._wiring, UPSTREAM_SETTINGS, has_daemons)
         self._callers: list[Caller] = []
+        self._explanation: list[str] = []
 
     async def run(self) -> int:
         """Run all phases, print the report and return the exit code."""
@@ -191,12 +193,19 @@
         await asyncio.sleep(NORMAL_S)
         await self._launcher.set_service(SLOW_SERVICE, slow_factor=SLOW_FACTOR)
         await asyncio.sleep(OVERLOAD_S)
+        await self._explain_refusal()
         await self._launcher.set_service(SLOW_SERVICE, slow_factor=1.0)
         await asyncio.sleep(RECOVERY_S)
         await asyncio.gather(
             self._kill_upstream(), self._pause_daemon(), self._crash(caller)
         )
 
+    async def _explain_refusal(self) -> None:
+        """Keep what the daemons tell of the latest request refused for load."""
+        refusal = latest_refusal(self._requests())
+        if self._has_daemons and refusal is not None:
+            self._explanation = await explain_refusal(self._wiring, refusal)
+
     async def _cancel_bookings(self, caller: Caller) -> None:
         source = random.Random(self._seed)
         end_s = time.monotonic() + TOTAL_S
@@ -264,6 +273,7 @@
         summary = _summary(requests, tallies, comparison, phases, findings)
         print(_goodput_line(summary))
         print(_latency_line(summary))
+        print(*self._explanation, sep="\n")
         print(f"executions of the request that crashes its upstream: {n_crashes}")
         print(json.dumps(summary | {"crashes_of_one_request": n_crashes}))
 
--- a/packages/savoryroute_lab/savoryroute_lab/tally.py
+++ b/packages/savoryroute_lab/savoryroute_lab/tally.py
@@ -46,6 +46,7 @@
         retry_after_s: When the caller may come back, or None.
         next_key: Key to go on with, or an empty string.
         has_verified_body: Whether the body is whole and the caller's own.
+        action: Identity of its action by a refusal, or an empty string.
     """
 
     entry: str
@@ -58,6 +59,7 @@
     retry_after_s: float | None = None
     next_key: str = ""
     has_verified_body: bool = False
+    action: str = ""
 
     @property
     def is_whole(self) -> bool:
--- a/tests/savoryroute/coordination/test_outbound.py
+++ b/tests/savoryroute/coordination/test_outbound.py
@@ -12,6 +12,7 @@
 from savoryroute.coordination.placement import Choice
 from savoryroute.coordination.pressure import PressureMap
 from savoryroute.protocol.request import Request, Response
+from savoryroute.state.decisions import DecisionLog
 from savoryroute.state.document import document_from_plain
 from savoryroute.state.member import Member, MemberStatus
 from savoryroute.state.quarantine import Quarantine
@@ -55,6 +56,9 @@
 
 
 class OutboundTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.decisions = DecisionLog()
+
     async def outcome(self, script, method="GET", key=""):
         plain = document_from_plain(document(["s"]), "test").unwrap()
         outbound = Outbound(
@@ -65,6 +69,7 @@
             HopTable(),
             script,
             Quarantine(time.monotonic, 2, 60.0),
+            self.decisions,
             random.Random(1),
         )
         return await outbound.from_caller(Request("s", method, "/x", key=key))
@@ -90,6 +95,12 @@
         self.assertEqual(refusal.verdict, Verdict.MAY_HAVE_RUN)
         self.assertEqual(refusal.reason, Reason.QUEUE_FULL)
 
+    async def test_what_the_caller_was_told_can_be_explained(self):
+        outcome = await self.outcome(Script([Err(FULL)]))
+        (entry,) = self.decisions.explain(outcome.action)
+        self.assertEqual(entry.what, "told the caller queue_full: not_run")
+        self.assertEqual(entry.detail, "full")
+
     async def test_an_answer_ends_the_attempts(self):
         answer = Response(200, (), b"x")
         outcome = await self.outcome(Script([Err(FULL), Ok(answer)]))
