--- a/tests/savoryroute_cli/commands/test_explain.py
+++ b/tests/savoryroute_cli/commands/test_explain.py
@@ -6,6 +6,9 @@
 
 from ..console import CLOSED, StandIn, json_answer, run
 
+# Lines of one day with trouble: a request's own, others' and changes of belief.
+RECORDED = pathlib.Path(__file__).parent / "recorded"
+
 
 class ExplainTest(unittest.TestCase):
     def test_decisions(self):
@@ -52,3 +55,58 @@
         with StandIn(json_answer({"decisions": []})) as daemon:
             self.assertEqual(run("explain", daemon.address, "a").code, 1)
         self.assertEqual(run("explain", CLOSED, "a").code, 3)
+
+
+class RecordedLogsTest(unittest.TestCase):
+    """From the id of a failed request to its cause."""
+
+    def explain(self, name, request):
+        done = run("explain", "--logs", str(RECORDED / f"{name}.log"), request)
+        self.assertEqual(done.code, 0)
+        return done.out.splitlines()
+
+    def about(self, lines, request):
+        return [line for line in lines if f"request={request}" in line]
+
+    def test_refused_under_load_deep_in_a_chain(self):
+        lines = self.explain("refused_deep", "4405b44732630105")
+        own = self.about(lines, "4405b44732630105")
+        events = [line.split()[2] for line in own]
+        self.assertEqual(events, ["placed_again", "refused", *["answered"] * 3])
+        # The deepest line names the service that is full and the instance asked.
+        self.assertIn("service=bofi69d reason=overload", own[1])
+        self.assertIn("waited too long for a slot tried=['i-01de9fb8c2']", own[1])
+        self.assertTrue(all("status=500 is_load=True" in line for line in own[2:]))
+        # What went before: two of the three instances of that service had gone.
+        before = lines[: lines.index(own[0])]
+        gone = [line for line in before if "service=bofi69d" in line]
+        states = {(line.split()[2], "draining" in line) for line in gone}
+        self.assertEqual(states, {("instance_gone", False), ("instance_listed", True)})
+
+    def test_answer_of_an_unsafe_request_was_lost(self):
+        lines = self.explain("lost_answer", "713fda910929e7f7")
+        lost, told = self.about(lines, "713fda910929e7f7")[-2:]
+        self.assertIn("upstream_lost", lost)
+        self.assertIn("instance=i-f441338bb7 reason=connection_lost", lost)
+        self.assertIn("verdict=may_have_run status=502", told)
+        self.assertIn("arrivals=1", told)
+
+    def test_failed_during_a_cut(self):
+        lost, told = self.explain("zone_cut", "72dfd9db47b1fc80")
+        self.assertIn("sidecar-nbo-c-1 peer_lost", lost)
+        self.assertIn("peer=10.2.0.13 n_calls=33", lost)
+        self.assertIn("the link to 10.2.0.13 was lost during the call", told)
+
+    def test_lines_of_other_requests_are_left_out(self):
+        for name, request in (
+            ("refused_deep", "4405b44732630105"),
+            ("lost_answer", "713fda910929e7f7"),
+            ("zone_cut", "72dfd9db47b1fc80"),
+        ):
+            text = (RECORDED / f"{name}.log").read_text()
+            others = text.count('"request":') - text.count(f'"request":"{request}')
+            self.assertGreater(others, 0)
+            lines = self.explain(name, request)
+            self.assertEqual(
+                len(self.about(lines, "")), len(self.about(lines, request))
+            )
