placement: overdue calls count as slow, samples are drawn before they are judged

Slow instances were known only by answers, which come late.

Ruled out for slow instances: more weight for each answer (tail latencies of sound ones count too).

Change: the view splits a service by failure domain once a change; a sample is drawn first and only it is judged. A link with one call is pinged after 0.3 s. The second oldest call under way beyond the usual latency makes an instance slow before its answer comes. Calls under way are objects (SentCall), so that each has one end.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -10,14 +10,14 @@
 from ..protocol.header_names import HeaderNames
 from ..protocol.mesh_frames import MeshAnswer, MeshCall
 from ..protocol.request_head import RequestHead, read_request_head
-from ..state.fleet_view import FleetView, Instance
+from ..state.fleet_view import FleetView, Instance, ServiceInstances
 from ..state.quarantine import Quarantine, fingerprint
 from ..state.route_table import RouteTable, SplitCursor, TableRoute
 from ..transport.http_server import Exchange
 from ..verdict import Reason, Verdict
 from .fleet_retries import FleetRetryBudget
 from .forwarding import Forwarding
-from .host_choice import HostChoice
+from .host_choice import HostChoice, SentCall
 from .local_upstream import LocalUpstream
 from .peer_links import PeerLinks
 from .repeat_rule import NextStep, next_step, status_of
@@ -184,10 +184,8 @@
                 suspicion.retry_after_s,
             )
             return
-        listed = self._view.of_service(forwarding.service)
-        # Where all are suspect, the evidence is more likely wrong than they.
-        instances = [i for i in listed if not self._links.is_suspect(i.ip)] or listed
-        instance = self._choice.choose(instances, forwarding.tried)
+        instances = self._view.of_service(forwarding.service)
+        instance = self._choose(instances, forwarding.tried)
         if instance is None:
             detail = f"none of {len(instances)} instances can be asked"
             reason = Reason.NO_UPSTREAM
@@ -196,18 +194,16 @@
                 detail += f"; the last said: {forwarding.answer.detail}"
             self._give_up(forwarding, reason, detail)
             return
-        forwarding.instance = instance
         forwarding.tried.append(instance.id)
         forwarding.n_placements += 1
         call = forwarding.call
         call.instance = instance.id
         call.time_left_ms = int(time_left_s * 1000)
-        self._choice.record(instance).n_mine += 1
-        forwarding.sent_s = time.monotonic()
+        sent = forwarding.sent = self._choice.note_sent(instance, forwarding.route.name)
         forwarding.local = None
         if instance.ip == self._ip:
             local = self._upstream.run(
-                call, lambda answer: self._on_answer(forwarding, instance, answer)
+                call, lambda answer: self._on_answer(forwarding, sent, answer)
             )
             if not local.is_over:
                 forwarding.local = local
@@ -215,15 +211,22 @@
             self._links.call(
                 instance.ip,
                 call,
-                lambda answer: self._on_answer(forwarding, instance, answer),
+                lambda answer: self._on_answer(forwarding, sent, answer),
             )
 
+    def _choose(self, instances: ServiceInstances, tried: list[str]) -> Instance | None:
+        is_suspect = self._links.is_suspect
+        instance = self._choice.choose(instances, tried, is_suspect)
+        if instance is None and all(is_suspect(i.ip) for i in instances):
+            # Where all are suspect, the evidence is more likely wrong than they.
+            return self._choice.choose(instances, tried, lambda ip: False)
+        return instance
+
     def _on_answer(
-        self, forwarding: Forwarding, instance: Instance, answer: MeshAnswer
+        self, forwarding: Forwarding, sent: SentCall, answer: MeshAnswer
     ) -> None:
         """Learn from an attempt's end and take the next step."""
-        latency_s = time.monotonic() - forwarding.sent_s
-        self._choice.note_answer(instance, answer, forwarding.route.name, latency_s)
+        self._choice.note_answer(sent, answer)
         if forwarding.exchange.is_done:
             return
         forwarding.answer = answer
@@ -336,11 +339,8 @@
         if local is None or local.pending is not None:
             # A call at a peer may be running; one that waits here is not.
             forwarding.may_have_run = True
-        if forwarding.instance is not None:
-            latency_s = time.monotonic() - forwarding.sent_s
-            self._choice.note_outcome(
-                forwarding.instance, False, forwarding.route.name, latency_s
-            )
+        if forwarding.sent is not None:
+            self._choice.note_run_out(forwarding.sent)
         self._cancel_attempt(forwarding)
         self._give_up(forwarding, Reason.DEADLINE, "the time for an answer is over")
 
@@ -352,11 +352,11 @@
         self._cancel_attempt(forwarding)
 
     def _cancel_attempt(self, forwarding: Forwarding) -> None:
-        instance = forwarding.instance
-        if instance is None:
+        sent = forwarding.sent
+        if sent is None:
             return
-        self._choice.record(instance).n_mine -= 1
+        self._choice.note_withdrawn(sent)
         if forwarding.local is not None:
             forwarding.local.cancel()
         else:
-            self._links.cancel(instance.ip, forwarding.call)
+            self._links.cancel(sent.instance.ip, forwarding.call)
--- a/packages/savoryroute/savoryroute/coordination/forwarding.py
+++ b/packages/savoryroute/savoryroute/coordination/forwarding.py
@@ -8,6 +8,7 @@
 from ..state.fleet_view import Instance
 from ..state.route_table import TableRoute
 from ..transport.http_server import Exchange
+from .host_choice import SentCall
 from .local_upstream import LocalCall
 
 __all__ = ["Forwarding"]
@@ -23,7 +24,7 @@
         request_id: Its identity.
         deadline_s: Monotonic time of its deadline.
         call: Frame of the present attempt.
-        instance: Where the present attempt is.
+        sent: The present attempt, or None before the first.
         local: The attempt, if it is at the own upstream.
         answer: End of the latest attempt.
         failed_answer: Whole answer that tells a failure, kept for want of a better.
@@ -31,7 +32,6 @@
         tried: Identities of the instances that it has been to.
         n_placements: Attempts so far.
         n_arrivals: Attempts so far that reached an upstream.
-        sent_s: Monotonic time at which the present attempt was sent.
         may_have_run: Whether one of the attempts may have run it.
         timer: Ends the request at its deadline.
     """
@@ -42,7 +42,6 @@
         "deadline_s",
         "exchange",
         "failed_answer",
-        "instance",
         "local",
         "may_have_run",
         "n_arrivals",
@@ -50,7 +49,7 @@
         "parent",
         "request_id",
         "route",
-        "sent_s",
+        "sent",
         "service",
         "timer",
         "tried",
@@ -70,14 +69,18 @@
         self.request_id = request_id
         self.deadline_s = deadline_s
         self.call: MeshCall | None = None
-        self.instance: Instance | None = None
+        self.sent: SentCall | None = None
         self.local: LocalCall | None = None
         self.answer: MeshAnswer | None = None
         self.failed_answer: MeshAnswer | None = None
         self.parent: LocalCall | None = None
         self.tried: list[str] = []
         self.n_placements = 0
-        self.sent_s = 0.0
         self.n_arrivals = 0
         self.may_have_run = False
         self.timer: asyncio.TimerHandle | None = None
+
+    @property
+    def instance(self) -> Instance | None:
+        """Where the present attempt is."""
+        return None if self.sent is None else self.sent.instance
--- a/packages/savoryroute/savoryroute/coordination/host_choice.py
+++ b/packages/savoryroute/savoryroute/coordination/host_choice.py
@@ -4,7 +4,8 @@
 slower, some shed or fail part of their calls, and failure domains get unequal
 traffic. An instance costs its load (that of its last answer, plus what this daemon
 has sent since), times how slow it is beside the others; another failure domain and
-failures cost extra.
+failures cost extra. Calls that are still under way count as slow once they last
+longer than usual, since a slow instance gives its first answers late.
 
 Source: Mitzenmacher, The Power of Two Choices in Randomized Load Balancing (2001).
 """
@@ -12,15 +13,15 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
 from ..protocol.mesh_frames import MeshAnswer
-from ..state.fleet_view import Instance
+from ..state.fleet_view import Instance, ServiceInstances
 from ..verdict import Reason, Verdict
 
-__all__ = ["HostChoice", "InstanceRecord"]
+__all__ = ["HostChoice", "InstanceRecord", "SentCall"]
 
 # Cost of another failure domain: its links are priced, and add to the latency.
 FAR_COST = 0.35
@@ -30,6 +31,8 @@
 USUAL_WEIGHT = 0.02
 SLOWNESS_WEIGHT = 0.08
 SLOWNESS_MAX = 8.0
+# Calls under way that have to be overdue; one may last long by itself.
+N_SEEN_OVERDUE = 2
 # A slow instance is tried again as what was seen of it fades.
 SLOWNESS_HALF_LIFE_S = 3.0
 # Advantage of the instance on the own host, which costs no hop.
@@ -45,18 +48,34 @@
 UNAVAILABLE_S = 0.5
 # A host that leaves for a restart is back after about this many seconds.
 LEAVING_S = 3.0
-# Far instances that are compared; all would cost too much in a large fleet.
+# Instances that are compared in the own failure domain, and as many in the others;
+# all would cost too much in a large fleet.
 SAMPLE_SIZE = 4
 COLD_LOAD_FACTOR = 2.0
 
 
+@attrs.frozen(slots=True, eq=False)
+class SentCall:
+    """One call under way.
+
+    Attributes:
+        instance: Where it was sent.
+        group: Name of its route.
+        sent_s: Monotonic time of sending.
+    """
+
+    instance: Instance
+    group: str
+    sent_s: float
+
+
 @attrs.define(slots=True)
 class InstanceRecord:
     """What this daemon has seen of one instance.
 
     Attributes:
-        n_mine: Calls of this daemon in flight there.
-        n_mine_at_report: Value of ``n_mine`` at the last answer.
+        sent: Calls of this daemon in flight there, the oldest first.
+        n_mine_at_report: Number of calls in ``sent`` at the last answer.
         n_told: Calls running and waiting there by the last answer.
         limit: Slots by the last answer, 0 if unknown.
         told_s: Monotonic time of the last answer.
@@ -68,7 +87,7 @@
         cold_until_s: Monotonic time until which it is slow after its start.
     """
 
-    n_mine: int = 0
+    sent: dict[SentCall, None] = attrs.field(factory=dict)
     n_mine_at_report: int = 0
     n_told: int = 0
     limit: int = 0
@@ -80,6 +99,11 @@
     unavailable_until_s: float = 0.0
     cold_until_s: float = 0.0
 
+    @property
+    def n_mine(self) -> int:
+        """Number of calls of this daemon in flight."""
+        return len(self.sent)
+
     def load(self, now_s: float, slots: int) -> float:
         """Return running and waiting calls over slots."""
         weight = 0.5 ** ((now_s - self.told_s) / REPORT_HALF_LIFE_S)
@@ -90,10 +114,32 @@
             load *= COLD_LOAD_FACTOR
         return load
 
-    def cost(self, now_s: float, slots: int) -> float:
-        """Return the figure to compare instances by."""
+    def cost(self, now_s: float, slots: int, usual_s: dict[str, float]) -> float:
+        """Return the figure to compare instances by.
+
+        Args:
+            now_s: Monotonic time.
+            slots: Slots by its entry.
+            usual_s: Usual latency in seconds by route.
+        """
         load = self.load(now_s, slots) + BASE_LOAD
-        return load * self.slow(now_s) + self.failures(now_s) * FAILURE_LOAD
+        slow = max(self.slow(now_s), self.overdue(now_s, usual_s))
+        return load * slow + self.failures(now_s) * FAILURE_LOAD
+
+    def overdue(self, now_s: float, usual_s: dict[str, float]) -> float:
+        """Return how far calls under way are beyond the usual latency, 0 if unknown.
+
+        The second oldest counts, as one call may last long by itself.
+        """
+        if len(self.sent) < N_SEEN_OVERDUE:
+            return 0.0
+        oldest = iter(self.sent)
+        next(oldest)
+        call = next(oldest)
+        usual = usual_s.get(call.group)
+        if usual is None:
+            return 0.0
+        return min(SLOWNESS_MAX, (now_s - call.sent_s) / max(usual, 1e-6))
 
     def slow(self, now_s: float) -> float:
         """Return the slowness, faded towards 1 since the last answer."""
@@ -146,49 +192,65 @@
         return found
 
     def choose(
-        self, instances: Iterable[Instance], tried: Iterable[str]
+        self,
+        instances: ServiceInstances,
+        tried: Collection[str],
+        is_suspect: Callable[[str], bool],
     ) -> Instance | None:
         """Return the instance for the next attempt, or None if there is none.
 
         Args:
             instances: Instances of the service that take new work.
             tried: Identities of those that this request has been to.
+            is_suspect: Returns whether the host at an address seems out of reach.
         """
         now_s = self._clock()
-        usable = [
-            instance
-            for instance in instances
-            if instance.id not in tried
-            and self.record(instance).unavailable_until_s <= now_s
-        ]
-        if not usable:
-            return None
-        near = [i for i in usable if i.failure_domain == self._failure_domain]
-        far = [i for i in usable if i.failure_domain != self._failure_domain]
-        best, cost = self._cheapest(near, now_s)
-        best_far, cost_far = self._cheapest(far, now_s)
+
+        def is_usable(instance: Instance) -> bool:
+            return (
+                instance.id not in tried
+                and self.record(instance).unavailable_until_s <= now_s
+                and not is_suspect(instance.ip)
+            )
+
+        near, far = instances.split(self._failure_domain)
+        best, cost = self._cheapest(near, is_usable, now_s)
+        best_far, cost_far = self._cheapest(far, is_usable, now_s)
         return best_far if cost_far + FAR_COST < cost else best
 
-    def note_answer(
-        self, instance: Instance, answer: MeshAnswer, group: str, latency_s: float
-    ) -> None:
-        """Learn from the end of an attempt.
+    def note_sent(self, instance: Instance, group: str) -> SentCall:
+        """Count a call that is sent; tell its end by one of the next methods.
 
         Args:
-            instance: Where it was sent.
-            answer: How it ended.
-            group: Name of the request's route.
-            latency_s: Seconds from sending to the end.
+            instance: Where it is sent.
+            group: Name of its route.
         """
-        self.record(instance).n_mine -= 1
+        sent = SentCall(instance, group, self._clock())
+        self.record(instance).sent[sent] = None
+        return sent
+
+    def note_answer(self, sent: SentCall, answer: MeshAnswer) -> None:
+        """Learn from the end of an attempt."""
+        instance = sent.instance
+        self.record(instance).sent.pop(sent, None)
         if answer.limit:
             self.note_report(instance, answer.n_told, answer.limit)
         if answer.was_sent and not _says_nothing(answer):
-            self.note_outcome(instance, _is_own_failure(answer), group, latency_s)
+            latency_s = self._clock() - sent.sent_s
+            self.note_outcome(instance, _is_own_failure(answer), sent.group, latency_s)
         is_out_of_reach = answer.reason in _OUT_OF_REACH
         if is_out_of_reach and not (answer.was_sent and answer.limit):
             self.note_unavailable(instance)
 
+    def note_run_out(self, sent: SentCall) -> None:
+        """Learn from an attempt whose time is over; it is to be withdrawn then."""
+        latency_s = self._clock() - sent.sent_s
+        self.note_outcome(sent.instance, False, sent.group, latency_s)
+
+    def note_withdrawn(self, sent: SentCall) -> None:
+        """Forget a call that was given up."""
+        self.record(sent.instance).sent.pop(sent, None)
+
     def note_unavailable(self, instance: Instance) -> None:
         """Send an instance nothing for a moment."""
         self.record(instance).unavailable_until_s = self._clock() + UNAVAILABLE_S
@@ -239,15 +301,23 @@
                 del self._records[id_]
 
     def _cheapest(
-        self, instances: list[Instance], now_s: float
+        self,
+        instances: list[Instance],
+        is_usable: Callable[[Instance], bool],
+        now_s: float,
     ) -> tuple[Instance | None, float]:
         """Return the cheapest of a sample, and its cost."""
+        usable: list[Instance] = []
         if len(instances) > SAMPLE_SIZE:
-            instances = self._rng.sample(instances, SAMPLE_SIZE)
+            sample = self._rng.sample(instances, SAMPLE_SIZE)
+            usable = [instance for instance in sample if is_usable(instance)]
+        if not usable:
+            usable = [instance for instance in instances if is_usable(instance)]
         best: Instance | None = None
         least = float("inf")
-        for instance in instances:
-            cost = self.record(instance).cost(now_s, instance.slots)
+        for instance in usable:
+            record = self.record(instance)
+            cost = record.cost(now_s, instance.slots, self._usual_s)
             if instance.ip == self._ip:
                 cost -= OWN_BONUS
             # Spreads the choice among equals.
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -19,8 +19,10 @@
 DIAL_TIMEOUT_S = 0.6
 # A host that could not be reached is not dialled again for this long.
 DIAL_PAUSE_S = 0.5
-# Silence of a link with calls in flight after which the peer is asked for a sign.
+# Silence of a link with calls in flight after which the peer is asked for a sign:
+# with several calls, and with one, whose answer often takes as long.
 PING_AFTER_S = 0.15
+PING_AFTER_LONGEST_S = 0.3
 # Silence after that question in which the peer gets no further calls: some round
 # trips and the longest pauses of a sound event loop.
 SUSPECT_AFTER_S = 0.25
@@ -150,7 +152,10 @@
             if link.asked_s is not None and link.wire.last_read_s > link.asked_s:
                 link.asked_s = None
             if link.asked_s is None:
-                if now_s - link.wire.last_read_s > PING_AFTER_S:
+                silence_s = now_s - link.wire.last_read_s
+                if silence_s > max(
+                    PING_AFTER_S, PING_AFTER_LONGEST_S / len(link.waiting)
+                ):
                     link.asked_s = now_s
                     link.wire.send([FrameKind.PING.value])
             elif now_s - link.asked_s > SILENT_AFTER_S:
--- a/packages/savoryroute/savoryroute/state/fleet_view.py
+++ b/packages/savoryroute/savoryroute/state/fleet_view.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import attrs
 
-__all__ = ["FleetView", "Instance"]
+__all__ = ["FleetView", "Instance", "ServiceInstances"]
 
 # Entries that lapse while the list cannot be read may be back this many seconds
 # after it can be read again (stated by the platform).
@@ -36,6 +38,36 @@
     born_ms: int = 0
 
 
+class ServiceInstances:
+    """Instances of one service that take new work.
+
+    Args:
+        instances: The instances.
+    """
+
+    def __init__(self, instances: list[Instance]) -> None:
+        self._instances = instances
+        self._splits: dict[str, tuple[list[Instance], list[Instance]]] = {}
+
+    def __iter__(self) -> Iterator[Instance]:
+        return iter(self._instances)
+
+    def __len__(self) -> int:
+        return len(self._instances)
+
+    def split(self, failure_domain: str) -> tuple[list[Instance], list[Instance]]:
+        """Return those of a failure domain, and all others."""
+        found = self._splits.get(failure_domain)
+        if found is None:
+            near = [i for i in self._instances if i.failure_domain == failure_domain]
+            far = [i for i in self._instances if i.failure_domain != failure_domain]
+            found = self._splits[failure_domain] = near, far
+        return found
+
+
+_NO_INSTANCES = ServiceInstances([])
+
+
 class FleetView:
     """Instances by id, at one revision of the platform's list.
 
@@ -48,7 +80,7 @@
     def __init__(self) -> None:
         self._revision = 0
         self._instances: dict[str, Instance] = {}
-        self._by_service: dict[str, list[Instance]] = {}
+        self._by_service: dict[str, ServiceInstances] = {}
         self._holders: dict[str, Instance] = {}
         self._lapsed: dict[str, tuple[Instance, float]] = {}
 
@@ -62,9 +94,9 @@
         """Instances by id."""
         return self._instances
 
-    def of_service(self, service: str) -> list[Instance]:
+    def of_service(self, service: str) -> ServiceInstances:
         """Return the instances of a service that take new work."""
-        return self._by_service.get(service, [])
+        return self._by_service.get(service, _NO_INSTANCES)
 
     def at(self, ip: str) -> Instance | None:
         """Return the listed instance that holds an address."""
@@ -129,4 +161,6 @@
             if instance.ip not in holders:
                 by_service.setdefault(instance.service, []).append(instance)
         self._holders = holders
-        self._by_service = by_service
+        self._by_service = {
+            service: ServiceInstances(listed) for service, listed in by_service.items()
+        }
--- /dev/null
+++ b/tests/fleet_replay.py
@@ -0,0 +1,349 @@
+"""Replay of a load on several first hops and instances, in virtual time.
+
+The decisions are the product's own: choice of an instance, its line, and what may
+follow a failed attempt. Network, upstreams and callers are modelled. Beside them an
+oracle places the same calls, knowing all speeds, work and faults.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+
+from savoryroute.coordination.host_choice import HostChoice, SentCall
+from savoryroute.coordination.repeat_rule import NextStep, next_step
+from savoryroute.coordination.waiting_line import LineCall, WaitingLine
+from savoryroute.protocol.mesh_frames import MeshAnswer
+from savoryroute.state.fleet_view import Instance, ServiceInstances
+from savoryroute.verdict import Reason, Verdict
+
+__all__ = ["Fault", "FleetReplay", "Load", "Outcome", "Spec"]
+
+# One way between hosts, in seconds.
+NEAR_S = 0.0003
+FAR_S = 0.0012
+PATIENCE_SHARE = 0.15
+ATTEMPTS_MAX = 2
+
+
+@attrs.frozen
+class Fault:
+    """Something wrong with some instances for a while.
+
+    Attributes:
+        instances: Places of the instances in the list.
+        from_s: When it begins.
+        to_s: When it ends.
+        slowness: Factor of the work of calls begun in this time.
+        shed_share: Part of the calls that are turned away by the upstream.
+        is_draining: Whether they leave the list of those that take new work.
+    """
+
+    instances: tuple[int, ...]
+    from_s: float
+    to_s: float
+    slowness: float = 1.0
+    shed_share: float = 0.0
+    is_draining: bool = False
+
+
+@attrs.frozen
+class Spec:
+    """Instances of a service and what goes wrong with them.
+
+    Attributes:
+        speeds: Speed of each instance; 2 takes half of the work.
+        slots: Slots of each instance.
+        n_domains: Failure domains; instances and first hops are dealt out in turn.
+        n_hops: First hops.
+        faults: What goes wrong.
+    """
+
+    speeds: tuple[float, ...]
+    slots: int
+    n_domains: int
+    n_hops: int
+    faults: tuple[Fault, ...] = ()
+
+    def at(self, index: int, now_s: float) -> list[Fault]:
+        """Return the faults of an instance at a time."""
+        return [
+            fault
+            for fault in self.faults
+            if index in fault.instances and fault.from_s <= now_s < fault.to_s
+        ]
+
+    def work_s(self, index: int, work_s: float, now_s: float) -> float:
+        """Return how long a call begun now takes at an instance."""
+        factor = 1.0
+        for fault in self.at(index, now_s):
+            factor *= fault.slowness
+        return work_s * factor / self.speeds[index]
+
+    def is_draining(self, index: int, now_s: float) -> bool:
+        """Return whether an instance takes no new work."""
+        return any(fault.is_draining for fault in self.at(index, now_s))
+
+
+@attrs.frozen
+class Load:
+    """Calls of one kind.
+
+    Attributes:
+        per_s: Calls a second, over all first hops.
+        work_s: Mean seconds at an instance of speed 1.
+        target_s: Seconds within which an answer is worth most.
+        timeout_s: Seconds after which a call is given up.
+        seconds: Length of the replay.
+        burst: From second, to second and factor of the rate.
+        hop_weights: Parts of the load by first hop; None for equal ones.
+    """
+
+    per_s: float
+    work_s: float
+    target_s: float
+    timeout_s: float
+    seconds: float
+    burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
+    hop_weights: tuple[float, ...] | None = None
+
+    def draw(self, rng: random.Random, n_hops: int) -> list[tuple[float, float, int]]:
+        """Return arrival, work and first hop of each call."""
+        calls = []
+        at_s = 0.0
+        hops = range(n_hops)
+        while True:
+            from_s, to_s, factor = self.burst
+            rate = self.per_s * (factor if from_s <= at_s < to_s else 1.0)
+            at_s += rng.expovariate(rate)
+            if at_s >= self.seconds:
+                return calls
+            work_s = self.work_s * rng.lognormvariate(-0.125, 0.5)
+            (hop,) = rng.choices(hops, self.hop_weights)
+            calls.append((at_s, work_s, hop))
+
+
+@attrs.define
+class Outcome:
+    """What a replay served, in parts of all calls."""
+
+    n_calls: int = 0
+    n_in_target: int = 0
+    n_refused: int = 0
+    n_given_up: int = 0
+    n_arrivals: int = 0
+    latencies_s: list[float] = attrs.field(factory=list)
+
+    @property
+    def in_target(self) -> float:
+        """Part that was answered within the target."""
+        return self.n_in_target / self.n_calls
+
+
+@attrs.define(eq=False)
+class _Call:
+    at_s: float
+    work_s: float
+    hop: int
+    tried: list[str] = attrs.field(factory=list)
+    n_arrivals: int = 0
+    sent: SentCall | None = None
+    index: int = -1
+    is_over: bool = False
+
+
+class FleetReplay:
+    """One service, its first hops and a load, on a virtual clock."""
+
+    def __init__(self, spec: Spec, load: Load, seed: int) -> None:
+        self._spec = spec
+        self._load = load
+        self._rng = random.Random(seed)
+        self._now_s = 0.0
+        self._events: list = []
+        self._numbers = itertools.count()
+        self._instances = [
+            Instance(
+                f"i{index}", "s", f"ip{index}", self._domain(index), spec.slots, True
+            )
+            for index in range(len(spec.speeds))
+        ]
+        clock = self._clock
+        self._lines = [WaitingLine(spec.slots, clock) for _ in spec.speeds]
+        self.choices = [
+            HostChoice(f"hop{hop}", self._domain(hop), random.Random(seed + hop), clock)
+            for hop in range(spec.n_hops)
+        ]
+
+    def play(self) -> Outcome:
+        """Play all calls to their ends."""
+        outcome = Outcome()
+        for at_s, work_s, hop in self._load.draw(self._rng, self._spec.n_hops):
+            call = _Call(at_s, work_s, hop)
+            outcome.n_calls += 1
+            self._at(at_s, lambda call=call: self._place(call, outcome))
+            self._at(
+                at_s + self._load.timeout_s,
+                lambda call=call: self._run_out(call, outcome),
+            )
+        while self._events:
+            self._now_s, _, action = heapq.heappop(self._events)
+            action()
+        return outcome
+
+    def play_oracle(self) -> Outcome:
+        """Place each call where it ends soonest, knowing all that is to come."""
+        spec, outcome = self._spec, Outcome()
+        free_s = [[0.0] * spec.slots for _ in spec.speeds]
+        for at_s, work_s, hop in self._load.draw(self._rng, spec.n_hops):
+            outcome.n_calls += 1
+            best: tuple[float, int] | None = None
+            for index, free in enumerate(free_s):
+                reach_s = self._reach_s(hop, index)
+                start_s = max(at_s + reach_s, free[0])
+                if spec.is_draining(index, at_s):
+                    continue
+                if any(fault.shed_share for fault in spec.at(index, start_s)):
+                    continue
+                end_s = start_s + spec.work_s(index, work_s, start_s) + reach_s
+                if best is None or end_s < best[0]:
+                    best = end_s, index
+            if best is None or best[0] - at_s > self._load.target_s:
+                outcome.n_refused += 1
+                continue
+            end_s, index = best
+            heapq.heapreplace(free_s[index], end_s - self._reach_s(hop, index))
+            outcome.n_in_target += 1
+            outcome.latencies_s.append(end_s - at_s)
+        return outcome
+
+    def _clock(self) -> float:
+        return self._now_s
+
+    def _domain(self, number: int) -> str:
+        return f"d{number % self._spec.n_domains}"
+
+    def _reach_s(self, hop: int, index: int) -> float:
+        is_near = self._domain(hop) == self._domain(index)
+        return NEAR_S if is_near else FAR_S
+
+    def _at(self, at_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at_s, next(self._numbers), action))
+
+    def _place(self, call: _Call, outcome: Outcome) -> None:
+        if call.is_over:
+            return
+        listed = [
+            instance
+            for index, instance in enumerate(self._instances)
+            if not self._spec.is_draining(index, self._now_s)
+        ]
+        choice = self.choices[call.hop]
+        instance = choice.choose(ServiceInstances(listed), call.tried, lambda ip: False)
+        if instance is None:
+            self._refuse(call, outcome)
+            return
+        call.index = self._instances.index(instance)
+        call.tried.append(instance.id)
+        call.sent = choice.note_sent(instance, "r")
+        arrival_s = self._now_s + self._reach_s(call.hop, call.index)
+        self._at(arrival_s, lambda: self._offer(call, outcome))
+
+    def _offer(self, call: _Call, outcome: Outcome) -> None:
+        spec, index = self._spec, call.index
+        line = self._lines[index]
+        sent = call.sent
+
+        def start() -> None:
+            shed_share = sum(fault.shed_share for fault in spec.at(index, self._now_s))
+            outcome.n_arrivals += 1
+            if self._rng.random() < shed_share:
+                self._at(self._now_s, lambda: finish(None, was_sent=True))
+                return
+            work_s = spec.work_s(index, call.work_s, self._now_s)
+            self._at(self._now_s + work_s, lambda: finish(work_s))
+
+        def finish(work_s: float | None, was_sent: bool = False) -> None:
+            line.finish("r", work_s)
+            if work_s is None:
+                self._answer(call, sent, index, outcome, Reason.OVERLOAD, was_sent)
+            else:
+                self._answer(call, sent, index, outcome, None, True)
+
+        def turn_away(reason: Reason) -> None:
+            self._answer(call, sent, index, outcome, reason, False)
+
+        timeout_s = call.at_s + self._load.timeout_s
+        patience_s = self._load.target_s * PATIENCE_SHARE
+        waiting = LineCall(1, "r", timeout_s, patience_s, start, turn_away)
+        reason = line.offer(waiting)
+        if reason is not None:
+            turn_away(reason)
+        elif waiting.expires_s:
+            self._at(waiting.expires_s, line.expire)
+
+    def _answer(
+        self,
+        call: _Call,
+        sent: SentCall,
+        index: int,
+        outcome: Outcome,
+        reason: Reason | None,
+        was_sent: bool,
+    ) -> None:
+        """Send an answer back to the first hop."""
+        line = self._lines[index]
+        verdict = Verdict.RAN if reason is None else Verdict.NOT_RUN
+        answer = MeshAnswer(
+            0,
+            verdict,
+            reason,
+            was_sent=was_sent,
+            status=200 if reason is None else 0,
+            n_told=line.n_running + line.n_waiting,
+            limit=line.slots,
+            is_load=reason is not None,
+        )
+        back_s = self._now_s + self._reach_s(call.hop, index)
+        self._at(back_s, lambda: self._settle(call, sent, index, answer, outcome))
+
+    def _settle(
+        self,
+        call: _Call,
+        sent: SentCall,
+        index: int,
+        answer: MeshAnswer,
+        outcome: Outcome,
+    ) -> None:
+        if call.is_over:
+            # Given up before; the cancellation has overtaken the answer.
+            return
+        self.choices[call.hop].note_answer(sent, answer)
+        call.n_arrivals += answer.was_sent
+        step = next_step(answer, True, len(call.tried), call.n_arrivals, ATTEMPTS_MAX)
+        if step is NextStep.DELIVER:
+            call.is_over = True
+            total_s = self._now_s - call.at_s
+            outcome.n_in_target += total_s <= self._load.target_s
+            outcome.latencies_s.append(total_s)
+        elif step is NextStep.GIVE_UP:
+            self._refuse(call, outcome)
+        else:
+            self._place(call, outcome)
+
+    def _refuse(self, call: _Call, outcome: Outcome) -> None:
+        call.is_over = True
+        outcome.n_refused += 1
+
+    def _run_out(self, call: _Call, outcome: Outcome) -> None:
+        if call.is_over:
+            return
+        call.is_over = True
+        outcome.n_given_up += 1
+        if call.sent is not None:
+            self.choices[call.hop].note_run_out(call.sent)
+            self.choices[call.hop].note_withdrawn(call.sent)
--- a/tests/savoryroute/coordination/test_host_choice.py
+++ b/tests/savoryroute/coordination/test_host_choice.py
@@ -3,7 +3,9 @@
 import unittest
 
 from savoryroute.coordination.host_choice import HostChoice
-from savoryroute.state.fleet_view import Instance
+from savoryroute.protocol.mesh_frames import MeshAnswer
+from savoryroute.state.fleet_view import Instance, ServiceInstances
+from savoryroute.verdict import Verdict
 
 
 def instance(id_, domain, ip="10.0.0.9", slots=10):
@@ -17,26 +19,30 @@
         self.near = [instance("n1", "a"), instance("n2", "a")]
         self.far = [instance("f1", "b"), instance("f2", "b")]
 
+    def choose(self, instances, tried, suspects=()):
+        listed = ServiceInstances(instances)
+        return self.choice.choose(listed, tried, lambda ip: ip in suspects)
+
     def load(self, item, n_calls):
         self.choice.note_report(item, n_calls, item.slots)
 
     def test_own_domain_is_preferred_until_it_is_nearly_full(self):
-        self.assertIn(self.choice.choose(self.near + self.far, []), self.near)
+        self.assertIn(self.choose(self.near + self.far, []), self.near)
         for item in self.near:
             self.load(item, 9)
-        self.assertIn(self.choice.choose(self.near + self.far, []), self.far)
+        self.assertIn(self.choose(self.near + self.far, []), self.far)
 
     def test_least_loaded_takes_the_call(self):
         self.load(self.near[0], 6)
         self.load(self.near[1], 2)
-        self.assertEqual(self.choice.choose(self.near, []).id, "n2")
+        self.assertEqual(self.choose(self.near, []).id, "n2")
 
     def test_failing_instance_that_looks_idle_gets_little(self):
         """An instance that fails half of its calls at once draws no load."""
         counts = collections.Counter()
         rng = random.Random(9)
         for _ in range(2000):
-            chosen = self.choice.choose(self.near, [])
+            chosen = self.choose(self.near, [])
             counts[chosen.id] += 1
             is_failing = chosen.id == "n1"
             self.choice.note_outcome(
@@ -50,7 +56,7 @@
         """One of two instances takes five times as long; no line builds up."""
         counts = collections.Counter()
         for _ in range(2000):
-            chosen = self.choice.choose(self.near, [])
+            chosen = self.choose(self.near, [])
             counts[chosen.id] += 1
             latency_s = 0.5 if chosen.id == "n1" else 0.1
             self.choice.note_outcome(chosen, False, "r", latency_s)
@@ -68,23 +74,64 @@
 
     def test_unavailable_and_tried_ones_are_left_out(self):
         self.choice.note_unavailable(self.near[0])
-        self.assertEqual(self.choice.choose(self.near, []).id, "n2")
-        self.assertIsNone(self.choice.choose(self.near, ["n2"]))
+        self.assertEqual(self.choose(self.near, []).id, "n2")
+        self.assertIsNone(self.choose(self.near, ["n2"]))
         self.now_s += 1.0
-        self.assertEqual(self.choice.choose(self.near, ["n2"]).id, "n1")
+        self.assertEqual(self.choose(self.near, ["n2"]).id, "n1")
 
     def test_report_fades_so_that_a_full_instance_is_tried_again(self):
         self.load(self.near[0], 20)
         self.now_s += 5.0
-        self.choice.record(self.near[1]).n_mine = 1
-        self.assertEqual(self.choice.choose(self.near, []).id, "n1")
+        self.choice.note_sent(self.near[1], "r")
+        self.assertEqual(self.choose(self.near, []).id, "n1")
 
     def test_calls_since_the_report_count(self):
         for item in self.near:
             self.load(item, 0)
         counts = collections.Counter()
         for _ in range(10):
-            chosen = self.choice.choose(self.near, [])
-            self.choice.record(chosen).n_mine += 1
+            chosen = self.choose(self.near, [])
+            self.choice.note_sent(chosen, "r")
             counts[chosen.id] += 1
         self.assertEqual(counts, {"n1": 5, "n2": 5})
+
+    def test_overdue_calls_count_before_they_are_answered(self):
+        for item in self.near:
+            for _ in range(100):
+                self.choice.note_outcome(item, False, "r", 0.1)
+        for item in self.near:
+            self.choice.note_sent(item, "r")
+            self.choice.note_sent(item, "r")
+        answered = [self.choice.note_sent(self.near[1], "r") for _ in range(4)]
+        self.now_s += 0.1
+        for sent in answered:
+            self.choice.note_answer(sent, MeshAnswer(0, Verdict.RAN, status=200))
+        self.now_s += 0.2
+        for sent in list(self.choice.record(self.near[1]).sent):
+            self.choice.note_withdrawn(sent)
+            self.choice.note_sent(self.near[1], "r")
+        costs = [
+            self.choice.record(item).cost(self.now_s, 10, {"r": 0.1})
+            for item in self.near
+        ]
+        self.assertGreater(costs[0], 2.0 * costs[1])
+
+    def test_one_call_that_lasts_long_makes_no_instance_slow(self):
+        self.choice.note_outcome(self.near[0], False, "r", 0.1)
+        self.choice.note_sent(self.near[0], "r")
+        self.now_s += 1.0
+        record = self.choice.record(self.near[0])
+        self.assertEqual(record.overdue(self.now_s, {"r": 0.1}), 0.0)
+        self.choice.note_sent(self.near[0], "r")
+        self.assertEqual(record.overdue(self.now_s, {"r": 0.1}), 0.0)
+        self.now_s += 0.3
+        self.assertAlmostEqual(record.overdue(self.now_s, {"r": 0.1}), 3.0)
+
+    def test_many_instances_are_sampled_and_unusable_ones_passed_over(self):
+        many = [instance(f"n{i}", "a", f"10.0.1.{i}") for i in range(30)]
+        suspects = {item.ip for item in many[1:]}
+        for _ in range(20):
+            self.assertEqual(self.choose(many, [], suspects).id, "n0")
+        chosen = {self.choose(many, []).id for _ in range(500)}
+        self.assertEqual(len(chosen), 30)
+        self.assertIsNone(self.choose(many, ["n0"], suspects))
