view: a few calls to the platform serve the whole fleet in a series of changes

The calls grow with hosts times changes.

Weighed: two readers a failure domain that feed the others (roles that have to be taken over when a reader is cut off or frozen); a longer pause (a host without peers would follow too late).

Change: news carry changes from a revision on, not the whole list, the age of the platform's word and how long lapsed entries may come back. A host that lacks a part asks for it. Found by the fuzz of the spreading while written: a state that came and went unseen by one host stayed at a peer that had seen it.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -32,6 +32,9 @@
 
 __all__ = ["MeshNode"]
 
+# Peers that are told of a change by each host that learns of it; of those that are in
+# touch, about one in a hundred learns of it only with the next change or question.
+TOLD_OF_CHANGE = 4
 # Seconds between looks at time-outs, silent links and idle connections.
 SWEEP_INTERVAL_S = 0.05
 SLOTS_DEFAULT = 16
@@ -92,7 +95,9 @@
             self._quarantine,
             log,
         )
-        self._keeper = ViewKeeper(decode_routes, log, self._rng, self._on_view)
+        self._keeper = ViewKeeper(
+            decode_routes, log, self._rng, self._on_view, self._spread
+        )
         self._choice = HostChoice(
             settings.callers.ip, settings.failure_domain, self._rng, time.monotonic
         )
@@ -222,6 +227,17 @@
             elif ip != own_ip and not self._links.tell(ip, question):
                 self._links.dial(ip)
 
+    def _spread(self, news: ViewNews, origin: str) -> None:
+        """Tell some peers of a change, on links of either side."""
+        links = {link.peer_ip: link for link in self._links_in if link.is_open}
+        ips = sorted({*self._links.open_ips, *links} - {origin})
+        frame = news.to_frame()
+        for ip in self._rng.sample(ips, min(len(ips), TOLD_OF_CHANGE)):
+            if ip in links:
+                links[ip].send(frame)
+            else:
+                self._links.tell(ip, frame)
+
     def _limits(self) -> CallerLimits:
         table = self._keeper.table
         return CallerLimits() if table is None else table.limits
@@ -331,7 +347,8 @@
             if news is not None:
                 link.send(news.to_frame())
         elif kind == FrameKind.VIEW_NEWS:
-            self._keeper.take_news(ip, ViewNews(*frame[1:]))
+            if not self._keeper.take_news(ip, ViewNews(*frame[1:])):
+                link.send(self._keeper.question().to_frame())
         elif kind == FrameKind.SUSPECTS:
             self._quarantine.merge(frame[1])
         elif kind == FrameKind.LEAVING:
--- a/packages/savoryroute/savoryroute/coordination/view_keeper.py
+++ b/packages/savoryroute/savoryroute/coordination/view_keeper.py
@@ -1,8 +1,11 @@
 """What a daemon believes of routes and instances, from the platform or from peers.
 
-Each daemon watches the platform itself. A peer is asked now and then, and often while
-the platform does not answer, so that a host which the platform turns away still
-follows within a second or so.
+Each daemon watches the platform itself, but not while peers keep its list current:
+whoever learns of a change tells a few others, who do the same, so that in a series of
+changes a few calls to the platform serve the whole fleet (suppression of timers as in
+IGMP, RFC 2236; spreading as in Demers and others, Epidemic Algorithms, 1987). A peer is
+asked now and then, and often while the platform does not answer, so that a host which
+the platform turns away still follows within a second or so.
 """
 
 from __future__ import annotations
@@ -16,6 +19,7 @@
 
 from ..errors import DocumentError
 from ..protocol.mesh_frames import ViewNews, ViewQuestion
+from ..state.change_log import ChangeLog
 from ..state.event_log import EventLog
 from ..state.fleet_view import LAPSE_GRACE_S, FleetView, Instance
 from ..state.route_table import RouteTable
@@ -30,6 +34,9 @@
 # Age in seconds of the last answer of the platform that counts as cut off.
 CUT_AFTER_S = 1.0
 
+# Longest age of a list that is told; older ones are all the same.
+AGE_LONGEST_S = 3600.0
+
 RouteDecoder = Callable[[bytes], RouteTable]
 
 
@@ -42,6 +49,7 @@
         log: Log of changes.
         rng: Source of the choice among peers.
         on_change: Told after each change.
+        spread: Sends news to some peers, but not to the one at a stated address.
     """
 
     def __init__(
@@ -50,11 +58,15 @@
         log: EventLog,
         rng: random.Random,
         on_change: Callable[[], None],
+        spread: Callable[[ViewNews, str], None],
     ) -> None:
         self._decode_routes = decode_routes
         self._log = log
         self._rng = rng
         self._on_change = on_change
+        self._spread = spread
+        self._changes = ChangeLog()
+        self._current_s = float("-inf")
         self._view = FleetView()
         self._table: RouteTable | None = None
         self._source = b""
@@ -78,6 +90,15 @@
         """Whether the platform answered the last time that it was asked."""
         return self._is_platform_heard
 
+    @property
+    def stale_s(self) -> float:
+        """Seconds since the platform confirmed the list, to this daemon or a peer."""
+        return time.monotonic() - self._current_s
+
+    def note_current(self) -> None:
+        """Take note that the list is the platform's now."""
+        self._current_s = time.monotonic()
+
     def note_platform(self, is_heard: bool, detail: str = "") -> None:
         """Take note of whether the platform answers."""
         if is_heard == self._is_platform_heard:
@@ -108,20 +129,59 @@
 
     def take_list(self, revision: int, instances: dict[str, Instance]) -> None:
         """Take over a whole list of instances read from the platform."""
-        missing = {id_: None for id_ in self._view.instances.keys() - instances.keys()}
-        changes: dict[str, Instance | None] = {**instances, **missing}
-        self.take_changes(revision, changes)
+        self.note_current()
+        if revision > self._view.revision:
+            self._apply_whole(revision, instances, self._lapse_until_s(), "platform")
 
     def take_changes(self, revision: int, changes: dict[str, Instance | None]) -> None:
         """Apply changes of the list that the platform told."""
-        if revision <= self._view.revision:
-            return
+        self.note_current()
+        if revision > self._view.revision:
+            self._apply(revision, changes, self._lapse_until_s(), "platform")
+
+    def _apply_whole(
+        self,
+        revision: int,
+        instances: dict[str, Instance],
+        lapse_until_s: float | None,
+        origin: str,
+    ) -> None:
+        """Take over a whole list; what came and went before it is not known."""
+        changes: dict[str, Instance | None] = dict.fromkeys(self._view.instances)
+        changes.update(instances)
+        self._apply_to_view(revision, changes, lapse_until_s, origin)
+        self._changes.restart(revision)
+        self._spread(self._list_news(0, dict(instances)), origin)
+
+    def _apply(
+        self,
+        revision: int,
+        changes: dict[str, Instance | None],
+        lapse_until_s: float | None,
+        origin: str,
+    ) -> None:
+        """Apply changes and tell some peers, but not the one that they came from."""
+        self._apply_to_view(revision, changes, lapse_until_s, origin)
+        if changes:
+            # Also what is as it was before: a peer may know of a state between.
+            base = self._changes.revision
+            self._changes.add(revision, changes)
+            self._spread(self._list_news(base, changes), origin)
+
+    def _apply_to_view(
+        self,
+        revision: int,
+        changes: dict[str, Instance | None],
+        lapse_until_s: float | None,
+        origin: str,
+    ) -> None:
+        known = self._view.instances
+        changes = {id_: item for id_, item in changes.items() if item != known.get(id_)}
         for id_, instance in changes.items():
-            known = self._view.instances.get(id_)
-            if instance != known:
-                self._log_instance(id_, known, instance)
-        self._view.apply(revision, changes, self._lapse_until_s())
-        self._on_change()
+            self._log_instance(id_, known.get(id_), instance, origin)
+        self._view.apply(revision, changes, lapse_until_s)
+        if changes:
+            self._on_change()
 
     def expire(self) -> None:
         """Drop instances whose entries lapsed and did not come back."""
@@ -137,23 +197,63 @@
         version, source = -1, b""
         if self._table is not None and self._table.version > question.version:
             version, source = self._table.version, self._source
-        revision, rows = 0, []
         if self._view.revision > question.revision:
-            revision = self._view.revision
-            rows = [list(attrs.astuple(item)) for item in self._view.instances.values()]
-        if version < 0 and not revision:
+            changes = self._changes.since(question.revision)
+            base = question.revision
+            if changes is None:
+                base, changes = 0, dict(self._view.instances)
+            return attrs.evolve(
+                self._list_news(base, changes), version=version, source=source
+            )
+        if version < 0:
             return None
-        return ViewNews(version, source, revision, rows)
+        return ViewNews(version, source, 0, 0, [], [], 0, 0)
+
+    def take_news(self, ip: str, news: ViewNews) -> bool:
+        """Take over what a peer knows that is newer.
 
-    def take_news(self, ip: str, news: ViewNews) -> None:
-        """Take over what a peer knows that is newer."""
+        Returns:
+            Whether that was possible; if not, the peer is to be asked for the rest.
+        """
         if news.version >= 0:
             self.take_routes(news.source, ip)
         if news.revision > self._view.revision:
-            instances = {row[0]: Instance(*row) for row in news.instances}
-            self._log.change("list_from_peer", peer=ip, revision=news.revision)
-            self._view.replace(news.revision, instances)
-            self._on_change()
+            if news.base > self._view.revision:
+                return False
+            rows = {row[0]: Instance(*row) for row in news.instances}
+            lapse_until_s = None
+            if news.lapse_ms:
+                lapse_until_s = time.monotonic() + news.lapse_ms / 1000
+            if news.base:
+                changes = dict.fromkeys(news.removed) | rows
+                self._apply(news.revision, changes, lapse_until_s, ip)
+            else:
+                self._log.change("list_from_peer", peer=ip, revision=news.revision)
+                self._apply_whole(news.revision, rows, lapse_until_s, ip)
+        if news.revision == self._view.revision:
+            current_s = time.monotonic() - news.age_ms / 1000
+            self._current_s = max(self._current_s, current_s)
+        return True
+
+    def _list_news(self, base: int, changes: dict[str, Instance | None]) -> ViewNews:
+        """Return the news that brings a peer from a revision to the present one."""
+        now_s = time.monotonic()
+        lapse_until_s = self._lapse_until_s()
+        lapse_s = 0.0 if lapse_until_s is None else lapse_until_s - now_s
+        return ViewNews(
+            version=-1,
+            source=b"",
+            base=base,
+            revision=self._view.revision,
+            instances=[
+                list(attrs.astuple(item))
+                for item in changes.values()
+                if item is not None
+            ],
+            removed=[id_ for id_, item in changes.items() if item is None],
+            age_ms=int(min(AGE_LONGEST_S, now_s - self._current_s) * 1000),
+            lapse_ms=int(lapse_s * 1000),
+        )
 
     def peers_to_ask(self, open_ips: list[str], other_ips: list[str]) -> list[str]:
         """Return the peers to ask now, none where it is not yet time.
@@ -182,9 +282,13 @@
         return None
 
     def _log_instance(
-        self, id_: str, known: Instance | None, instance: Instance | None
+        self,
+        id_: str,
+        known: Instance | None,
+        instance: Instance | None,
+        origin: str,
     ) -> None:
-        fields: dict[str, Any] = {"instance": id_}
+        fields: dict[str, Any] = {"instance": id_, "by": origin}
         if instance is None:
             if known is None:
                 return
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -188,21 +188,25 @@
     Attributes:
         version: Version of the routes, -1 if they are not newer.
         source: Text of that version as the platform published it.
+        base: Revision from which the rows tell the changes, 0 if they are the whole
+            list.
         revision: Revision of the list of instances, 0 if it is not newer.
-        instances: Rows of the instances' fields.
+        instances: Rows of the fields of instances.
+        removed: Identities of those that have gone.
+        age_ms: Milliseconds since the platform confirmed the list.
+        lapse_ms: Milliseconds for which removed entries may still come back, since
+            the platform was away.
     """
 
     version: int
     source: bytes
+    base: int
     revision: int
     instances: list[list[Any]]
+    removed: list[str]
+    age_ms: int
+    lapse_ms: int
 
     def to_frame(self) -> list[Any]:
         """Return the frame."""
-        return [
-            FrameKind.VIEW_NEWS.value,
-            self.version,
-            self.source,
-            self.revision,
-            self.instances,
-        ]
+        return [FrameKind.VIEW_NEWS.value, *attrs.astuple(self, recurse=False)]
--- a/packages/savoryroute/savoryroute/state/fleet_view.py
+++ b/packages/savoryroute/savoryroute/state/fleet_view.py
@@ -137,7 +137,8 @@
             removed = self._instances.pop(id_, None)
             if removed is not None and lapse_until_s is not None and removed.is_ready:
                 self._lapsed[id_] = (removed, lapse_until_s)
-        self._index()
+        if changes:
+            self._index()
 
     def expire_lapsed(self, now_s: float) -> None:
         """Drop the instances that did not come back in time."""
