placement: patterns of load replayed beside an oracle

Cause: the choice of instances had no replay with several first hops and no figure of what could be served at best.

Bound of the tests: 0.99 of the oracle, and better than load alone where instances are slow or shed.

--- /dev/null
+++ b/tests/savoryroute/coordination/test_load_patterns.py
@@ -0,0 +1,62 @@
+"""The choice of instances under the loads that are hardest on it."""
+
+import unittest
+from unittest import mock
+
+from savoryroute.coordination.host_choice import BASE_LOAD, InstanceRecord
+from tests.fleet_replay import FleetReplay
+from tests.load_patterns import PATTERNS
+
+SEEDS = range(2)
+
+
+def load_alone(record, now_s, slots, usual_s):
+    """Return the cost that knows neither slowness nor failures."""
+    return record.load(now_s, slots) + BASE_LOAD
+
+
+def play(name, seed):
+    pattern = PATTERNS[name]
+    return FleetReplay(pattern.spec, pattern.load, seed).play().in_target
+
+
+def oracle(name, seed):
+    pattern = PATTERNS[name]
+    return FleetReplay(pattern.spec, pattern.load, seed).play_oracle().in_target
+
+
+class GainTest(unittest.TestCase):
+    """What slowness and failures are known for, beside load alone."""
+
+    def assert_gain(self, name):
+        for seed in SEEDS:
+            present = play(name, seed)
+            with mock.patch.object(InstanceRecord, "cost", load_alone):
+                without = play(name, seed)
+            self.assertGreater(present, without)
+
+    def test_two_instances_turn_six_times_slower(self):
+        self.assert_gain("two instances six times slower")
+
+    def test_half_of_the_instances_shed_half_of_their_calls(self):
+        self.assert_gain("half shed half of their calls")
+
+
+class OracleTest(unittest.TestCase):
+    """99% of what could be served by one that knows all speeds and faults."""
+
+    def assert_near_oracle(self, name):
+        for seed in SEEDS:
+            self.assertGreater(play(name, seed), 0.99 * oracle(name, seed))
+
+    def test_burst(self):
+        self.assert_near_oracle("burst of 1.8")
+
+    def test_slow_instances(self):
+        self.assert_near_oracle("two instances six times slower")
+
+    def test_shedding_instances(self):
+        self.assert_near_oracle("half shed half of their calls")
+
+    def test_callers_in_one_domain(self):
+        self.assert_near_oracle("all callers move to one domain")
