--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -303,7 +303,7 @@
         self._records.given_up(forwarding, verdict, reason, status, detail)
         self._answer_problem(forwarding.exchange, status, reason, back_s)
 
-    def _return_time_s(self, forwarding: Forwarding) -> float | None:
+    def _return_time_s(self, forwarding: Forwarding) -> float:
         answer = forwarding.answer
         wait_s = 0.0 if answer is None else answer.wait_ms / 1000
         time_left_s = forwarding.deadline_s - time.monotonic()
--- a/packages/savoryroute/savoryroute/state/fleet_view.py
+++ b/packages/savoryroute/savoryroute/state/fleet_view.py
@@ -102,15 +102,6 @@
         """Return the listed instance that holds an address."""
         return self._holders.get(ip)
 
-    def replace(self, revision: int, instances: dict[str, Instance]) -> bool:
-        """Take over a whole list; return whether it is newer than this view."""
-        if revision <= self._revision:
-            return False
-        self._revision = revision
-        self._instances = dict(instances)
-        self._index()
-        return True
-
     def apply(
         self,
         revision: int,
--- a/tests/savoryroute/state/test_fleet_view.py
+++ b/tests/savoryroute/state/test_fleet_view.py
@@ -11,13 +11,13 @@
 class FleetViewTest(unittest.TestCase):
     def setUp(self):
         self.view = FleetView()
-        self.view.replace(5, {"a": instance("a"), "b": instance("b")})
+        self.view.apply(5, {"a": instance("a"), "b": instance("b")})
 
     def ids(self):
         return sorted(item.id for item in self.view.of_service("planner"))
 
     def test_older_list_is_not_taken(self):
-        self.assertFalse(self.view.replace(5, {}))
+        self.view.apply(5, {"a": None})
         self.view.apply(4, {"a": None})
         self.assertEqual(self.ids(), ["a", "b"])
 
