reading: one piece where the change wrote a second one

PeerLinks.tell goes. - opening a connection returned a connection or a text; it returns a Result. - three replays had a queue of their own: tests/virtual_time.py. A doc text of the fingerprint said what it no longer is.

Conclusion: what the daemons decide is the same; nothing measured changes.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -212,31 +212,34 @@
             self._ask_peers()
 
     def _ask_peers(self) -> None:
-        """Ask peers for newer routes and instances, on links of either side."""
-        own_ip = self._settings.callers.ip
-        linked = {link.peer_ip: link for link in self._links_in if link.is_open}
-        open_ips = [*{*self._links.open_ips, *linked}]
+        """Ask peers for newer routes and instances, if it is time to."""
+        keeper = self._keeper
+        if not keeper.is_time_to_ask():
+            return
+        wires = self._open_wires()
         others: list[str] = []
-        if not open_ips:
+        if not wires:
             others = [seed.ip for seed in self._settings.seeds]
-            others += [item.ip for item in self._keeper.view.instances.values()]
-        question = self._keeper.question().to_frame()
-        for ip in self._keeper.peers_to_ask(open_ips, others):
-            if ip in linked:
-                linked[ip].send(question)
-            elif ip != own_ip and not self._links.tell(ip, question):
+            others += [item.ip for item in keeper.view.instances.values()]
+        question = keeper.question().to_frame()
+        for ip in keeper.peers_to_ask([*wires], others):
+            if ip in wires:
+                wires[ip].send(question)
+            elif ip != self._settings.callers.ip:
                 self._links.dial(ip)
 
     def _spread(self, news: ViewNews, origin: str) -> None:
-        """Tell some peers of a change, on links of either side."""
-        links = {link.peer_ip: link for link in self._links_in if link.is_open}
-        ips = sorted({*self._links.open_ips, *links} - {origin})
+        """Tell some peers of a change."""
+        wires = self._open_wires()
+        ips = sorted(wires.keys() - {origin})
         frame = news.to_frame()
         for ip in self._rng.sample(ips, min(len(ips), TOLD_OF_CHANGE)):
-            if ip in links:
-                links[ip].send(frame)
-            else:
-                self._links.tell(ip, frame)
+            wires[ip].send(frame)
+
+    def _open_wires(self) -> dict[str, FrameLink]:
+        """Return an open connection to each peer, whichever side opened it."""
+        accepted = {link.peer_ip: link for link in self._links_in if link.is_open}
+        return self._links.open_wires | accepted
 
     def _limits(self) -> CallerLimits:
         table = self._keeper.table
@@ -287,7 +290,7 @@
             "slots": self._line.slots,
             "upstream_runs": self._upstream.n_runs,
             "upstream_connections_opened": self._pool.n_opened,
-            "links_open": len(self._links.open_ips),
+            "links_open": len(self._links.open_wires),
             "routes_version": -1 if keeper.table is None else keeper.table.version,
             "list_revision": keeper.view.revision,
             "instances": len(keeper.view.instances),
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -74,9 +74,9 @@
         self._unreachable_until_s: dict[str, float] = {}
 
     @property
-    def open_ips(self) -> list[str]:
-        """Addresses of the hosts with an open link."""
-        return [ip for ip, link in self._links.items() if link.wire.is_open]
+    def open_wires(self) -> dict[str, FrameLink]:
+        """Open connections by address of the peer's host."""
+        return {ip: link.wire for ip, link in self._links.items() if link.wire.is_open}
 
     def is_suspect(self, ip: str) -> bool:
         """Return whether a host is silent, or could not be reached of late."""
@@ -121,14 +121,6 @@
         if link is not None and link.waiting.pop(call.id, None) is not None:
             link.wire.send([FrameKind.CANCEL.value, call.id])
 
-    def tell(self, ip: str, frame: list[Any]) -> bool:
-        """Send a frame on an open link; return whether there was one."""
-        link = self._links.get(ip)
-        if link is None or not link.wire.is_open:
-            return False
-        link.wire.send(frame)
-        return True
-
     def tell_all(self, frame: list[Any]) -> None:
         """Send a frame on all open links."""
         for link in self._links.values():
--- a/packages/savoryroute/savoryroute/coordination/view_keeper.py
+++ b/packages/savoryroute/savoryroute/coordination/view_keeper.py
@@ -255,25 +255,34 @@
             lapse_ms=int(lapse_s * 1000),
         )
 
+    def is_time_to_ask(self) -> bool:
+        """Return whether peers are to be asked now; the next time is after a while."""
+        interval_s = ASK_INTERVAL_CUT_S if self._is_cut() else ASK_INTERVAL_S
+        now_s = time.monotonic()
+        if now_s - self._asked_s < interval_s * self._rng.uniform(0.8, 1.2):
+            return False
+        self._asked_s = now_s
+        return True
+
     def peers_to_ask(self, open_ips: list[str], other_ips: list[str]) -> list[str]:
-        """Return the peers to ask now, none where it is not yet time.
+        """Return the peers to ask.
 
         Args:
             open_ips: Hosts with an open link.
             other_ips: Further hosts that are known.
         """
-        now_s = time.monotonic()
-        is_cut = (
-            self._cut_since_s is not None and now_s - self._cut_since_s > CUT_AFTER_S
-        ) or self._table is None
-        interval_s = ASK_INTERVAL_CUT_S if is_cut else ASK_INTERVAL_S
-        if now_s - self._asked_s < interval_s * self._rng.uniform(0.8, 1.2):
-            return []
-        self._asked_s = now_s
+        is_cut = self._is_cut()
         candidates = open_ips or (other_ips if is_cut else [])
         n_asked = min(len(candidates), ASKED_WHEN_CUT if is_cut else 1)
         return self._rng.sample(candidates, n_asked)
 
+    def _is_cut(self) -> bool:
+        """Return whether the platform was silent of late, or told no routes yet."""
+        if self._table is None:
+            return True
+        since_s = self._cut_since_s
+        return since_s is not None and time.monotonic() - since_s > CUT_AFTER_S
+
     def _lapse_until_s(self) -> float | None:
         """Return until when removed instances stay, None for removal at once."""
         since_regained_s = time.monotonic() - self._regained_s
--- a/packages/savoryroute/savoryroute/protocol/header_names.py
+++ b/packages/savoryroute/savoryroute/protocol/header_names.py
@@ -4,24 +4,12 @@
 
 import attrs
 
+from . import headers
+
 __all__ = ["HOP_BY_HOP", "HeaderNames"]
 
-# Headers that concern one connection (RFC 9110, section 7.6.1) or that are set anew.
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
+# As bytes, which is how heads of requests and answers are read here.
+HOP_BY_HOP = frozenset(name.encode() for name in headers.HOP_BY_HOP)
 
 
 @attrs.frozen
--- a/packages/savoryroute/savoryroute/protocol/headers.py
+++ b/packages/savoryroute/savoryroute/protocol/headers.py
@@ -33,12 +33,12 @@
 TRACESTATE = "tracestate"
 VERDICT = "Savoryroute-Verdict"
 
+# Headers that concern one connection (RFC 9110, section 7.6.1) or that are set anew.
 HOP_BY_HOP = frozenset(
     {
         "connection",
         "content-length",
         "expect",
-        "host",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
@@ -52,6 +52,7 @@
 _OWN = frozenset(
     {
         "date",
+        "host",
         "server",
         "savoryroute-cancels",
         "savoryroute-class",
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -48,7 +48,7 @@
         may_repeat: Whether the request is idempotent.
         is_head: Whether its method is HEAD.
         request_id: Identity that the upstream echoes.
-        fingerprint: Digest of caller, target and body.
+        fingerprint: Digest under which equal requests are the same suspect.
         head: Request line and headers, without the empty line.
         body: The whole body.
     """
--- a/packages/savoryroute/savoryroute/state/checking.py
+++ b/packages/savoryroute/savoryroute/state/checking.py
@@ -10,7 +10,7 @@
 from ..errors import CheckError
 from .address import PORT_MAX, Address
 
-__all__ = ["Members", "describe"]
+__all__ = ["Members", "describe", "parse_duration"]
 
 NAME_PATTERN = re.compile(r"[a-z][a-z0-9_-]{0,63}")
 NAME_ALLOWED = "1 to 64 of a-z, 0-9, - and _, a letter first"
@@ -20,6 +20,14 @@
 _REQUIRED = object()
 
 
+def parse_duration(value: object) -> float | None:
+    """Return the seconds in a duration such as ``"250ms"``, None if it is none."""
+    match = DURATION_PATTERN.fullmatch(value) if type(value) is str else None
+    if match is None:
+        return None
+    return float(match[1]) / (1000.0 if match[2] == "ms" else 1.0)
+
+
 def describe(value: object) -> str:
     """Return a short text that shows a value of any type."""
     if isinstance(value, dict):
@@ -158,11 +166,8 @@
     def seconds(self, name: str, low: float, high: float) -> float:
         """Return a duration such as ``"250ms"`` or ``"1.5s"`` in seconds."""
         value = self.get(name)
-        match = DURATION_PATTERN.fullmatch(value) if type(value) is str else None
-        seconds = 0.0
-        if match is not None:
-            seconds = float(match[1]) / (1000.0 if match[2] == "ms" else 1.0)
-        if match is None or not low <= seconds <= high:
+        seconds = parse_duration(value)
+        if seconds is None or not low <= seconds <= high:
             allowed = f"a number with ms or s, from {low:g}s to {high:g}s"
             self.fail(name, value, allowed)
         return seconds
--- a/packages/savoryroute/savoryroute/state/parsing.py
+++ b/packages/savoryroute/savoryroute/state/parsing.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import json
+import os
+import pathlib
 import re
 
 import json5
 
 from ..errors import CheckError
 
-__all__ = ["JSON5_BYTES_MAX", "TEXT_BYTES_MAX", "is_strict_json", "parse_object"]
+__all__ = [
+    "JSON5_BYTES_MAX",
+    "TEXT_BYTES_MAX",
+    "is_strict_json",
+    "parse_object",
+    "read_text",
+]
 
 TEXT_BYTES_MAX = 1_000_000
 JSON5_BYTES_MAX = 64 * 1024
@@ -34,6 +42,27 @@
     return True
 
 
+def read_text(path: str | os.PathLike[str], error: type[CheckError]) -> str:
+    """Read a text file; one byte beyond ``TEXT_BYTES_MAX`` shows that it is too large.
+
+    Args:
+        path: Path of the file.
+        error: Kind of error to raise.
+
+    Raises:
+        CheckError: The file cannot be read or is not UTF-8.
+    """
+    source = os.fspath(path)
+    try:
+        with pathlib.Path(path).open("rb") as file:
+            return file.read(TEXT_BYTES_MAX + 1).decode()
+    except OSError as exc:
+        allowed = "a readable file"
+        raise error(source, "file", str(exc.strerror), allowed) from exc
+    except UnicodeDecodeError as exc:
+        raise error(source, f"byte {exc.start}", exc.reason, "UTF-8") from exc
+
+
 def parse_object(text: str, source: str, error: type[CheckError]) -> dict:
     """Parse strict JSON, else JSON with comments, into an object.
 
--- a/packages/savoryroute/savoryroute/state/settings_file.py
+++ b/packages/savoryroute/savoryroute/state/settings_file.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import pathlib
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -11,7 +10,7 @@
 
 from ..errors import SettingsError
 from .checking import Members
-from .parsing import TEXT_BYTES_MAX, parse_object
+from .parsing import parse_object, read_text
 
 __all__ = ["parse_settings_text", "read_settings_file"]
 
@@ -28,15 +27,11 @@
         read: Returns the settings in the members of the file; raises
             ``SettingsError`` where they cannot be used.
     """
-    source = os.fspath(path)
     try:
-        with pathlib.Path(path).open("rb") as file:
-            text = file.read(TEXT_BYTES_MAX + 1).decode()
-    except OSError as exc:
-        return Err(SettingsError(source, "file", str(exc.strerror), "a readable file"))
-    except UnicodeDecodeError as exc:
-        return Err(SettingsError(source, f"byte {exc.start}", exc.reason, "UTF-8"))
-    return parse_settings_text(text, source, read)
+        text = read_text(path, SettingsError)
+    except SettingsError as exc:
+        return Err(exc)
+    return parse_settings_text(text, os.fspath(path), read)
 
 
 def parse_settings_text(
--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine
 
 import httptools
+from result import Err, Ok, Result
 
 from .keepalive import keep_probing
 from .wire_answer import Lost, LostKind, WireAnswer
@@ -351,23 +352,23 @@
 
     async def _open(self, pending: Pending) -> None:
         """Open a connection for an exchange and start it."""
-        connection = await self._connect()
-        if isinstance(connection, str):
-            pending.finish(Lost(LostKind.NOT_SENT, connection))
+        opened = await self._connect()
+        if isinstance(opened, Err):
+            pending.finish(Lost(LostKind.NOT_SENT, opened.err_value))
         elif pending.is_done:
-            self.give_back(connection)
+            self.give_back(opened.ok_value)
         else:
-            connection.start(pending)
+            opened.ok_value.start(pending)
 
     async def _open_spare(self, on_opened: Callable[[str | None], None]) -> None:
-        connection = await self._connect()
-        if isinstance(connection, str):
-            on_opened(connection)
+        opened = await self._connect()
+        if isinstance(opened, Err):
+            on_opened(opened.err_value)
             return
-        self.give_back(connection)
+        self.give_back(opened.ok_value)
         on_opened(None)
 
-    async def _connect(self) -> _Connection | str:
+    async def _connect(self) -> Result[_Connection, str]:
         """Return a new connection, or why there is none."""
         loop = asyncio.get_running_loop()
         try:
@@ -376,6 +377,6 @@
                     lambda: _Connection(self), self._ip, self._port
                 )
         except (OSError, TimeoutError) as error:
-            return f"no connection to {self._ip}:{self._port}: {error!r:.80}"
+            return Err(f"no connection to {self._ip}:{self._port}: {error!r:.80}")
         self._n_opened += 1
-        return connection
+        return Ok(connection)
--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -20,7 +20,6 @@
 
 READ_AHEAD_BYTES_MAX = 256 * 1024
 LISTEN_BACKLOG = 1024
-SWEEP_INTERVAL_S = 0.25
 # A caller that does not read its answer for this long loses its connection.
 WRITE_STALL_S = 20.0
 
--- a/packages/savoryroute_cli/savoryroute_cli/documents.py
+++ b/packages/savoryroute_cli/savoryroute_cli/documents.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import pathlib
 from collections.abc import Iterator
 
 from result import Err, Ok, Result
@@ -11,7 +10,7 @@
 from savoryroute.errors import DocumentError
 from savoryroute.state.difference import Operation, make_difference
 from savoryroute.state.document import Document, parse_document
-from savoryroute.state.parsing import TEXT_BYTES_MAX
+from savoryroute.state.parsing import TEXT_BYTES_MAX, read_text
 
 __all__ = ["list_changes", "read_document", "render_document"]
 
@@ -19,12 +18,9 @@
 def read_document(path: str) -> Result[Document, DocumentError]:
     """Read and check the document in a file."""
     try:
-        with pathlib.Path(path).open("rb") as file:
-            text = file.read(TEXT_BYTES_MAX + 1).decode()
-    except OSError as exc:
-        return Err(DocumentError(path, "file", str(exc.strerror), "a readable file"))
-    except UnicodeDecodeError as exc:
-        return Err(DocumentError(path, f"byte {exc.start}", exc.reason, "UTF-8"))
+        text = read_text(path, DocumentError)
+    except DocumentError as exc:
+        return Err(exc)
     return parse_document(text, path)
 
 
--- a/tests/fleet_replay.py
+++ b/tests/fleet_replay.py
@@ -8,9 +8,7 @@
 from __future__ import annotations
 
 import heapq
-import itertools
 import random
-from collections.abc import Callable
 
 import attrs
 
@@ -21,6 +19,8 @@
 from savoryroute.state.fleet_view import Instance, ServiceInstances
 from savoryroute.verdict import Reason, Verdict
 
+from .virtual_time import VirtualTime
+
 __all__ = ["Fault", "FleetReplay", "Load", "Outcome", "Spec"]
 
 # One way between hosts, in seconds.
@@ -163,16 +163,14 @@
         self._spec = spec
         self._load = load
         self._rng = random.Random(seed)
-        self._now_s = 0.0
-        self._events: list = []
-        self._numbers = itertools.count()
+        self._time = VirtualTime()
         self._instances = [
             Instance(
                 f"i{index}", "s", f"ip{index}", self._domain(index), spec.slots, True
             )
             for index in range(len(spec.speeds))
         ]
-        clock = self._clock
+        clock = self._time.now_s
         self._lines = [WaitingLine(spec.slots, clock) for _ in spec.speeds]
         self.choices = [
             HostChoice(f"hop{hop}", self._domain(hop), random.Random(seed + hop), clock)
@@ -185,14 +183,12 @@
         for at_s, work_s, hop in self._load.draw(self._rng, self._spec.n_hops):
             call = _Call(at_s, work_s, hop)
             outcome.n_calls += 1
-            self._at(at_s, lambda call=call: self._place(call, outcome))
-            self._at(
+            self._time.at(at_s, lambda call=call: self._place(call, outcome))
+            self._time.at(
                 at_s + self._load.timeout_s,
                 lambda call=call: self._run_out(call, outcome),
             )
-        while self._events:
-            self._now_s, _, action = heapq.heappop(self._events)
-            action()
+        self._time.run()
         return outcome
 
     def play_oracle(self) -> Outcome:
@@ -221,9 +217,6 @@
             outcome.latencies_s.append(end_s - at_s)
         return outcome
 
-    def _clock(self) -> float:
-        return self._now_s
-
     def _domain(self, number: int) -> str:
         return f"d{number % self._spec.n_domains}"
 
@@ -231,16 +224,13 @@
         is_near = self._domain(hop) == self._domain(index)
         return NEAR_S if is_near else FAR_S
 
-    def _at(self, at_s: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (at_s, next(self._numbers), action))
-
     def _place(self, call: _Call, outcome: Outcome) -> None:
         if call.is_over:
             return
         listed = [
             instance
             for index, instance in enumerate(self._instances)
-            if not self._spec.is_draining(index, self._now_s)
+            if not self._spec.is_draining(index, self._time.now_s())
         ]
         choice = self.choices[call.hop]
         instance = choice.choose(ServiceInstances(listed), call.tried, lambda ip: False)
@@ -250,8 +240,8 @@
         call.index = self._instances.index(instance)
         call.tried.append(instance.id)
         call.sent = choice.note_sent(instance, "r")
-        arrival_s = self._now_s + self._reach_s(call.hop, call.index)
-        self._at(arrival_s, lambda: self._offer(call, outcome))
+        reach_s = self._reach_s(call.hop, call.index)
+        self._time.after(reach_s, lambda: self._offer(call, outcome))
 
     def _offer(self, call: _Call, outcome: Outcome) -> None:
         spec, index = self._spec, call.index
@@ -259,13 +249,14 @@
         sent = call.sent
 
         def start() -> None:
-            shed_share = sum(fault.shed_share for fault in spec.at(index, self._now_s))
+            now_s = self._time.now_s()
+            shed_share = sum(fault.shed_share for fault in spec.at(index, now_s))
             outcome.n_arrivals += 1
             if self._rng.random() < shed_share:
-                self._at(self._now_s, lambda: finish(None, was_sent=True))
+                self._time.after(0.0, lambda: finish(None, was_sent=True))
                 return
-            work_s = spec.work_s(index, call.work_s, self._now_s)
-            self._at(self._now_s + work_s, lambda: finish(work_s))
+            work_s = spec.work_s(index, call.work_s, now_s)
+            self._time.after(work_s, lambda: finish(work_s))
 
         def finish(work_s: float | None, was_sent: bool = False) -> None:
             line.finish("r", work_s)
@@ -284,7 +275,7 @@
         if reason is not None:
             turn_away(reason)
         elif waiting.expires_s:
-            self._at(waiting.expires_s, line.expire)
+            self._time.at(waiting.expires_s, line.expire)
 
     def _answer(
         self,
@@ -308,8 +299,10 @@
             limit=line.slots,
             is_load=reason is not None,
         )
-        back_s = self._now_s + self._reach_s(call.hop, index)
-        self._at(back_s, lambda: self._settle(call, sent, index, answer, outcome))
+        self._time.after(
+            self._reach_s(call.hop, index),
+            lambda: self._settle(call, sent, index, answer, outcome),
+        )
 
     def _settle(
         self,
@@ -327,7 +320,7 @@
         step = next_step(answer, True, len(call.tried), call.n_arrivals, ATTEMPTS_MAX)
         if step is NextStep.DELIVER:
             call.is_over = True
-            total_s = self._now_s - call.at_s
+            total_s = self._time.now_s() - call.at_s
             outcome.n_in_target += total_s <= self._load.target_s
             outcome.latencies_s.append(total_s)
         elif step is NextStep.GIVE_UP:
--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
 
 import attrs
 
 from savoryroute.coordination.waiting_line import LineCall, WaitingLine
 
+from .virtual_time import VirtualTime
+
 
 @attrs.define
 class ReplayedCall:
@@ -48,23 +48,16 @@
     """The line and an upstream of fixed slots, driven by an event queue."""
 
     def __init__(self, slots: int, patience_share: float) -> None:
-        self._now_s = 0.0
-        self._events: list = []
-        self._numbers = itertools.count()
+        self._time = VirtualTime()
         self._patience_share = patience_share
         self.n_refused_while_free = 0
-        self.line = WaitingLine(slots, lambda: self._now_s)
+        self.line = WaitingLine(slots, self._time.now_s)
 
     def play(self, calls: list[ReplayedCall]) -> None:
         """Play all calls to their ends."""
         for call in calls:
-            self._at(call.at_s, lambda call=call: self._arrive(call))
-        while self._events:
-            self._now_s, _, action = heapq.heappop(self._events)
-            action()
-
-    def _at(self, at_s: float, action) -> None:
-        heapq.heappush(self._events, (at_s, next(self._numbers), action))
+            self._time.at(call.at_s, lambda call=call: self._arrive(call))
+        self._time.run()
 
     def _arrive(self, call: ReplayedCall) -> None:
         line_call = LineCall(
@@ -72,20 +65,20 @@
             str(call.rank),
             call.at_s + call.timeout_s,
             call.target_s * self._patience_share,
-            lambda: self._at(self._now_s + call.work_s, lambda: self._end(call)),
+            lambda: self._time.after(call.work_s, lambda: self._end(call)),
             lambda reason: self._refuse(call),
         )
         if self.line.offer(line_call) is not None:
             self._refuse(call)
         elif line_call.expires_s:
-            self._at(line_call.expires_s, self.line.expire)
+            self._time.at(line_call.expires_s, self.line.expire)
 
     def _end(self, call: ReplayedCall) -> None:
-        call.ended_s = self._now_s
+        call.ended_s = self._time.now_s()
         self.line.finish(str(call.rank), call.work_s)
 
     def _refuse(self, call: ReplayedCall) -> None:
-        call.refused_s = self._now_s
+        call.refused_s = self._time.now_s()
         if self.line.n_running < self.line.slots and not self.line.n_waiting:
             self.n_refused_while_free += 1
 
--- a/tests/savoryroute/coordination/test_throttle.py
+++ b/tests/savoryroute/coordination/test_throttle.py
@@ -1,10 +1,9 @@
-import heapq
-import itertools
 import random
 import unittest
 
 from savoryroute.coordination.throttle import ActionThrottle
 from savoryroute.coordination.waiting_line import LineCall, WaitingLine
+from tests.virtual_time import VirtualTime
 
 CALLS = 4
 CALL_S = 0.03
@@ -22,36 +21,30 @@
     """
 
     def __init__(self, seed, is_throttled, slow=lambda now_s: 1.0):
-        self.now_s = 0.0
+        self.time = VirtualTime()
         self.rng = random.Random(seed)
-        self.events, self.numbers = [], itertools.count()
-        self.line = WaitingLine(SLOTS, lambda: self.now_s)
+        self.line = WaitingLine(SLOTS, self.time.now_s)
         self.throttles = [
-            ActionThrottle(lambda: self.now_s, self.rng) for _ in range(N_FIRST_HOPS)
+            ActionThrottle(self.time.now_s, self.rng) for _ in range(N_FIRST_HOPS)
         ]
         self.is_throttled, self.slow = is_throttled, slow
         self.served = []
         self.arrived = []
 
-    def at(self, at_s, action):
-        heapq.heappush(self.events, (at_s, next(self.numbers), action))
-
     def play(self, per_s, seconds):
         for rank, rate in per_s.items():
             at_s = 0.0
             while (at_s := at_s + self.rng.expovariate(rate)) < seconds:
-                self.at(at_s, lambda rank=rank: self.arrive(rank))
-        while self.events:
-            self.now_s, _, action = heapq.heappop(self.events)
-            action()
+                self.time.at(at_s, lambda rank=rank: self.arrive(rank))
+        self.time.run()
         return self
 
     def arrive(self, rank):
-        self.arrived.append((self.now_s, rank))
+        self.arrived.append((self.time.now_s(), rank))
         hop = self.rng.randrange(N_FIRST_HOPS)
         admitted = self.throttles[hop].admits(f"r{rank}", rank)
         if not self.is_throttled or admitted:
-            self.call(hop, rank, self.now_s, 0)
+            self.call(hop, rank, self.time.now_s(), 0)
 
     def call(self, hop, rank, began_s, n_done):
         if n_done == CALLS:
@@ -63,23 +56,21 @@
             "call",
             began_s + TIMEOUT_S,
             0.045,
-            lambda: self.at(
-                self.now_s
-                + CALL_S * self.slow(self.now_s) * self.rng.uniform(0.5, 1.5),
-                lambda: self.finish(hop, rank, began_s, n_done),
+            lambda: self.time.after(
+                self.work_s(), lambda: self.finish(hop, rank, began_s, n_done)
             ),
             lambda reason: self.end(hop, rank, True),
         )
         if self.line.offer(call) is not None:
             self.end(hop, rank, True)
         elif call.expires_s:
-            self.at(call.expires_s, self.line.expire)
+            self.time.at(call.expires_s, self.line.expire)
 
     def work_s(self):
-        return CALL_S * self.slow(self.now_s) * self.rng.uniform(0.5, 1.5)
+        return CALL_S * self.slow(self.time.now_s()) * self.rng.uniform(0.5, 1.5)
 
     def finish(self, hop, rank, began_s, n_done):
-        self.line.finish("call", CALL_S * self.slow(self.now_s))
+        self.line.finish("call", CALL_S * self.slow(self.time.now_s()))
         self.call(hop, rank, began_s, n_done + 1)
 
     def end(self, hop, rank, is_load_failure):
--- a/tests/savoryroute_platform/mesh_world.py
+++ b/tests/savoryroute_platform/mesh_world.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import json
-import socket
 
 import httptools
 from savoryroute_platform.codec import decode_routes
@@ -16,6 +15,7 @@
 from savoryroute.coordination.mesh_node import MeshNode
 from savoryroute.state.event_log import EventLog
 from savoryroute.state.mesh_settings import parse_mesh_settings
+from savoryroute_lab.wiring import free_ports
 
 from .stand_ins import StoreStandIn, UpstreamStandIn, configuration, entry, path
 
@@ -23,17 +23,6 @@
 _nets = itertools.count(1)
 
 
-def free_ports(n_ports: int) -> list[int]:
-    """Return ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(n_ports)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 class Answer:
     """What a caller got."""
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 
-from tests.savoryroute_platform.mesh_world import free_ports
+from savoryroute_lab.wiring import free_ports
 from tests.savoryroute_platform.stand_ins import (
     StoreStandIn,
     UpstreamStandIn,
