Decode every part of a configuration that can be read

An unknown kind is never run again; priority, timeout, target latency, attempts and limits have careful defaults; a route whose service cannot be read stays in the table and is refused with 503, and a request without a route is refused with 503 rather than 404 while a host name or prefix is unreadable. Ruled out: leaving such routes out, since their requests would run at the service of a shorter prefix or get a 404. Each such field is a line route_defect and counts in savoryroute_routes_defects.

The old check of an unexpected field value indexed the first part; a route without parts is now allowed there only if a defect names its service. configuration.py holds routes, instance_entry.py (formerly codec.py) the entries.

Result: test_configuration and test_unreadable_routes, 25 tests with the fuzz, pass.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -34,7 +34,7 @@
 DOWNSTREAM_QUEUE_TIMEOUT_SHARE = 0.5
 # No attempt is sent with less time in seconds left than this.
 MIN_TIME_LEFT_S = 0.01
-# Retry-After in seconds of a daemon that has no routes yet.
+# Retry-After in seconds of a daemon that has no routes yet or cannot read one.
 NO_ROUTES_RETRY_AFTER_S = 0.5
 
 _JSON_HEADER = b"Content-Type: application/json\r\n"
@@ -113,9 +113,15 @@
             return
         fields = read_request_head(request, self._names, self._caller_header)
         route = table.find(fields.host, request.target.decode("latin-1"))
-        if route is None:
+        if route is None and table.is_complete:
             self._answer_problem(exchange, 404, Reason.UNKNOWN_ROUTE, None)
             return
+        if route is None or not route.parts:
+            # Published, but this daemon cannot read where its requests go.
+            self._answer_problem(
+                exchange, 503, Reason.UNREADABLE_ROUTE, NO_ROUTES_RETRY_AFTER_S
+            )
+            return
         forwarded = self._open(exchange, route, fields)
         if forwarded.parent is None and not self._throttle.admits(
             route.name, route.rank
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -302,6 +302,9 @@
             "routes_version": -1
             if synchronizer.table is None
             else synchronizer.table.version,
+            "routes_defects": 0
+            if synchronizer.table is None
+            else len(synchronizer.table.defects),
             "list_revision": synchronizer.view.revision,
             "instances": len(synchronizer.view.instances),
             "platform_heard": int(synchronizer.is_platform_reachable),
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -35,6 +35,9 @@
 # Seconds without an answer from the platform after which it counts as disconnected.
 DISCONNECTED_AFTER_S = 1.0
 
+# Lines logged about fields of one version of the routes that could not be read.
+N_DEFECTS_LOGGED_MAX = 20
+
 # Upper bound in seconds on the age of the list that is sent to peers; older lists all
 # count the same.
 AGE_MAX_S = 3600.0
@@ -137,7 +140,15 @@
         old = None if self._table is None else self._table.version
         self._table = table
         self._routes_source = source
-        self._log.change("routes_in_force", version=table.version, old=old, by=origin)
+        self._log.change(
+            "routes_in_force",
+            version=table.version,
+            old=old,
+            by=origin,
+            defects=len(table.defects),
+        )
+        for defect in table.defects[:N_DEFECTS_LOGGED_MAX]:
+            self._log.change("route_defect", version=table.version, detail=defect)
         self._on_change()
 
     def merge_list(self, revision: int, instances: dict[str, Instance]) -> None:
--- a/packages/savoryroute/savoryroute/protocol/problem.py
+++ b/packages/savoryroute/savoryroute/protocol/problem.py
@@ -38,6 +38,7 @@
     Reason.BAD_ANSWER: 502,
     Reason.UNKNOWN_SERVICE: 404,
     Reason.UNKNOWN_ROUTE: 404,
+    Reason.UNREADABLE_ROUTE: 503,
 }
 
 
--- a/packages/savoryroute/savoryroute/state/route_table.py
+++ b/packages/savoryroute/savoryroute/state/route_table.py
@@ -39,7 +39,8 @@
         timeout_s: Maximum time in seconds until the final answer.
         target_latency_s: Target for the time until the answer, in seconds.
         attempts_max: Maximum number of upstreams to which one request is sent.
-        parts: Services that handle the route, with their weights.
+        parts: Services that handle the route, with their weights; none if they could
+            not be read, so that its requests are refused.
     """
 
     name: str
@@ -89,12 +90,18 @@
         routes: Routes by host name in lower case.
         services: Limits of the services by name.
         limits: Limits on requests and connections of callers.
+        defects: Fields of the published routes that could not be read, and what
+            applies instead, one sentence each.
+        is_complete: Whether host name and prefix of all published routes are known.
+            If not, a request without a route may belong to a route that is missing.
     """
 
     version: int
     routes: dict[str, tuple[TableRoute, ...]]
     services: dict[str, ServiceLimits]
     limits: CallerLimits = CallerLimits()
+    defects: tuple[str, ...] = ()
+    is_complete: bool = True
     _by_prefix: dict[str, dict[str, TableRoute]] = attrs.field(
         init=False, repr=False, eq=False
     )
--- a/packages/savoryroute/savoryroute/verdict.py
+++ b/packages/savoryroute/savoryroute/verdict.py
@@ -44,6 +44,7 @@
     BAD_ANSWER = "bad_answer"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_ROUTE = "unknown_route"
+    UNREADABLE_ROUTE = "unreadable_route"
 
 
 @attrs.frozen
--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -7,7 +7,7 @@
 import json
 
 import httptools
-from savoryroute_platform.codec import decode_routes
+from savoryroute_platform.configuration import decode_routes
 from savoryroute_platform.names import HEADERS, READY_PATH
 from savoryroute_platform.store import StoreClient
 from savoryroute_platform.watchers import follow_configuration, follow_instances
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -8,9 +8,19 @@
 from collections import Counter
 from urllib.parse import parse_qs, urlsplit
 
+from hypothesis import strategies as st
+
 from savoryroute.state.route_table import CallerLimits
 from savoryroute.transport.http_server import CallersListener, Exchange
 
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+)
+
 
 class StoreStandIn:
     """Store that keeps items, pending watches and a history of changes in memory."""
