Send long request bodies between daemons in pieces, within a memory bound

Cause: a body was held whole, sent as one frame and held whole again. On a link of 10 Mbit/s a body of 360 kB kept a ping waiting for 0.29 s, longer than the 0.25 s after which a peer counts as unreachable; a link lost in the middle of a body gave 502 although the peer cannot have started the call; a deadline then gave 504; a body that stopped arriving was waited for without end; nothing bounded the memory of a burst; the caller's time was counted from the last byte, so that upstreams got more time than was left.

Change: bodies above 16 KiB follow their call in pieces that take turns and that other frames overtake (protocol/body_transfer.py). A call starts only with its complete body, so one whose last piece was not written is refused or placed elsewhere as not run. Bodies take up at most 15% of the memory in each daemon (state/body_budget.py); longer ones are refused before they are read, with Retry-After, on a connection that is kept. A body has to arrive at a lowest rate; deadlines count from the first byte. The copy of a body beside the upstream is dropped once written, and no second one is made for the write. Calls of peers are a class of their own (peer_calls.py, split from mesh_node.py). Also in the server: a refusal of a body still being sent reaches its caller (it was lost to a reset), an invalid pipelined request no longer cuts off the request before it, no 100 Continue precedes a 413; in the links: a replaced link answers its calls. Ruled out: passing a body on to the upstream while it arrives, since a link lost in the middle would then leave a request that may have run.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -123,6 +123,10 @@
             )
             return
         forwarded = self._open(exchange, route, fields)
+        if request.is_body_skipped:
+            detail = "no memory for the body: other bodies take up too much"
+            self._give_up(forwarded, Reason.OVERLOAD, detail)
+            return
         if forwarded.parent is None and not self._throttle.admits(
             route.name, route.rank
         ):
@@ -153,7 +157,7 @@
             route,
             self._split.next_service(route.parts),
             fields.request_id,
-            request.read_s + time_left_s,
+            request.begun_s + time_left_s,
         )
         parent = forwarded.parent = self._upstream.parent_of(fields.request_id)
         queue_timeout_share = (
@@ -177,7 +181,7 @@
                 request.body,
             ),
             head=fields.head,
-            body=request.body,
+            body_bytes=len(request.body),
         )
         return forwarded
 
@@ -215,18 +219,17 @@
         call.time_left_ms = int(time_left_s * 1000)
         sent = forwarded.sent = self._selector.note_sent(instance, forwarded.route.name)
         forwarded.local = None
+        body = forwarded.exchange.request.body
+
+        def on_answer(answer: MeshAnswer) -> None:
+            self._on_answer(forwarded, sent, answer)
+
         if instance.ip == self._ip:
-            local = self._upstream.run(
-                call, lambda answer: self._on_answer(forwarded, sent, answer)
-            )
+            local = self._upstream.run(call, body, on_answer)
             if not local.is_over:
                 forwarded.local = local
         else:
-            self._links.call(
-                instance.ip,
-                call,
-                lambda answer: self._on_answer(forwarded, sent, answer),
-            )
+            self._links.call(instance.ip, call, body, on_answer)
 
     def _choose(self, instances: ServiceInstances, tried: list[str]) -> Instance | None:
         is_suspect = self._links.is_suspect
@@ -352,10 +355,6 @@
         """End a request at its deadline."""
         if forwarded.exchange.is_done:
             return
-        local = forwarded.local
-        if local is None or local.pending is not None:
-            # A call at a peer may be running; one that waits in the local queue is not.
-            forwarded.may_have_run = True
         if forwarded.sent is not None:
             self._selector.note_timeout(forwarded.sent)
         self._cancel_attempt(forwarded)
@@ -369,11 +368,14 @@
         self._cancel_attempt(forwarded)
 
     def _cancel_attempt(self, forwarded: ForwardedRequest) -> None:
+        """Cancel the attempt in progress; note whether it may have run."""
         sent = forwarded.sent
         if sent is None:
             return
         self._selector.note_cancelled(sent)
-        if forwarded.local is not None:
-            forwarded.local.cancel()
+        if forwarded.local is None:
+            was_sent = self._links.cancel(sent.instance.ip, forwarded.call)
         else:
-            self._links.cancel(sent.instance.ip, forwarded.call)
+            was_sent = forwarded.local.is_sent
+            forwarded.local.cancel()
+        forwarded.may_have_run |= was_sent
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -38,6 +38,7 @@
 
     __slots__ = (
         "_upstream",
+        "body",
         "call",
         "has_downstream_load_failure",
         "is_over",
@@ -50,10 +51,16 @@
     )
 
     def __init__(
-        self, upstream: LocalUpstream, call: MeshCall, on_answer: AnswerHandler
+        self,
+        upstream: LocalUpstream,
+        call: MeshCall,
+        body: bytes,
+        on_answer: AnswerHandler,
     ) -> None:
         self._upstream = upstream
         self.call = call
+        # Dropped once it is sent, so that a long body is not held twice.
+        self.body = body
         self.on_answer = on_answer
         self.queued_call: QueuedCall | None = None
         self.pending: PendingExchange | None = None
@@ -63,6 +70,11 @@
         self.timer: asyncio.TimerHandle | None = None
         self.is_over = False
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the upstream may have got the request."""
+        return self.pending is not None and self.pending.is_sent
+
     def note_downstream_call(self, pressure: float, is_load_failure: bool) -> None:
         """Record how a downstream call of this call ended.
 
@@ -118,17 +130,18 @@
         """Slots of the upstream and the calls that wait for them."""
         return self._queue
 
-    def run(self, call: MeshCall, on_answer: AnswerHandler) -> LocalCall:
+    def run(self, call: MeshCall, body: bytes, on_answer: AnswerHandler) -> LocalCall:
         """Run, queue or refuse a call.
 
         Args:
             call: The call.
+            body: Its complete body.
             on_answer: Called exactly once unless the call is cancelled, possibly
                 before this method returns.
         """
-        local = LocalCall(self, call, on_answer)
+        local = LocalCall(self, call, body, on_answer)
         self.n_open += 1
-        refused = self._check(call)
+        refused = self.check(call)
         if refused is not None:
             self._refuse(local, *refused)
             return local
@@ -161,8 +174,8 @@
         self.is_leaving = True
         self._queue.clear(Reason.LEAVING)
 
-    def _check(self, call: MeshCall) -> tuple[Reason, str] | None:
-        """Return why a call is refused at once, or None."""
+    def check(self, call: MeshCall) -> tuple[Reason, str] | None:
+        """Return why a call is refused at once, whatever the queue, or None."""
         if call.service != self._service:
             detail = f"this host runs {self._service}, not {call.service}"
             return Reason.NO_UPSTREAM, detail
@@ -183,25 +196,26 @@
         time_left_s = time_left_ms / 1000
         self._running.begin(call.request_id, local)
         names = self._names
-        data = b"%b%b: %d\r\n%b: %b\r\n\r\n%b" % (
+        head = b"%b%b: %d\r\n%b: %b\r\n\r\n" % (
             call.head,
             names.time_left_ms,
             time_left_ms,
             names.expected_instance,
             call.instance.encode(),
-            call.body,
         )
         loop = asyncio.get_running_loop()
         local.timer = loop.call_later(
             time_left_s + ANSWER_GRACE_S, self._time_out, local
         )
         self.n_runs += 1
+        body, local.body = local.body, b""
         local.pending = self._pool.send(
-            data,
+            head,
             lambda outcome: self._on_outcome(local, outcome),
             call.request_id,
             call.is_idempotent,
             call.is_head,
+            body,
         )
 
     def _time_out(self, local: LocalCall) -> None:
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -8,13 +8,8 @@
 from typing import Any
 
 from ..protocol.header_names import HeaderNames
-from ..protocol.mesh_frames import (
-    FrameKind,
-    MeshAnswer,
-    MeshCall,
-    ViewRequest,
-    ViewUpdate,
-)
+from ..protocol.mesh_frames import FrameKind, ViewRequest, ViewUpdate
+from ..state.body_budget import BodyBudget
 from ..state.event_log import EventLog
 from ..state.fleet_view import FleetView
 from ..state.mesh_settings import MeshSettings
@@ -28,7 +23,8 @@
 from .first_hop import FirstHop
 from .fleet_retries import FleetRetryBudget
 from .instance_selector import InstanceSelector
-from .local_upstream import LocalCall, LocalUpstream, usable_slots
+from .local_upstream import LocalUpstream, usable_slots
+from .peer_calls import PeerCalls
 from .peer_links import PeerLinks
 from .request_records import RequestRecords
 from .throttle import ActionThrottle
@@ -50,6 +46,9 @@
 LEAVE_LISTEN_S = 2.6
 # While leaving, idle connections of callers are closed after this time in seconds.
 LEAVE_IDLE_S = 0.3
+# Share of the memory that request bodies may take up. While a body is copied or sent,
+# up to three times as much is in use.
+BODIES_MEMORY_SHARE = 0.15
 # Margin in seconds before the end of the grace period, when the process is killed.
 LEAVE_MARGIN_S = 0.4
 
@@ -79,7 +78,6 @@
         self._rng = random.Random()
         self._is_leaving = False
         self._was_listed = False
-        self._peer_calls: dict[tuple[FrameLink, int], LocalCall] = {}
         self._accepted_links: set[FrameLink] = set()
         self._quarantine = Quarantine(time.monotonic, CRASHES_MAX, QUARANTINE_S)
         self._queue = CallQueue(SLOTS_DEFAULT, time.monotonic)
@@ -101,6 +99,8 @@
             self._quarantine,
             log,
         )
+        self._bodies = BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE))
+        self._peer_calls = PeerCalls(self._upstream, self._bodies)
         self._synchronizer = ViewSynchronizer(
             decode_routes, log, self._rng, self._on_view, self._forward_update
         )
@@ -130,7 +130,7 @@
             self._rng,
         )
         self._callers = CallersListener(
-            self._first_hop.handle, self._limits, self._on_bad_request
+            self._first_hop.handle, self._limits, self._on_bad_request, self._bodies
         )
         self._readiness = CallersListener(
             self._serve_readiness, CallerLimits, self._on_bad_request
@@ -210,6 +210,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             n_ticks += 1
             self._upstream.sweep()
+            self._peer_calls.sweep()
             self._links.sweep()
             self._log.flush()
             if n_ticks % 5 == 0:
@@ -298,6 +299,8 @@
             "slots": self._queue.slots,
             "upstream_runs": self._upstream.n_runs,
             "upstream_connections_opened": self._pool.n_opened,
+            "body_bytes_held": self._bodies.held_bytes,
+            "bodies_refused": self._bodies.n_refused,
             "links_open": len(self._links.open_connections),
             "routes_version": -1
             if synchronizer.table is None
@@ -319,38 +322,16 @@
         return FrameLink(self._on_frame, self._on_link_lost, self._on_bad_frame)
 
     def _on_frame(self, link: FrameLink, frame: list[Any]) -> None:
-        kind = frame[0]
-        if kind == FrameKind.CALL:
-            self._take_call(link, MeshCall.from_frame(frame))
-        elif kind == FrameKind.CANCEL:
-            local = self._peer_calls.pop((link, frame[1]), None)
-            if local is not None:
-                local.cancel()
-        elif kind == FrameKind.PING:
+        if frame[0] == FrameKind.PING:
             link.send([FrameKind.PONG.value])
-        else:
-            self._accepted_links.add(link)
-            self._on_control_frame(link.peer_ip, link, frame)
-
-    def _take_call(self, link: FrameLink, call: MeshCall) -> None:
+            return
         self._accepted_links.add(link)
-        if call.time_left_ms <= 0:
-            raise ValueError("a call has no time left before its deadline")
-        key = (link, call.id)
-
-        def answer(answer: MeshAnswer) -> None:
-            self._peer_calls.pop(key, None)
-            link.send(answer.to_frame())
-
-        local = self._upstream.run(call, answer)
-        if not local.is_over:
-            self._peer_calls[key] = local
+        if not self._peer_calls.on_frame(link, frame):
+            self._on_control_frame(link.peer_ip, link, frame)
 
     def _on_link_lost(self, link: FrameLink) -> None:
-        """Cancel the calls of a peer whose link was lost."""
         self._accepted_links.discard(link)
-        for key in [key for key in self._peer_calls if key[0] is link]:
-            self._peer_calls.pop(key).cancel()
+        self._peer_calls.on_lost(link)
 
     def _on_bad_frame(self, detail: str) -> None:
         self._log.change("peer_sent_bad_frame", detail=detail)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/peer_calls.py
@@ -0,0 +1,128 @@
+"""Calls that peers send to the local upstream over links that they opened."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import attrs
+
+from ..protocol.body_transfer import IncomingBodies
+from ..protocol.mesh_frames import FrameKind, MeshAnswer, MeshCall
+from ..state.body_budget import BodyBudget
+from ..transport.frame_link import FrameLink
+from ..verdict import Reason, Verdict
+from .local_upstream import LocalCall, LocalUpstream
+
+__all__ = ["PeerCalls"]
+
+_Key = tuple[FrameLink, int]
+
+
+@attrs.define(eq=False, slots=True)
+class _RunningCall:
+    """Call of a peer that is queued or running."""
+
+    local: LocalCall
+    body_bytes: int
+
+
+class PeerCalls:
+    """Runs the calls of peers once their bodies are complete, and answers them.
+
+    A call that is refused for other reasons than the queue is refused when its head
+    arrives, so that its body need not be sent.
+
+    Args:
+        upstream: The upstream on this host.
+        bodies: Memory for request bodies.
+    """
+
+    def __init__(self, upstream: LocalUpstream, bodies: BodyBudget) -> None:
+        self._upstream = upstream
+        self._bodies = bodies
+        self._incoming = IncomingBodies()
+        self._running: dict[_Key, _RunningCall] = {}
+
+    def on_frame(self, link: FrameLink, frame: list[Any]) -> bool:
+        """Handle a frame; return whether it was one about calls.
+
+        Raises:
+            ValueError: The frame violates the protocol.
+            TypeError: The frame has a wrong number of items, or items of a wrong type.
+        """
+        kind = frame[0]
+        if kind == FrameKind.CALL:
+            self._take(link, *MeshCall.from_frame(frame))
+        elif kind == FrameKind.BODY:
+            complete = self._incoming.add((link, frame[1]), frame[2], time.monotonic())
+            if complete is not None:
+                self._run(link, *complete)
+        elif kind == FrameKind.CANCEL:
+            self._cancel((link, frame[1]))
+        else:
+            return False
+        return True
+
+    def on_lost(self, link: FrameLink) -> None:
+        """Cancel the calls of a peer whose link was lost."""
+        for key in [*self._running, *self._incoming.keys()]:
+            if key[0] is link:
+                self._cancel(key)
+
+    def sweep(self) -> None:
+        """Refuse the calls whose bodies are incomplete at their deadline."""
+        for key in self._incoming.overdue(time.monotonic()):
+            call = self._incoming.drop(key)
+            self._bodies.release(call.body_bytes)
+            detail = "the body did not arrive before the deadline"
+            self._refuse(key[0], call, Reason.DEADLINE, detail)
+
+    def _take(self, link: FrameLink, call: MeshCall, body: bytes) -> None:
+        if call.time_left_ms <= 0:
+            raise ValueError("a call has no time left before its deadline")
+        if len(body) == call.body_bytes:
+            self._bodies.try_reserve(len(body))
+            self._run(link, call, body)
+            return
+        refused = self._upstream.check(call)
+        if refused is not None:
+            self._refuse(link, call, *refused)
+        elif not self._bodies.try_reserve(call.body_bytes):
+            detail = (
+                f"no memory for a body of {call.body_bytes} bytes:"
+                f" bodies take up {self._bodies.held_bytes} bytes"
+            )
+            self._refuse(link, call, Reason.OVERLOAD, detail)
+        else:
+            self._incoming.begin((link, call.id), call, time.monotonic())
+
+    def _run(self, link: FrameLink, call: MeshCall, body: bytes) -> None:
+        """Run a call whose body is complete and has memory reserved."""
+        key = (link, call.id)
+
+        def answer(answer: MeshAnswer) -> None:
+            self._running.pop(key, None)
+            self._bodies.release(call.body_bytes)
+            link.send(answer.to_frame())
+
+        local = self._upstream.run(call, body, answer)
+        if not local.is_over:
+            self._running[key] = _RunningCall(local, call.body_bytes)
+
+    def _cancel(self, key: _Key) -> None:
+        running = self._running.pop(key, None)
+        if running is not None:
+            running.local.cancel()
+            self._bodies.release(running.body_bytes)
+            return
+        call = self._incoming.drop(key)
+        if call is not None:
+            self._bodies.release(call.body_bytes)
+
+    def _refuse(
+        self, link: FrameLink, call: MeshCall, reason: Reason, detail: str
+    ) -> None:
+        is_load = reason in (Reason.OVERLOAD, Reason.DEADLINE)
+        answer = MeshAnswer(call.id, Verdict.NOT_RUN, reason, detail, is_load=is_load)
+        link.send(answer.to_frame())
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from ..protocol.body_transfer import BodySender, inline_body
 from ..protocol.mesh_frames import FrameKind, MeshAnswer, MeshCall
 from ..state.event_log import EventLog
 from ..transport.frame_link import FrameLink
@@ -33,18 +34,29 @@
 AnswerHandler = Callable[[MeshAnswer], None]
 
 
+@attrs.frozen(eq=False)
+class _QueuedCall:
+    """A call that waits for its link to open."""
+
+    call: MeshCall
+    body: bytes
+    on_answer: AnswerHandler
+
+
 @attrs.define(eq=False)
 class _Link:
     """A link that this daemon dialled.
 
     Attributes:
         connection: The connection to the peer.
+        bodies: Sends the long bodies of calls.
         pending: Answer handlers of the calls in flight by call number.
         next_id: Number of the next call on this link.
         pinged_s: Monotonic time of a ping that has not been answered, or None.
     """
 
     connection: FrameLink
+    bodies: BodySender
     pending: dict[int, AnswerHandler] = attrs.field(factory=dict)
     next_id: int = 1
     pinged_s: float | None = None
@@ -71,7 +83,7 @@
         self._on_control_frame = on_control_frame
         self._links: dict[str, _Link] = {}
         self._dialling: dict[str, asyncio.Task] = {}
-        self._queued: dict[str, list[tuple[MeshCall, AnswerHandler]]] = {}
+        self._queued: dict[str, list[_QueuedCall]] = {}
         self._unreachable_until_s: dict[str, float] = {}
 
     @property
@@ -95,17 +107,20 @@
             and time.monotonic() - pinged_s > SUSPECT_AFTER_S
         )
 
-    def call(self, ip: str, call: MeshCall, on_answer: AnswerHandler) -> None:
+    def call(
+        self, ip: str, call: MeshCall, body: bytes, on_answer: AnswerHandler
+    ) -> None:
         """Send a call; ``on_answer`` is called exactly once, possibly before returning.
 
         Args:
             ip: Address of the host.
             call: The call; this method sets its number.
+            body: Its complete body.
             on_answer: Handles the answer of the peer, or a refusal by this daemon.
         """
         link = self._links.get(ip)
         if link is not None and link.connection.is_open:
-            self._send(link, call, on_answer)
+            self._send(link, _QueuedCall(call, body, on_answer))
         elif ip in self._unreachable_until_s:
             # Dialled again in the background, so that no call waits for it.
             if time.monotonic() >= self._unreachable_until_s[ip]:
@@ -114,19 +129,27 @@
                 _unreachable(f"{ip} was unreachable at the last attempt to connect")
             )
         else:
-            self._queued.setdefault(ip, []).append((call, on_answer))
+            queued = _QueuedCall(call, body, on_answer)
+            self._queued.setdefault(ip, []).append(queued)
             self.dial(ip)
 
-    def cancel(self, ip: str, call: MeshCall) -> None:
-        """Cancel a call; its handler is not called any more."""
+    def cancel(self, ip: str, call: MeshCall) -> bool:
+        """Cancel a call; its handler is not called any more.
+
+        Returns:
+            Whether the peer may have run it: it got the call with its complete body.
+        """
         queued = self._queued.get(ip, [])
         for item in queued:
-            if item[0] is call:
+            if item.call is call:
                 queued.remove(item)
-                return
+                return False
         link = self._links.get(ip)
-        if link is not None and link.pending.pop(call.id, None) is not None:
-            link.connection.send([FrameKind.CANCEL.value, call.id])
+        if link is None or link.pending.pop(call.id, None) is None:
+            return True
+        is_incomplete = link.bodies.stop(call.id)
+        link.connection.send([FrameKind.CANCEL.value, call.id])
+        return not is_incomplete
 
     def broadcast(self, frame: list[Any]) -> None:
         """Send a frame on all open links."""
@@ -189,25 +212,34 @@
         except (OSError, TimeoutError) as error:
             self._unreachable_until_s[ip] = time.monotonic() + REDIAL_DELAY_S
             self._log.change("peer_unreachable", peer=ip, error=repr(error)[:120])
-            for _, on_answer in self._queued.pop(ip, []):
-                on_answer(_unreachable(f"cannot open a link to {ip}: {error!r:.80}"))
+            detail = f"cannot open a link to {ip}: {error!r:.80}"
+            for queued in self._queued.pop(ip, []):
+                queued.on_answer(_unreachable(detail))
             return
         connection.peer_ip = ip
-        link = _Link(connection)
+        replaced = self._links.get(ip)
+        if replaced is not None:
+            # Closed, but its loss was not reported yet.
+            self._on_lost(replaced.connection)
+        link = _Link(connection, BodySender(connection))
         self._links[ip] = link
         self._unreachable_until_s.pop(ip, None)
         self._log.change("peer_linked", peer=ip)
-        for call, on_answer in self._queued.pop(ip, []):
-            self._send(link, call, on_answer)
+        for queued in self._queued.pop(ip, []):
+            self._send(link, queued)
 
-    def _send(self, link: _Link, call: MeshCall, on_answer: AnswerHandler) -> None:
+    def _send(self, link: _Link, queued: _QueuedCall) -> None:
+        call = queued.call
         call.id = link.next_id
         link.next_id += 1
         if not link.pending:
             # Silence is measured from the first call, not from the last answer.
             link.connection.last_read_s = time.monotonic()
-        link.pending[call.id] = on_answer
-        link.connection.send(call.to_frame())
+        link.pending[call.id] = queued.on_answer
+        inline = inline_body(queued.body)
+        link.connection.send(call.to_frame(inline))
+        if len(inline) < len(queued.body):
+            link.bodies.start(call.id, queued.body)
 
     def _on_frame(self, connection: FrameLink, frame: list[Any]) -> None:
         if frame[0] == FrameKind.ANSWER:
@@ -215,6 +247,7 @@
             if link is None or link.connection is not connection:
                 return
             on_answer = link.pending.pop(frame[1], None)
+            link.bodies.stop(frame[1])
             if on_answer is not None:
                 on_answer(MeshAnswer.from_frame(frame))
         elif frame[0] == FrameKind.PING:
@@ -231,21 +264,29 @@
             "peer_lost", peer=connection.peer_ip, n_calls=len(link.pending)
         )
         pending, link.pending = link.pending, {}
-        for on_answer in pending.values():
-            detail = f"the link to {connection.peer_ip} was lost during the call"
-            on_answer(
-                MeshAnswer(
-                    0,
-                    Verdict.MAY_HAVE_RUN,
-                    Reason.CONNECTION_LOST,
-                    detail,
-                    was_sent=True,
-                )
-            )
+        for call_id, on_answer in pending.items():
+            on_answer(_lost(connection.peer_ip, link.bodies.stop(call_id)))
 
     def _on_bad(self, detail: str) -> None:
         self._log.change("peer_sent_bad_frame", detail=detail)
 
 
+def _lost(ip: str, is_incomplete: bool) -> MeshAnswer:
+    """Return the answer to a call whose link was lost.
+
+    Args:
+        ip: Address of the peer.
+        is_incomplete: Whether a part of the body was not sent, so that the peer cannot
+            have started the call.
+    """
+    if is_incomplete:
+        detail = f"the link to {ip} was lost before the complete body was sent"
+        return MeshAnswer(0, Verdict.NOT_RUN, Reason.CONNECTION_LOST, detail)
+    detail = f"the link to {ip} was lost during the call"
+    return MeshAnswer(
+        0, Verdict.MAY_HAVE_RUN, Reason.CONNECTION_LOST, detail, was_sent=True
+    )
+
+
 def _unreachable(detail: str) -> MeshAnswer:
     return MeshAnswer(0, Verdict.NOT_RUN, Reason.UNREACHABLE, detail)
--- a/packages/savoryroute/savoryroute/coordination/retries.py
+++ b/packages/savoryroute/savoryroute/coordination/retries.py
@@ -28,6 +28,7 @@
         Reason.TOO_LARGE,
         Reason.UNKNOWN_ROUTE,
         Reason.UNKNOWN_SERVICE,
+        Reason.UNREADABLE_ROUTE,
     }
 )
 
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -32,6 +32,7 @@
     VIEW_REQUEST = 7
     VIEW_UPDATE = 8
     SUSPECTS = 9
+    BODY = 10
 
 
 @attrs.define(slots=True)
@@ -51,7 +52,8 @@
         request_id: Identity of the request; the upstream echoes it.
         fingerprint: Digest by which the quarantine recognizes equal requests.
         head: Request line and headers, without the empty line.
-        body: The complete body.
+        body_bytes: Length of the body. A short body follows in the frame, a long one
+            in further frames (``body_transfer``).
     """
 
     id: int
@@ -66,10 +68,15 @@
     request_id: bytes
     fingerprint: bytes
     head: bytes
-    body: bytes
+    body_bytes: int
 
-    def to_frame(self) -> list[Any]:
-        """Return the frame."""
+    def to_frame(self, inline_body: bytes) -> list[Any]:
+        """Return the frame.
+
+        Args:
+            inline_body: The complete body, or an empty string if it follows in further
+                frames.
+        """
         return [
             FrameKind.CALL.value,
             self.id,
@@ -84,17 +91,18 @@
             self.request_id,
             self.fingerprint,
             self.head,
-            self.body,
+            self.body_bytes,
+            inline_body,
         ]
 
     @classmethod
-    def from_frame(cls, frame: list[Any]) -> MeshCall:
-        """Return the call in a frame.
+    def from_frame(cls, frame: list[Any]) -> tuple[MeshCall, bytes]:
+        """Return the call in a frame, and the body that is in the frame.
 
         Raises:
             TypeError: The frame has a wrong number of items.
         """
-        return cls(*frame[1:])
+        return cls(*frame[1:-1]), frame[-1]
 
 
 @attrs.define(slots=True)
--- /dev/null
+++ b/packages/savoryroute/savoryroute/state/body_budget.py
@@ -0,0 +1,61 @@
+"""Bound on the memory that request bodies take up in one daemon.
+
+Load pattern: a burst of uploads, or callers that send long bodies slowly. Each body is
+held until its request is answered, since an attempt that did not run is followed by
+another one. Without a bound the process is killed for its memory, with all requests in
+progress; with it, further long bodies are refused before they are read.
+
+Source: admission control on the use of memory as in Welsh and Culler, Adaptive Overload
+Control for Busy Internet Servers (2003).
+"""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = ["SMALL_BODY_BYTES", "BodyBudget"]
+
+# Shorter bodies are never refused: requests without an upload must not suffer from
+# uploads, and the number of connections bounds them well enough.
+SMALL_BODY_BYTES = 16 * 1024
+
+
+@attrs.define
+class BodyBudget:
+    """Bytes of the request bodies that this daemon may hold.
+
+    Args:
+        limit_bytes: Bytes above which long bodies are refused.
+    """
+
+    _limit_bytes: int
+    _held_bytes: int = attrs.field(init=False, default=0)
+    _n_refused: int = attrs.field(init=False, default=0)
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of all bodies that are held or announced."""
+        return self._held_bytes
+
+    @property
+    def n_refused(self) -> int:
+        """Number of bodies that were refused."""
+        return self._n_refused
+
+    def try_reserve(self, n_bytes: int) -> bool:
+        """Reserve memory for a body; return whether it may be held.
+
+        A body longer than the limit is accepted when no other one is held, since the
+        platform may allow longer ones.
+        """
+        total_bytes = self._held_bytes + n_bytes
+        is_small = n_bytes <= SMALL_BODY_BYTES
+        if not is_small and self._held_bytes and total_bytes > self._limit_bytes:
+            self._n_refused += 1
+            return False
+        self._held_bytes = total_bytes
+        return True
+
+    def release(self, n_bytes: int) -> None:
+        """Return the memory of a body."""
+        self._held_bytes -= n_bytes
--- a/packages/savoryroute/savoryroute/state/mesh_settings.py
+++ b/packages/savoryroute/savoryroute/state/mesh_settings.py
@@ -20,6 +20,10 @@
 SECONDS_MAX = 3600.0
 SLACK_MAX = 1e6
 RATIO_MAX = 10.0
+# The process alone takes up about a third of the least memory.
+MEMORY_MB_MIN = 64.0
+MEMORY_MB_MAX = 1e6
+MB = 1_000_000
 
 
 @attrs.frozen
@@ -41,6 +45,7 @@
         retry_ratio: Retries that the fleet may make per request.
         retry_slack: Retries that the fleet may make in addition to these.
         grace_s: Time in seconds from a stop signal until the process is killed.
+        memory_bytes: Memory above which the process is killed.
     """
 
     host: str
@@ -56,6 +61,7 @@
     retry_ratio: float
     retry_slack: float
     grace_s: float
+    memory_bytes: int
 
 
 def read_mesh_settings(
@@ -76,7 +82,8 @@
 
 
 def _read_settings(root: ObjectReader) -> MeshSettings:
-    root.allow_only(attrs.fields_dict(MeshSettings).keys() | {"metrics_port", "ip"})
+    known = attrs.fields_dict(MeshSettings).keys() | {"metrics_port", "ip", "memory_mb"}
+    root.allow_only(known)
     ip = root.address_ip("ip")
     return MeshSettings(
         host=root.text("host", NAME_PATTERN, NAME_ALLOWED),
@@ -92,4 +99,5 @@
         retry_ratio=root.number("retry_ratio", 0.0, RATIO_MAX),
         retry_slack=root.number("retry_slack", 0.0, SLACK_MAX),
         grace_s=root.seconds("grace_s", 0.0, SECONDS_MAX),
+        memory_bytes=int(root.number("memory_mb", MEMORY_MB_MIN, MEMORY_MB_MAX) * MB),
     )
--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -22,6 +22,9 @@
 # Above the longest answer body, ``http_client.ANSWER_BYTES_MAX``.
 FRAME_BYTES_MAX = 80 * 1024 * 1024
 LISTEN_BACKLOG = 1024
+# Bytes that wait to be written above which no further piece of a body is added: they
+# delay all frames that are sent next.
+WRITE_BUFFER_BYTES = 32 * 1024
 
 _LENGTH = struct.Struct(">I")
 
@@ -48,14 +51,22 @@
         self._on_bad_frame = on_bad_frame
         self._transport: asyncio.Transport | None = None
         self._buffer = b""
+        self._is_write_paused = False
         self.last_read_s = time.monotonic()
         self.peer_ip = ""
+        # Called when the connection takes data again after its buffer was full.
+        self.on_writable: Callable[[], None] | None = None
 
     @property
     def is_open(self) -> bool:
         """Whether frames can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_writable(self) -> bool:
+        """Whether little enough data waits to be written that more should be added."""
+        return self.is_open and not self._is_write_paused
+
     def send(self, frame: list[Any]) -> None:
         """Send one frame; it is dropped if the connection is closed."""
         if self._transport is None or self._transport.is_closing():
@@ -77,6 +88,7 @@
         """Keep the transport and enable keepalive."""
         self._transport = transport
         self.last_read_s = time.monotonic()
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         address = transport.get_extra_info("peername")
         self.peer_ip = address[0] if address else ""
         enable_keepalive(transport)
@@ -85,6 +97,16 @@
         """Call ``on_lost``."""
         self._on_lost(self)
 
+    def pause_writing(self) -> None:
+        """Note that the write buffer is full."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Note that the write buffer has drained."""
+        self._is_write_paused = False
+        if self.on_writable is not None:
+            self.on_writable()
+
     def data_received(self, data: bytes) -> None:
         """Split the received bytes into frames."""
         self.last_read_s = time.monotonic()
--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -38,6 +38,7 @@
     __slots__ = (
         "_connection",
         "_is_done",
+        "body",
         "data",
         "expected_id",
         "is_head",
@@ -47,11 +48,13 @@
     def __init__(
         self,
         data: bytes,
+        body: bytes,
         expected_id: bytes | None,
         is_head: bool,
         on_done: DoneHandler,
     ) -> None:
         self.data = data
+        self.body = body
         self.expected_id = expected_id
         self.is_head = is_head
         self.on_done = on_done
@@ -125,7 +128,9 @@
         """Start an exchange on this connection."""
         self._pending = pending
         pending.attach(self)
-        self._transport.write(pending.data)
+        # Two buffers, so that a long body is not copied; neither is needed afterwards.
+        self._transport.writelines([pending.data, pending.body])
+        pending.data = pending.body = b""
 
     def abort(self) -> None:
         """Close the connection at once and drop its exchange."""
@@ -282,18 +287,20 @@
         expected_id: bytes | None = None,
         is_idempotent: bool = True,
         is_head: bool = False,
+        body: bytes = b"",
     ) -> PendingExchange:
         """Start an exchange.
 
         Args:
-            data: The complete request.
+            data: The request without its body.
             on_done: Called with the answer or the failure.
             expected_id: Identity of the request; an answer that echoes another one is
                 ignored.
             is_idempotent: Whether the request is idempotent.
             is_head: Whether the method is HEAD.
+            body: The complete body.
         """
-        pending = PendingExchange(data, expected_id, is_head, on_done)
+        pending = PendingExchange(data, body, expected_id, is_head, on_done)
         connection = self._take_idle(is_idempotent)
         if connection is not None:
             connection.start(pending)
--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 import time
 from collections import deque
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 import attrs
 import httptools
 
+from ..state.body_budget import BodyBudget
 from ..state.route_table import CallerLimits
 
 __all__ = ["CallerRequest", "CallersListener", "Exchange", "format_answer"]
@@ -24,6 +26,12 @@
 LISTEN_BACKLOG = 1024
 # The connection of a caller that does not read its answer for this long is closed.
 WRITE_STALL_S = 20.0
+# Lowest rate at which a body has to arrive after the idle timeout, as with MinRate in
+# Apache's mod_reqtimeout. A link of 10 Mbit/s has twenty times this rate.
+BODY_RATE_MIN_BYTES_PER_S = 64 * 1024
+# Seconds for which the rest of a refused body is read and discarded. A close with
+# unread data resets the connection, and the caller may lose the refusal.
+LINGER_S = 1.0
 
 _REASONS = {
     200: b"OK",
@@ -52,7 +60,12 @@
         headers: Pairs of lower-case name and value.
         body: The complete body.
         keep_alive: Whether the connection may serve further requests.
+        begun_s: Monotonic time at which its first byte was read. The time that the
+            caller allows runs from there; a long body takes a part of it.
         read_s: Monotonic time at which its last byte was read.
+        reserved_bytes: Memory reserved for its body.
+        is_body_skipped: Whether there was no memory for its body, which is discarded.
+            Such a request can only be refused.
     """
 
     method: bytes
@@ -60,7 +73,10 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     keep_alive: bool
+    begun_s: float
     read_s: float
+    reserved_bytes: int = 0
+    is_body_skipped: bool = False
 
 
 def format_answer(
@@ -131,6 +147,8 @@
         self._is_closing = False
         self._is_message_open = False
         self._is_paused = False
+        # Status and detail of a refusal that follows the answers in progress.
+        self._pending_refusal: tuple[int, str] | None = None
         self._stalled_since_s: float | None = None
         # Start of the current request, or of the idle time before it.
         self.since_s = time.monotonic()
@@ -142,6 +160,9 @@
         self._header_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._reserved_bytes = 0
+        self._is_skipping_body = False
+        self._begun_s = time.monotonic()
 
     # Callbacks of asyncio.
 
@@ -152,10 +173,13 @@
     def connection_lost(self, error: Exception | None) -> None:
         self._listener.connections.discard(self)
         self._is_closing = True
-        self._waiting.clear()
+        self._release_reserved()
+        while self._waiting:
+            self._release(self._waiting.popleft())
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             self._listener.n_open -= 1
+            self._release(exchange.request)
             exchange.abort()
 
     def eof_received(self) -> bool:
@@ -168,7 +192,7 @@
         self._stalled_since_s = None
 
     def data_received(self, data: bytes) -> None:
-        if self._is_closing:
+        if self._is_closing or self._pending_refusal is not None:
             return
         try:
             self._parser.feed_data(data)
@@ -196,30 +220,50 @@
         self._count_header(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
+        is_continue_expected = False
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                is_continue_expected = True
             elif name == b"content-length" and value.isdigit():
-                self._check_body(int(value))
+                self._reserve_body(int(value))
+        if is_continue_expected and self._is_reading_body:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         self._body_bytes += len(body)
-        if not self._is_closing:
+        if self._is_reading_body:
             self._body.append(body)
-            self._check_body(self._body_bytes)
+            self._reserve_body(self._body_bytes)
 
     def on_message_complete(self) -> None:
         self._is_message_open = False
-        if self._is_closing:
-            return
+        if self._is_reading_body:
+            self._accept(b"".join(self._body))
+
+    @property
+    def _is_reading_body(self) -> bool:
+        """Whether the open message is to be served."""
+        return not (
+            self._is_closing
+            or self._is_skipping_body
+            or self._pending_refusal is not None
+        )
+
+    def _accept(self, body: bytes) -> None:
+        """Start the open message as a request, after those that wait."""
         request = CallerRequest(
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=body,
             keep_alive=self._parser.should_keep_alive(),
+            begun_s=self._begun_s,
             read_s=time.monotonic(),
+            reserved_bytes=self._reserved_bytes,
+            is_body_skipped=self._is_skipping_body,
         )
+        self._body = []
+        self._reserved_bytes = 0
         if self._exchange is None:
             self._start(request)
         else:
@@ -233,6 +277,7 @@
         """Write the answer of the current request, then start the next one."""
         self._exchange = None
         self._listener.n_open -= 1
+        self._release(request)
         if self._transport is None or self._transport.is_closing():
             return
         close = not request.keep_alive or self._listener.is_leaving
@@ -248,6 +293,8 @@
             self._transport.resume_reading()
         if self._waiting:
             self._start(self._waiting.popleft())
+        elif self._pending_refusal is not None:
+            self._refuse(*self._pending_refusal)
 
     def sweep(self, now_s: float, limits: CallerLimits, idle_s: float) -> None:
         """Close the connection on a late request head, a stalled write or idleness."""
@@ -264,7 +311,11 @@
         if self._is_message_open and not self._body_bytes:
             if age_s > limits.header_timeout_s:
                 self._refuse(408, "the request head did not arrive in time")
-        elif not self._is_message_open and age_s > idle_s:
+        elif self._is_message_open:
+            allowed_s = self._body_bytes / BODY_RATE_MIN_BYTES_PER_S
+            if age_s > limits.idle_timeout_s + allowed_s:
+                self._refuse(408, "the request body did not arrive in time")
+        elif age_s > idle_s:
             self._close()
 
     def abort(self) -> None:
@@ -283,24 +334,52 @@
         if self._header_bytes > self._listener.limits().header_bytes_max:
             self._refuse(431, "the request head is too long")
 
-    def _check_body(self, n_bytes: int) -> None:
+    def _reserve_body(self, n_bytes: int) -> None:
+        """Reserve memory for the first ``n_bytes`` of a body, or refuse the request."""
+        if n_bytes <= self._reserved_bytes or not self._is_reading_body:
+            return
         if n_bytes > self._listener.limits().body_bytes_max:
             self._refuse(413, "the request body is too long")
+        elif self._listener.bodies.try_reserve(n_bytes - self._reserved_bytes):
+            self._reserved_bytes = n_bytes
+        else:
+            self._release_reserved()
+            self._is_skipping_body = True
+            self._accept(b"")
+
+    def _release_reserved(self) -> None:
+        self._listener.bodies.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
+    def _release(self, request: CallerRequest) -> None:
+        """Release the memory of a request that was answered or given up."""
+        self._listener.bodies.release(request.reserved_bytes)
+        request.reserved_bytes = 0
 
     def _refuse(self, status: int, detail: str) -> None:
-        """Answer a request that can't be accepted with an error, and close."""
+        """Answer a request that can't be accepted with an error, and close.
+
+        Requests of the same connection that were accepted before are answered first.
+        """
         if self._is_closing:
             return
-        if self._exchange is None:
-            body = detail.encode()
-            head = b"Content-Type: text/plain\r\n"
-            self._transport.write(format_answer(status, head, body, True))
+        if self._exchange is not None:
+            self._pending_refusal = (status, detail)
+            return
+        body = detail.encode()
+        head = b"Content-Type: text/plain\r\n"
+        self._transport.write(format_answer(status, head, body, True))
         self._listener.on_bad_request(status, detail)
         self._close()
 
     def _close(self) -> None:
+        """Close the connection, after the rest of a request that is still arriving."""
         self._is_closing = True
-        self._transport.close()
+        if self._is_message_open and self._transport.can_write_eof():
+            self._transport.write_eof()
+            asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
+        else:
+            self._transport.close()
 
     def _limit_read_ahead(self) -> None:
         n_bytes = sum(len(request.body) + 512 for request in self._waiting)
@@ -317,6 +396,7 @@
         limits: Returns the active limits.
         on_bad_request: Called with status and detail of a request that was not
             accepted.
+        bodies: Memory for request bodies; without limit if None.
     """
 
     def __init__(
@@ -324,10 +404,12 @@
         handle: Callable[[Exchange], None],
         limits: Callable[[], CallerLimits],
         on_bad_request: Callable[[int, str], None],
+        bodies: BodyBudget | None = None,
     ) -> None:
         self.handle = handle
         self.limits = limits
         self.on_bad_request = on_bad_request
+        self.bodies = BodyBudget(sys.maxsize) if bodies is None else bodies
         self.connections: set[_CallerConnection] = set()
         self.n_open = 0
         self.is_leaving = False
--- a/tests/savoryroute/coordination/test_peer_links.py
+++ b/tests/savoryroute/coordination/test_peer_links.py
@@ -17,7 +17,7 @@
 
 
 def make_call():
-    return MeshCall(0, "s", "i", "r", 0, 100, 1000, True, False, b"q", b"f", b"h", b"")
+    return MeshCall(0, "s", "i", "r", 0, 100, 1000, True, False, b"q", b"f", b"h", 0)
 
 
 class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
@@ -50,7 +50,7 @@
 
     def call(self, ip="127.0.0.1"):
         call = make_call()
-        self.links.call(ip, call, self.answers.append)
+        self.links.call(ip, call, b"", self.answers.append)
         return call
 
     async def wait_until(self, condition, timeout_s=4.0):
@@ -82,7 +82,7 @@
     async def test_peer_that_answers_pings_is_not_suspected(self):
         call = make_call()
         call.service = "slow"
-        self.links.call("127.0.0.1", call, self.answers.append)
+        self.links.call("127.0.0.1", call, b"", self.answers.append)
         for _ in range(80):
             await asyncio.sleep(0.01)
             self.links.sweep()
@@ -98,6 +98,24 @@
         self.assertIs(self.answers[0].verdict, Verdict.MAY_HAVE_RUN)
         self.assertIs(self.answers[0].reason, Reason.CONNECTION_LOST)
 
+    async def test_calls_on_a_link_that_a_new_one_replaces_are_answered(self):
+        """The old link may be closing while its loss is not reported yet."""
+        self.is_silent = True
+        self.call()
+        await self.wait_until(lambda: self.frames)
+        self.links.dial("127.0.0.1")
+        await self.wait_until(lambda: self.answers)
+        self.assertIs(self.answers[0].reason, Reason.CONNECTION_LOST)
+
+    async def test_cancelled_call_that_waits_for_its_link_has_not_run(self):
+        call = self.call()
+        self.assertFalse(self.links.cancel("127.0.0.1", call))
+        call = self.call()
+        await self.wait_until(lambda: self.answers)
+        self.is_silent = True
+        call = self.call()
+        self.assertTrue(self.links.cancel("127.0.0.1", call))
+
     async def test_only_the_first_call_waits_for_an_unreachable_host(self):
         self.call("127.0.0.99")
         await self.wait_until(lambda: self.answers)
--- /dev/null
+++ b/tests/savoryroute/state/test_body_budget.py
@@ -0,0 +1,36 @@
+"""Tests of the bound on the memory of request bodies."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from savoryroute.state.body_budget import SMALL_BODY_BYTES, BodyBudget
+
+LONG = 10 * SMALL_BODY_BYTES
+
+
+class BodyBudgetTest(unittest.TestCase):
+    def test_long_bodies_are_refused_at_the_limit(self):
+        budget = BodyBudget(3 * LONG)
+        self.assertEqual([budget.try_reserve(LONG) for _ in range(4)], [True] * 3 + [0])
+        self.assertEqual((budget.held_bytes, budget.n_refused), (3 * LONG, 1))
+        budget.release(LONG)
+        self.assertTrue(budget.try_reserve(LONG))
+
+    def test_small_bodies_are_never_refused(self):
+        budget = BodyBudget(LONG)
+        self.assertTrue(budget.try_reserve(LONG))
+        self.assertTrue(budget.try_reserve(SMALL_BODY_BYTES))
+
+    def test_single_body_longer_than_the_limit_is_accepted(self):
+        budget = BodyBudget(LONG)
+        self.assertTrue(budget.try_reserve(2 * LONG))
+        self.assertFalse(budget.try_reserve(LONG))
+
+    @given(st.lists(st.integers(0, 3 * LONG)))
+    def test_released_bodies_leave_nothing_held(self, sizes):
+        budget = BodyBudget(4 * LONG)
+        for n_bytes in [size for size in sizes if budget.try_reserve(size)]:
+            budget.release(n_bytes)
+        self.assertEqual(budget.held_bytes, 0)
--- a/tests/savoryroute/state/test_mesh_settings.py
+++ b/tests/savoryroute/state/test_mesh_settings.py
@@ -20,6 +20,7 @@
     "retry_ratio": 0.2,
     "retry_slack": 49,
     "grace_s": "6s",
+    "memory_mb": 300,
 }
 
 
@@ -32,6 +33,7 @@
         self.assertEqual(settings.grace_s, 6.0)
         self.assertEqual(str(settings.metrics), "10.1.0.8:7635")
         self.assertEqual(settings.retry_slack, 49.0)
+        self.assertEqual(settings.memory_bytes, 300_000_000)
 
     def test_error_states_member_and_allowed_values(self):
         for name, value in (
@@ -42,6 +44,8 @@
             ("retry_ratio", -1),
             ("service", ""),
             ("seeds", {}),
+            ("memory_mb", 10),
+            ("memory_mb", "300MB"),
         ):
             error = self.parse(**{name: value}).unwrap_err()
             self.assertIn(name, str(error))
--- a/tests/savoryroute/transport/test_frame_link.py
+++ b/tests/savoryroute/transport/test_frame_link.py
@@ -18,6 +18,9 @@
     def get_extra_info(self, name):
         return None
 
+    def set_write_buffer_limits(self, high):
+        self.high = high
+
     def is_closing(self):
         return self.is_aborted
 
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -69,6 +69,38 @@
         self.assertEqual(await self.status(), 431)
         self.assertEqual(self.bad, [431])
 
+    async def test_refusal_of_a_long_body_arrives_while_the_body_is_sent(self):
+        """A close with unread data would reset the connection."""
+        await self.send(b"POST /a HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n")
+        for _ in range(30):
+            self.writer.write(b"x" * 200_000)
+            await asyncio.sleep(0.005)
+        self.assertEqual(await self.status(), 413)
+
+    async def test_no_continue_before_the_refusal_of_a_long_body(self):
+        await self.send(
+            b"POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 9000\r\n\r\n"
+        )
+        self.assertEqual(await self.status(), 413)
+
+    async def test_invalid_pipelined_request_leaves_the_first_one_its_answer(self):
+        await self.send(b"GET /a HTTP/1.1\r\n\r\nbad request\r\n\r\n", 1)
+        await asyncio.sleep(0.05)
+        self.exchanges[0].respond(200, b"", b"x")
+        text = await asyncio.wait_for(self.reader.read(), 2)
+        self.assertTrue(text.startswith(b"HTTP/1.1 200"))
+        self.assertIn(b"xHTTP/1.1 400", text)
+        self.assertEqual(self.bad, [400])
+
+    async def test_body_that_trickles_in_is_refused(self):
+        await self.send(b"POST /a HTTP/1.1\r\nContent-Length: 900\r\n\r\n")
+        for _ in range(5):
+            self.writer.write(b"x")
+            await asyncio.sleep(0.1)
+            self.listener.sweep()
+        self.assertEqual(await self.status(), 408)
+        self.assertEqual(self.exchanges, [])
+
     async def test_late_head_is_refused(self):
         await self.send(b"GET /a HTT")
         await asyncio.sleep(0.3)
--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -152,6 +152,7 @@
                 "retry_ratio": 0.2,
                 "retry_slack": 1000.0,
                 "grace_s": "6s",
+                "memory_mb": 300,
             }
         )
         settings = parse_mesh_settings(text, "test").unwrap()
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -191,6 +191,9 @@
         self.slots = 4
         # A body with these bytes crashes the upstream before it answers.
         self.poison: bytes | None = None
+        # Bytes of a body after which the connection is reset.
+        self.reset_after_bytes: int | None = None
+        self.n_resets = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -215,6 +218,11 @@
                 fields = dict(
                     line.lower().split(": ", 1) for line in lines[1:] if ": " in line
                 )
+                if self.reset_after_bytes is not None:
+                    await reader.readexactly(self.reset_after_bytes)
+                    self.n_resets += 1
+                    writer.transport.abort()
+                    break
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 fields["line"], fields["body"] = lines[0], body
                 if not await self._answer(fields, reader, writer):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -134,6 +134,7 @@
             "retry_ratio": 0.2,
             "retry_slack": 50.0,
             "grace_s": "6s",
+            "memory_mb": 300,
         }
         file = pathlib.Path(self.folder.name, f"settings-{index}.json")
         file.write_text(json.dumps(settings))
