Spend the fleet's retries on chains that can be completed

Load pattern: all upstreams of a leaf service shed 55% of what they get for 8 s while they have free slots (srv_grey, shed all). Each action makes four or eight calls there.

The budget used 112 of about 2,800 allowed retries (195 daemons: 504 of 7,600): a quarter of the ratio, and less with every call that a broken chain no longer makes.

Retries are reserved for better ranks and for runs that have completed calls. A request that was rejected by an upstream with free slots may be sent up to six times, still to no more upstreams than the route allows. Failures count for the throttle only at a full queue.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -99,7 +99,7 @@
             "admitted_share": self._throttle.shares,
             "repeats": self._n_retries,
             "repeats_refused": self._n_retries_refused,
-            "repeats_left": self._budget.tokens,
+            "repeats_left": self._budget.balances,
         }
 
     def handle(self, exchange: Exchange) -> None:
@@ -123,6 +123,10 @@
             )
             return
         forwarded = self._open(exchange, route, fields)
+        if forwarded.call.is_repeat:
+            self._budget.note_repeated_call(forwarded.service)
+        else:
+            self._budget.note_request(forwarded.service)
         if request.is_body_skipped:
             detail = "no memory for the body: other bodies take up too much"
             self._give_up(forwarded, Reason.OVERLOAD, detail)
@@ -141,7 +145,6 @@
             self._on_deadline,
             forwarded,
         )
-        self._budget.note_request(forwarded.service)
         self._place(forwarded)
 
     def _open(
@@ -173,6 +176,7 @@
             time_left_ms=0,
             is_idempotent=route.is_idempotent,
             is_head=request.method == b"HEAD",
+            is_repeat=parent is not None and parent.call.is_repeat,
             request_id=fields.request_id,
             fingerprint=fingerprint(
                 request.method.decode("latin-1"),
@@ -203,7 +207,7 @@
             )
             return
         instances = self._view.of_service(forwarded.service)
-        instance = self._choose(instances, forwarded.tried)
+        instance = self._choose_for(forwarded, instances)
         if instance is None:
             detail = f"none of {len(instances)} instances is available"
             reason = Reason.NO_UPSTREAM
@@ -231,6 +235,21 @@
         else:
             self._links.call(instance.ip, call, body, on_answer)
 
+    def _choose_for(
+        self, forwarded: ForwardedRequest, instances: ServiceInstances
+    ) -> Instance | None:
+        """Return the instance for the next attempt, or None if there is none.
+
+        Once as many upstreams got the request as the route allows, or none is left that
+        has not, the next attempt goes to one that rejected it.
+        """
+        if len(forwarded.reached) < forwarded.route.attempts_max:
+            instance = self._choose(instances, forwarded.tried)
+            if instance is not None:
+                return instance
+        again = [item for item in instances if item.id in forwarded.rejected]
+        return self._choose(ServiceInstances(again), []) if again else None
+
     def _choose(self, instances: ServiceInstances, tried: list[str]) -> Instance | None:
         is_suspect = self._links.is_suspect
         instance = self._selector.choose(instances, tried, is_suspect)
@@ -249,6 +268,11 @@
         forwarded.answer = answer
         if answer.was_sent:
             forwarded.n_arrivals += 1
+            forwarded.reached.add(sent.instance.id)
+            if answer.verdict is Verdict.NOT_RUN:
+                forwarded.rejected.add(sent.instance.id)
+            else:
+                forwarded.rejected.discard(sent.instance.id)
         if answer.verdict is Verdict.MAY_HAVE_RUN:
             forwarded.may_have_run = True
         elif answer.verdict is Verdict.RAN:
@@ -274,8 +298,11 @@
 
     def _try_retry(self, forwarded: ForwardedRequest, answer: MeshAnswer) -> NextStep:
         """Return ``RETRY`` if the budget allows one, else how to end the request."""
-        if self._budget.try_retry(forwarded.service):
+        parent = forwarded.parent
+        n_done = 0 if parent is None else parent.n_downstream_served
+        if self._budget.try_retry(forwarded.service, forwarded.call.rank, n_done):
             self._n_retries += 1
+            forwarded.call.is_repeat = True
             return NextStep.RETRY
         self._n_retries_refused += 1
         ran = answer.verdict is Verdict.RAN
@@ -283,7 +310,8 @@
 
     def _return_answer(self, forwarded: ForwardedRequest, answer: MeshAnswer) -> None:
         forwarded.timer.cancel()
-        self._note_end(forwarded, answer.status >= 500 and answer.is_load)
+        is_failure = answer.status >= 500
+        self._note_end(forwarded, is_failure and answer.is_load, not is_failure)
         self._records.answered(forwarded, answer)
         forwarded.exchange.respond(answer.status, answer.head, answer.body)
 
@@ -329,11 +357,16 @@
         time_left_s = forwarded.deadline_s - time.monotonic()
         return mesh_retry_after_s(wait_s, time_left_s, self._rng)
 
-    def _note_end(self, forwarded: ForwardedRequest, is_load_failure: bool) -> None:
+    def _note_end(
+        self,
+        forwarded: ForwardedRequest,
+        is_load_failure: bool,
+        is_served: bool = False,
+    ) -> None:
         """Report the end of an admitted request to its parent call or the throttle."""
         pressure = 0.0 if forwarded.answer is None else forwarded.answer.pressure
         if forwarded.parent is not None:
-            forwarded.parent.note_downstream_call(pressure, is_load_failure)
+            forwarded.parent.note_downstream_call(pressure, is_load_failure, is_served)
         else:
             self._throttle.note_end(forwarded.route.name, pressure, is_load_failure)
 
--- a/packages/savoryroute/savoryroute/coordination/forwarded_request.py
+++ b/packages/savoryroute/savoryroute/coordination/forwarded_request.py
@@ -30,6 +30,8 @@
         failed_answer: Complete answer with a failure, sent if no attempt succeeds.
         parent: Call at the local upstream that made this request, or None.
         tried: Ids of the instances that have been tried.
+        reached: Ids of the instances whose upstream got the request.
+        rejected: Ids of those of them that rejected it without running it.
         n_placements: Attempts made so far.
         n_arrivals: Attempts made so far that reached an upstream.
         may_have_run: Whether one of the attempts may have run the request.
@@ -47,6 +49,8 @@
         "n_arrivals",
         "n_placements",
         "parent",
+        "reached",
+        "rejected",
         "request_id",
         "route",
         "sent",
@@ -75,6 +79,8 @@
         self.failed_answer: MeshAnswer | None = None
         self.parent: LocalCall | None = None
         self.tried: list[str] = []
+        self.reached: set[str] = set()
+        self.rejected: set[str] = set()
         self.n_placements = 0
         self.n_arrivals = 0
         self.may_have_run = False
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -41,6 +41,7 @@
         "body",
         "call",
         "has_downstream_load_failure",
+        "n_downstream_served",
         "is_over",
         "queued_call",
         "on_answer",
@@ -67,6 +68,7 @@
         self.started_s = 0.0
         self.downstream_pressure = 0.0
         self.has_downstream_load_failure = False
+        self.n_downstream_served = 0
         self.timer: asyncio.TimerHandle | None = None
         self.is_over = False
 
@@ -75,13 +77,17 @@
         """Whether the upstream may have got the request."""
         return self.pending is not None and self.pending.is_sent
 
-    def note_downstream_call(self, pressure: float, is_load_failure: bool) -> None:
+    def note_downstream_call(
+        self, pressure: float, is_load_failure: bool, is_served: bool
+    ) -> None:
         """Record how a downstream call of this call ended.
 
         Args:
             pressure: Load of the fullest call queue on its path, calls over slots.
             is_load_failure: Whether it failed for lack of capacity.
+            is_served: Whether an upstream answered it with success.
         """
+        self.n_downstream_served += is_served
         self.downstream_pressure = max(self.downstream_pressure, pressure)
         self.has_downstream_load_failure |= is_load_failure
 
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -107,7 +107,9 @@
         self._selector = InstanceSelector(
             settings.callers.ip, settings.failure_domain, self._rng, time.monotonic
         )
-        self._budget = FleetRetryBudget(settings.retry_ratio, settings.retry_slack)
+        self._budget = FleetRetryBudget(
+            settings.retry_ratio, settings.retry_slack, time.monotonic, self._rng
+        )
         self._links = PeerLinks(settings.links.port, log, self._on_control_frame)
         self._metrics = Metrics(self._gauges)
 
--- a/packages/savoryroute/savoryroute/coordination/retry_rule.py
+++ b/packages/savoryroute/savoryroute/coordination/retry_rule.py
@@ -15,6 +15,9 @@
 # After this many refusals by daemons a request is refused: all instances are then
 # taken to be full.
 PLACEMENTS_MAX = 3
+# Most attempts of one request that reach upstreams and are rejected there, while these
+# have free slots. One in 36 requests then fails at a service that sheds 55%.
+REJECTIONS_MAX = 6
 
 
 class NextStep(enum.Enum):
@@ -61,8 +64,13 @@
         if n_placements < PLACEMENTS_MAX:
             return NextStep.PLACE_ELSEWHERE
         return NextStep.GIVE_UP
-    may_run_again = answer.verdict is Verdict.NOT_RUN or is_idempotent
-    if may_run_again and n_arrivals < attempts_max:
+    if answer.verdict is Verdict.NOT_RUN:
+        # An upstream with free slots sheds for reasons other than load, and may accept
+        # the next attempt.
+        has_free_slots = answer.n_reported < answer.limit
+        n_max = max(attempts_max, REJECTIONS_MAX) if has_free_slots else attempts_max
+        return NextStep.RETRY if n_arrivals < n_max else NextStep.GIVE_UP
+    if is_idempotent and n_arrivals < attempts_max:
         return NextStep.RETRY
     return NextStep.GIVE_UP
 
--- a/packages/savoryroute/savoryroute/coordination/throttle.py
+++ b/packages/savoryroute/savoryroute/coordination/throttle.py
@@ -27,6 +27,9 @@
 # counts calls of the route's own rank or a better one. The excess over 1 is queued
 # and waits for about that fraction of the service time of a call.
 PRESSURE_TARGETS = (1.5, 1.35, 1.25)
+# Load of the fullest call queue from which a failure is one for lack of capacity. At a
+# service that sheds with free slots, refusing actions leaves nothing to the others.
+FULL_PRESSURE = 0.9
 # Share of load failures among the answers above which a route is throttled, by rank.
 FAILURE_TARGETS = (0.3, 0.1, 0.04)
 # Excess load that corresponds to an excess of 1 in the share of load failures.
@@ -119,11 +122,11 @@
         Args:
             route: Name of its route.
             pressure: Load of the fullest call queue on its path, calls over slots.
-            is_load_failure: Whether it failed for lack of capacity; other failures
-                do not count against the route.
+            is_load_failure: Whether an upstream or a daemon refused it or one of its
+                calls for load. It counts against the route if a queue was full.
         """
         state = self._states.get(route)
         if state is not None:
             state.n_ended += 1
-            state.n_load_failures += is_load_failure
+            state.n_load_failures += is_load_failure and pressure >= FULL_PRESSURE
             state.pressure_sum += pressure
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -49,6 +49,7 @@
         time_left_ms: Milliseconds to the deadline.
         is_idempotent: Whether the request is idempotent.
         is_head: Whether the method is HEAD.
+        is_repeat: Whether it is a retry, or was made by a run that was one.
         request_id: Identity of the request; the upstream echoes it.
         fingerprint: Digest by which the quarantine recognizes equal requests.
         head: Request line and headers, without the empty line.
@@ -65,6 +66,7 @@
     time_left_ms: int
     is_idempotent: bool
     is_head: bool
+    is_repeat: bool
     request_id: bytes
     fingerprint: bytes
     head: bytes
@@ -88,6 +90,7 @@
             self.time_left_ms,
             self.is_idempotent,
             self.is_head,
+            self.is_repeat,
             self.request_id,
             self.fingerprint,
             self.head,
--- a/tests/savoryroute/coordination/test_retry_rule.py
+++ b/tests/savoryroute/coordination/test_retry_rule.py
@@ -5,6 +5,7 @@
 
 from savoryroute.coordination.retry_rule import (
     PLACEMENTS_MAX,
+    REJECTIONS_MAX,
     NextStep,
     next_step,
     status_of,
@@ -37,6 +38,16 @@
         self.assertIs(next_step(shed, False, 1, 1, 2), NextStep.RETRY)
         self.assertIs(next_step(shed, False, 2, 2, 2), NextStep.GIVE_UP)
 
+    def test_rejection_with_free_slots_is_retried_beyond_the_attempts_of_a_route(self):
+        shed = answer(Verdict.NOT_RUN, Reason.OVERLOAD, was_sent=True)
+        shed.n_reported, shed.limit = 3, 10
+        for n in range(1, REJECTIONS_MAX):
+            self.assertIs(next_step(shed, False, n, n, 2), NextStep.RETRY)
+        n = REJECTIONS_MAX
+        self.assertIs(next_step(shed, False, n, n, 2), NextStep.GIVE_UP)
+        shed.n_reported = 10
+        self.assertIs(next_step(shed, False, 2, 2, 2), NextStep.GIVE_UP)
+
     def test_refusal_by_a_daemon_is_placed_elsewhere_a_few_times(self):
         full = answer(Verdict.NOT_RUN, Reason.OVERLOAD)
         for n in range(1, PLACEMENTS_MAX):
