tests: give requests the time of their first byte

Cause: CallerRequest has a further field since bodies are sent in pieces; three tests of the request head failed to build one. Result: test_request_head passes.

--- a/tests/savoryroute/protocol/test_request_head.py
+++ b/tests/savoryroute/protocol/test_request_head.py
@@ -10,7 +10,7 @@
 
 class RequestHeadTest(unittest.TestCase):
     def read(self, headers, method=b"GET", body=b""):
-        request = CallerRequest(method, b"/a?b", headers, body, True, 0.0)
+        request = CallerRequest(method, b"/a?b", headers, body, True, 0.0, 0.0)
         return read_request_head(request, HEADERS, b"caller-service: s\r\n")
 
     def test_hop_by_hop_and_fleet_headers_are_removed(self):
