--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -10,11 +10,12 @@
 from ..protocol.header_names import HeaderNames
 from ..protocol.mesh_frames import MeshAnswer, MeshCall
 from ..protocol.request_head import RequestHead, read_request_head
-from ..state.fleet_view import FleetView, Instance, ServiceInstances
+from ..state.fleet_view import FleetView
 from ..state.quarantine import Quarantine, fingerprint
 from ..state.route_table import RouteTable, TableRoute, WeightedRoundRobin
-from ..transport.http_server import Exchange
+from ..transport.caller_exchange import Exchange
 from ..verdict import Reason, Verdict
+from .attempt_choice import choose_instance
 from .fleet_retries import FleetRetryBudget
 from .forwarded_request import ForwardedRequest
 from .instance_selector import InstanceSelector, SentCall
@@ -207,7 +208,9 @@
             )
             return
         instances = self._view.of_service(forwarded.service)
-        instance = self._choose_for(forwarded, instances)
+        instance = choose_instance(
+            forwarded, instances, self._selector, self._links.is_suspect
+        )
         if instance is None:
             detail = f"none of {len(instances)} instances is available"
             reason = Reason.NO_UPSTREAM
@@ -235,29 +238,6 @@
         else:
             self._links.call(instance.ip, call, body, on_answer)
 
-    def _choose_for(
-        self, forwarded: ForwardedRequest, instances: ServiceInstances
-    ) -> Instance | None:
-        """Return the instance for the next attempt, or None if there is none.
-
-        Once as many upstreams got the request as the route allows, or none is left that
-        has not, the next attempt goes to one that rejected it.
-        """
-        if len(forwarded.reached) < forwarded.route.attempts_max:
-            instance = self._choose(instances, forwarded.tried)
-            if instance is not None:
-                return instance
-        again = [item for item in instances if item.id in forwarded.rejected]
-        return self._choose(ServiceInstances(again), []) if again else None
-
-    def _choose(self, instances: ServiceInstances, tried: list[str]) -> Instance | None:
-        is_suspect = self._links.is_suspect
-        instance = self._selector.choose(instances, tried, is_suspect)
-        if instance is None and all(is_suspect(i.ip) for i in instances):
-            # If all are suspect, it is more likely that the suspicion is wrong.
-            return self._selector.choose(instances, tried, lambda ip: False)
-        return instance
-
     def _on_answer(
         self, forwarded: ForwardedRequest, sent: SentCall, answer: MeshAnswer
     ) -> None:
--- a/packages/savoryroute/savoryroute/coordination/forwarded_request.py
+++ b/packages/savoryroute/savoryroute/coordination/forwarded_request.py
@@ -7,7 +7,7 @@
 from ..protocol.mesh_frames import MeshAnswer, MeshCall
 from ..state.fleet_view import Instance
 from ..state.route_table import TableRoute
-from ..transport.http_server import Exchange
+from ..transport.caller_exchange import Exchange
 from .instance_selector import SentCall
 from .local_upstream import LocalCall
 
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -16,9 +16,10 @@
 from ..state.metrics import Metrics
 from ..state.quarantine import Quarantine
 from ..state.route_table import CallerLimits, RouteTable
+from ..transport.caller_exchange import Exchange
 from ..transport.frame_link import FrameLink, FrameLinkServer
 from ..transport.http_client import HttpPool
-from ..transport.http_server import CallersListener, Exchange
+from ..transport.http_server import CallersListener
 from .call_queue import CallQueue
 from .first_hop import FirstHop
 from .fleet_retries import FleetRetryBudget
--- a/packages/savoryroute/savoryroute/protocol/request_head.py
+++ b/packages/savoryroute/savoryroute/protocol/request_head.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..transport.http_server import CallerRequest
+from ..transport.caller_exchange import CallerRequest
 from .header_names import HOP_BY_HOP, HeaderNames
 
 __all__ = ["RequestHead", "read_request_head"]
--- a/tests/savoryroute/protocol/test_request_head.py
+++ b/tests/savoryroute/protocol/test_request_head.py
@@ -5,7 +5,7 @@
 from savoryroute_platform.names import HEADERS
 
 from savoryroute.protocol.request_head import read_request_head
-from savoryroute.transport.http_server import CallerRequest
+from savoryroute.transport.caller_exchange import CallerRequest
 
 
 class RequestHeadTest(unittest.TestCase):
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from savoryroute.state.route_table import CallerLimits
-from savoryroute.transport.http_server import CallersListener, format_answer
+from savoryroute.transport.caller_exchange import format_answer
+from savoryroute.transport.http_server import CallersListener
 
 LIMITS = CallerLimits(1000, 5000, 0.2, 0.4)
 
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 
 from savoryroute.state.route_table import CallerLimits
-from savoryroute.transport.http_server import CallersListener, Exchange
+from savoryroute.transport.caller_exchange import Exchange
+from savoryroute.transport.http_server import CallersListener
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -81,6 +81,7 @@
         paths = [
             path("/safe/", "planner", "safe"),
             path("/once/", "planner", "unsafe", priority=0),
+            path("/upload/", "planner", "upload"),
             path(f"/v{self.version}/", "planner", "safe"),
         ]
         source = configuration(self.version, {"shop.example": paths}, ["planner"])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,6 +31,12 @@
 RECOVERY_S = 4.0
 RECOVERED_SHARE = 0.95
 N_LAST = 100
+# Shares of requests that may run once only, of uploads among these, and of uploads
+# whose callers leave half way. Lengths of the bodies of uploads in bytes.
+ONCE_SHARE = 0.4
+UPLOAD_SHARE = 0.4
+ABANDONED_SHARE = 0.1
+UPLOAD_BYTES = (5_000, 90_000)
 
 FAULTS = {}
 
@@ -108,6 +114,7 @@
         self.rng = random.Random(seed)
         self.fleet = SoakFleet(seed)
         self.answers: dict[str, int] = {}
+        self.bodies: dict[str, bytes] = {}
         self.latest: collections.deque[int] = collections.deque(maxlen=N_LAST)
         self.problems: list[str] = []
         self.faults: list[str] = []
@@ -167,15 +174,35 @@
                     index = number % len(self.fleet.SERVICES)
                     ip = self.fleet.ip(index)
                     caller = await Caller.connect(ip, self.fleet.port)
-                is_unsafe = self.rng.random() < 0.4
-                caller = await self._exchange(caller, is_unsafe)
+                if self.rng.random() >= ONCE_SHARE:
+                    caller = await self._exchange(caller, "/safe/x", "GET", b"")
+                elif self.rng.random() >= UPLOAD_SHARE:
+                    caller = await self._exchange(caller, "/once/x", "POST", b"body")
+                else:
+                    caller = await self._upload(caller)
             except (OSError, TimeoutError):
                 caller = None
 
-    async def _exchange(self, caller: Caller, is_unsafe: bool) -> Caller | None:
-        target, method = ("/once/x", "POST") if is_unsafe else ("/safe/x", "GET")
-        body = b"body" if is_unsafe else b""
+    async def _upload(self, caller: Caller) -> Caller | None:
+        """Send a long body, or a part of it and leave."""
+        length = self.rng.randint(*UPLOAD_BYTES)
+        body = bytes([self.rng.randrange(256)]) * length
+        if self.rng.random() >= ABANDONED_SHARE:
+            return await self._exchange(caller, "/upload/x", "POST", body)
+        caller.writer.write(
+            b"POST /upload/abandoned HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Request-Id: abandoned\r\nContent-Length: %d\r\n\r\n%b"
+            % (length, body[: length // 2])
+        )
+        await asyncio.sleep(self.rng.uniform(0.0, 0.3))
+        caller.close()
+        return None
+
+    async def _exchange(
+        self, caller: Caller, target: str, method: str, body: bytes
+    ) -> Caller | None:
         request_id = caller.write(target, method=method, body=body)
+        self.bodies[request_id] = body
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             answer = await caller.read()
         if not answer.is_complete:
@@ -204,6 +231,13 @@
             for run in item.runs
             if run["line"].startswith("POST")
         }
+        for item in self.fleet.upstreams:
+            for run in item.runs:
+                request_id = run["request-id"]
+                if run["body"] != self.bodies.get(request_id, run["body"]):
+                    self.problems.append(f"{request_id} ran with another body")
+        if "abandoned" in runs:
+            self.problems.append("a request without its complete body ran")
         for request_id, n_runs in runs.items():
             if request_id in unsafe and n_runs > 1:
                 self.problems.append(f"{request_id} ran {n_runs} times")
