--- a/tests/savoryroute/coordination/test_fleet_retries.py
+++ b/tests/savoryroute/coordination/test_fleet_retries.py
@@ -96,7 +96,7 @@
         self.assertLessEqual(fleet.excess(), 0.0)
 
     def test_calls_of_repeated_runs_are_taken_from_the_budget(self):
-        fleet = Fleet(13, 47.0, 1).play(400.0, 10.0, repeated_share=0.1)
+        fleet = Fleet(13, 47.0, 1).play(400.0, 30.0, repeated_share=0.1)
         self.assertLessEqual(fleet.excess(), 0.0)
 
     def test_most_of_the_allowed_retries_are_used_when_they_are_needed(self):
