http server: bound chunked bodies in small chunks too

Cause, found by reading: each step of a body whose length is not known counted as a small body, so that chunks of up to 16 KiB passed the memory bound. After a refusal in place of a 100 Continue the caller may send the next request instead of the body. Change: the length reserved so far decides whether a body is small; such a refusal closes the connection.

--- a/packages/savoryroute/savoryroute/coordination/fleet_retries.py
+++ b/packages/savoryroute/savoryroute/coordination/fleet_retries.py
@@ -49,9 +49,9 @@
 class _ServiceBudget:
     """Requests of the last windows and retries left for one service.
 
-    The rate at which retries are earned follows the window with most requests, the
-    current one or the one before. When a service sheds, fewer calls of each action are
-    made, and the retries needed most would otherwise fall with them.
+    The rate at which retries are earned follows the window with most requests among
+    those that ended within the last half window. When a service sheds, fewer calls of
+    each action are made, and the retries needed most would otherwise fall with them.
     """
 
     refilled_s: float
--- a/packages/savoryroute/savoryroute/state/body_budget.py
+++ b/packages/savoryroute/savoryroute/state/body_budget.py
@@ -42,15 +42,21 @@
         """Number of bodies that were refused."""
         return self._n_refused
 
-    def try_reserve(self, n_bytes: int) -> bool:
+    def try_reserve(self, n_bytes: int, before_bytes: int = 0) -> bool:
         """Reserve memory for a body; return whether it may be held.
 
         A body longer than the limit is accepted when no other one is held, since the
         platform may allow longer ones.
+
+        Args:
+            n_bytes: Bytes to reserve.
+            before_bytes: Bytes reserved before for the same body, whose length is not
+                known in advance.
         """
         total_bytes = self._held_bytes + n_bytes
-        is_small = n_bytes <= SMALL_BODY_BYTES
-        if not is_small and self._held_bytes and total_bytes > self._limit_bytes:
+        is_small = before_bytes + n_bytes <= SMALL_BODY_BYTES
+        has_others = self._held_bytes > before_bytes
+        if not is_small and has_others and total_bytes > self._limit_bytes:
             self._n_refused += 1
             return False
         self._held_bytes = total_bytes
--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -61,6 +61,7 @@
         self._body_bytes = 0
         self._reserved_bytes = 0
         self._is_skipping_body = False
+        self._is_continue_expected = False
         self._begun_s = time.monotonic()
 
     # Callbacks of asyncio.
@@ -119,13 +120,14 @@
         self._count_header(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        is_continue_expected = False
+        self._is_continue_expected = any(
+            name == b"expect" and value.lower() == b"100-continue"
+            for name, value in self._headers
+        )
         for name, value in self._headers:
-            if name == b"expect" and value.lower() == b"100-continue":
-                is_continue_expected = True
-            elif name == b"content-length" and value.isdigit():
+            if name == b"content-length" and value.isdigit():
                 self._reserve_body(int(value))
-        if is_continue_expected and self._is_reading_body:
+        if self._is_continue_expected and self._is_reading_body:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -150,12 +152,17 @@
 
     def _accept(self, body: bytes) -> None:
         """Start the open message as a request, after those that wait."""
+        keep_alive = self._parser.should_keep_alive()
+        if self._is_skipping_body and self._is_continue_expected:
+            # Without a 100 the caller may not send the body; what it sends next could
+            # not be told from it.
+            keep_alive = False
         request = CallerRequest(
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
             body=body,
-            keep_alive=self._parser.should_keep_alive(),
+            keep_alive=keep_alive,
             begun_s=self._begun_s,
             read_s=time.monotonic(),
             reserved_bytes=self._reserved_bytes,
@@ -235,11 +242,12 @@
 
     def _reserve_body(self, n_bytes: int) -> None:
         """Reserve memory for the first ``n_bytes`` of a body, or refuse the request."""
-        if n_bytes <= self._reserved_bytes or not self._is_reading_body:
+        before_bytes = self._reserved_bytes
+        if n_bytes <= before_bytes or not self._is_reading_body:
             return
         if n_bytes > self._listener.limits().body_bytes_max:
             self._refuse(413, "the request body is too long")
-        elif self._listener.bodies.try_reserve(n_bytes - self._reserved_bytes):
+        elif self._listener.bodies.try_reserve(n_bytes - before_bytes, before_bytes):
             self._reserved_bytes = n_bytes
         else:
             self._release_reserved()
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -608,7 +608,7 @@
     Mutation(
         "mesh uploads: bodies are held without a limit",
         "state/body_budget.py",
-        "if not is_small and self._held_bytes and total_bytes > self._limit_bytes:",
+        "if not is_small and has_others and total_bytes > self._limit_bytes:",
         "if False:",
         "tests.savoryroute_platform.test_uploads.MemoryTest",
     ),
--- a/tests/savoryroute/state/test_body_budget.py
+++ b/tests/savoryroute/state/test_body_budget.py
@@ -28,6 +28,16 @@
         self.assertTrue(budget.try_reserve(2 * LONG))
         self.assertFalse(budget.try_reserve(LONG))
 
+    def test_body_that_grows_in_small_steps_is_refused_at_the_limit(self):
+        budget = BodyBudget(LONG)
+        budget.try_reserve(SMALL_BODY_BYTES)
+        n_bytes = 0
+        while budget.try_reserve(1000, n_bytes):
+            n_bytes += 1000
+        self.assertLessEqual(budget.held_bytes, LONG)
+        budget.release(SMALL_BODY_BYTES)
+        self.assertTrue(budget.try_reserve(2 * LONG, n_bytes))
+
     @given(st.lists(st.integers(0, 3 * LONG)))
     def test_released_bodies_leave_nothing_held(self, sizes):
         budget = BodyBudget(4 * LONG)
--- a/tests/savoryroute_platform/test_uploads.py
+++ b/tests/savoryroute_platform/test_uploads.py
@@ -190,12 +190,23 @@
         self.budget.try_reserve(2 * len(UPLOAD) - 1000)
         head = f"POST /vault/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: c\r\n"
         self.caller.writer.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
-        for _ in range(6):
-            self.caller.writer.write(b"8000\r\n" + b"x" * 0x8000 + b"\r\n")
+        for _ in range(50):
+            self.caller.writer.write(b"1000\r\n" + b"x" * 0x1000 + b"\r\n")
         self.assertEqual((await self.caller.read()).status, 503)
         self.caller.writer.write(b"0\r\n\r\n")
         self.assertEqual((await self.upload(b"s")).status, 200)
 
+    async def test_refusal_without_a_continue_closes_the_connection(self):
+        """The caller may not send the body, so the next bytes would be ambiguous."""
+        self.budget.try_reserve(2 * len(UPLOAD))
+        self.caller.writer.write(
+            f"POST /vault/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: e\r\n"
+            f"Expect: 100-continue\r\nContent-Length: {len(UPLOAD)}\r\n\r\n".encode()
+        )
+        answer = await self.caller.read()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.headers["connection"], "close")
+
     async def test_peer_without_memory_is_passed_over(self):
         first, second = (node._bodies for node in self.fleet.nodes[1:])
         first._limit_bytes = 1
