retry budget: bound the debt of repeated runs, name the fields

Cause, found by reading: calls of repeated runs could take the balance down without limit, so that a service got no retries long after the window in which they count. Change: the debt is at most what one window earns; fields are described and renamed.

--- a/packages/savoryroute/savoryroute/coordination/fleet_retries.py
+++ b/packages/savoryroute/savoryroute/coordination/fleet_retries.py
@@ -52,34 +52,46 @@
     The rate at which retries are earned follows the window with most requests among
     those that ended within the last half window. When a service sheds, fewer calls of
     each action are made, and the retries needed most would otherwise fall with them.
+
+    Attributes:
+        refilled_s: Monotonic time up to which earned retries are in the balance.
+        interval_began_s: Monotonic time at which the current interval began.
+        balance: Retries left; negative after calls of repeated runs.
+        balance_max: Balance above which no further retries are saved up.
+        n_current: Requests in the current interval.
+        n_window: Requests in the last full window.
+        counts: Requests in each interval of that window.
+        windows: Requests in each window that ended within the last half window.
     """
 
     refilled_s: float
-    interval_s: float
+    interval_began_s: float
     balance: float = 0.0
-    highest: float = 0.0
+    balance_max: float = 0.0
     n_current: int = 0
     n_window: int = 0
     counts: deque[int] = attrs.field(factory=lambda: deque([0] * N_INTERVALS))
     windows: deque[int] = attrs.field(factory=lambda: deque([0] * (N_INTERVALS // 2)))
 
-    def advance(self, now_s: float, ratio: float, saved: float) -> None:
+    def advance(self, now_s: float, ratio: float, slack: float) -> None:
         """Add the retries earned until now.
 
         Args:
             now_s: Monotonic time in seconds.
             ratio: Retries earned for each request.
-            saved: Retries that may be saved up at any rate.
+            slack: Retries that may be saved up at any rate.
         """
-        n_missed = int((now_s - self.interval_s) / INTERVAL_S)
+        n_missed = int((now_s - self.interval_began_s) / INTERVAL_S)
         if n_missed:
-            self.interval_s += n_missed * INTERVAL_S
+            self.interval_began_s += n_missed * INTERVAL_S
             for _ in range(min(n_missed, 2 * N_INTERVALS)):
                 self._close_interval()
         per_s = ratio * max(self.n_window, *self.windows) / WINDOW_S
-        self.highest = saved + per_s * SAVED_S
+        self.balance_max = slack + per_s * SAVED_S
         earned = per_s * (now_s - self.refilled_s)
-        self.balance = min(self.highest, self.balance + earned)
+        # A debt from repeated runs is at most what one window earns.
+        self.balance = max(self.balance, -per_s * WINDOW_S)
+        self.balance = min(self.balance_max, self.balance + earned)
         self.refilled_s = now_s
 
     def _close_interval(self) -> None:
@@ -143,7 +155,7 @@
             n_done: Calls that the run which makes this call has completed before.
         """
         budget = self._advance(service)
-        available = budget.balance - _reserved_share(rank, n_done) * budget.highest
+        available = budget.balance - _reserved_share(rank, n_done) * budget.balance_max
         if available <= 0.0 or self._rng.random() >= available:
             return False
         budget.balance -= 1.0
@@ -151,12 +163,12 @@
 
     def _advance(self, service: str) -> _ServiceBudget:
         now_s = self._clock()
-        saved = self._slack * SLACK_SHARE / self._n_daemons
+        slack = self._slack * SLACK_SHARE / self._n_daemons
         budget = self._services.get(service)
         if budget is None:
-            budget = _ServiceBudget(now_s, now_s, balance=saved)
+            budget = _ServiceBudget(now_s, now_s, balance=slack)
             self._services[service] = budget
-        budget.advance(now_s, self._ratio * RATIO_SHARE, saved)
+        budget.advance(now_s, self._ratio * RATIO_SHARE, slack)
         return budget
 
 
--- a/tests/savoryroute/coordination/test_fleet_retries.py
+++ b/tests/savoryroute/coordination/test_fleet_retries.py
@@ -144,6 +144,15 @@
         self.earn()
         self.assertGreater(self.n_allowed(0, 3), 5)
 
+    def test_debt_of_repeated_runs_is_paid_within_a_window(self):
+        self.earn()
+        for _ in range(1000):
+            self.budget.note_repeated_call("planner")
+        self.assertEqual(self.n_allowed(0, 3), 0)
+        self.earn()
+        self.earn()
+        self.assertGreater(self.n_allowed(0, 3), 5)
+
     def test_lower_ranks_leave_retries_to_higher_ones(self):
         self.earn()
         highest = self.budget.balances["planner"]
