--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -650,15 +650,15 @@
     Mutation(
         "mesh retries: each daemon saves up the slack of the fleet",
         "coordination/fleet_retries.py",
-        "saved = self._slack * SLACK_SHARE / self._n_daemons",
-        "saved = self._slack * SLACK_SHARE",
+        "slack = self._slack * SLACK_SHARE / self._n_daemons",
+        "slack = self._slack * SLACK_SHARE",
         "tests.savoryroute.coordination.test_fleet_retries.FleetBoundTest",
     ),
     Mutation(
         "mesh retries: no part is reserved for better ranks",
         "coordination/fleet_retries.py",
-        "available = budget.balance - _reserved_share(rank, n_done) * budget.highest",
-        "available = budget.balance",
+        "budget.balance - _reserved_share(rank, n_done) * budget.balance_max",
+        "budget.balance",
         "tests.savoryroute.coordination.test_fleet_retries.ServiceBudgetTest",
     ),
     Mutation(
