--- /dev/null
+++ b/tests/mutations/__init__.py
@@ -0,0 +1,1 @@
+"""Mutation tests: deliberate faults in the mechanisms behind each promise."""
