http server: no second answer to a request whose body was refused

Cause, found by reading: a request refused for memory is answered before its body; if the rest of the body then stopped or was malformed, the connection wrote a 408 or 400 for the same request. Change: such a request only closes its connection; the log line stays. Result: the new test got 408 where nothing may come, and passes now.

--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -273,9 +273,11 @@
         if self._exchange is not None:
             self._pending_refusal = (status, detail)
             return
-        body = detail.encode()
-        head = b"Content-Type: text/plain\r\n"
-        self._transport.write(format_answer(status, head, body, True))
+        # A request whose body is skipped was answered before its body had arrived.
+        if not self._is_skipping_body:
+            body = detail.encode()
+            head = b"Content-Type: text/plain\r\n"
+            self._transport.write(format_answer(status, head, body, True))
         self._listener.on_bad_request(status, detail)
         self._close()
 
--- a/tests/savoryroute_platform/test_uploads.py
+++ b/tests/savoryroute_platform/test_uploads.py
@@ -196,6 +196,13 @@
         self.caller.writer.write(b"0\r\n\r\n")
         self.assertEqual((await self.upload(b"s")).status, 200)
 
+    async def test_refused_body_that_stops_arriving_gets_no_second_answer(self):
+        self.budget.try_reserve(2 * len(UPLOAD))
+        self.begin_upload(self.caller, 20_000)
+        self.assertEqual((await self.caller.read()).status, 503)
+        async with asyncio.timeout(3):
+            self.assertEqual((await self.caller.read()).status, 0)
+
     async def test_refusal_without_a_continue_closes_the_connection(self):
         """The caller may not send the body, so the next bytes would be ambiguous."""
         self.budget.try_reserve(2 * len(UPLOAD))
