--- a/packages/savoryroute/savoryroute/coordination/peer_calls.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_calls.py
@@ -5,8 +5,6 @@
 import time
 from typing import Any
 
-import attrs
-
 from ..protocol.body_transfer import IncomingBodies
 from ..protocol.mesh_frames import FrameKind, MeshAnswer, MeshCall
 from ..state.body_budget import BodyBudget
@@ -19,14 +17,6 @@
 _Key = tuple[FrameLink, int]
 
 
-@attrs.define(eq=False, slots=True)
-class _RunningCall:
-    """Call of a peer that is queued or running."""
-
-    local: LocalCall
-    body_bytes: int
-
-
 class PeerCalls:
     """Runs the calls of peers once their bodies are complete, and answers them.
 
@@ -42,7 +32,7 @@
         self._upstream = upstream
         self._bodies = bodies
         self._incoming = IncomingBodies()
-        self._running: dict[_Key, _RunningCall] = {}
+        self._running: dict[_Key, LocalCall] = {}
 
     def on_frame(self, link: FrameLink, frame: list[Any]) -> bool:
         """Handle a frame; return whether it was one about calls.
@@ -108,13 +98,13 @@
 
         local = self._upstream.run(call, body, answer)
         if not local.is_over:
-            self._running[key] = _RunningCall(local, call.body_bytes)
+            self._running[key] = local
 
     def _cancel(self, key: _Key) -> None:
-        running = self._running.pop(key, None)
-        if running is not None:
-            running.local.cancel()
-            self._bodies.release(running.body_bytes)
+        local = self._running.pop(key, None)
+        if local is not None:
+            local.cancel()
+            self._bodies.release(local.call.body_bytes)
             return
         call = self._incoming.drop(key)
         if call is not None:
