logs: which requests were lost in which crash, and who learned of it

Change: upstream_lost has the fingerprint; the event suspect says at each daemon how many crashes of a request it knows of and from whom, for requests lost more than once, so that a crash with many calls in flight does not write a line for each. Ruled out: a line for each suspect, up to one for each slot of the upstream. Measured: unit tests of quarantine and crashes pass (15); mutations of poison caught. Conclusion: no change of decisions.

--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -336,6 +336,7 @@
             reason=answer.reason,
             verdict=answer.verdict,
             detail=answer.detail,
+            fingerprint=call.fingerprint.hex(),
             running=self._queue.n_running,
             waiting=self._queue.n_waiting,
             seconds=round(time.monotonic() - local.started_s, 4),
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -95,7 +95,7 @@
                 self._pool,
                 self._quarantine,
                 log,
-                self._broadcast_suspects,
+                self._report_crash,
             ),
             self._quarantine,
             log,
@@ -350,7 +350,7 @@
             if not self._synchronizer.merge_update(ip, ViewUpdate(*frame[1:])):
                 link.send(self._synchronizer.make_request().to_frame())
         elif kind == FrameKind.SUSPECTS:
-            self._quarantine.merge(frame[1])
+            self._log_repeated_suspects(self._quarantine.merge(frame[1]), ip)
         elif kind == FrameKind.LEAVING:
             self._note_leaving(ip)
 
@@ -361,9 +361,28 @@
             if instance.ip == ip:
                 self._selector.note_leaving(instance)
 
-    def _broadcast_suspects(self) -> None:
-        """Send the requests that were lost in a crash to all linked peers."""
-        self._log.change("upstream_crashed", n_suspects=len(self._quarantine))
+    def _log_repeated_suspects(self, requests: set[bytes], origin: str) -> None:
+        """Log the requests that were lost in more than one crash.
+
+        Args:
+            requests: Fingerprints of requests with a newly learned crash.
+            origin: ``upstream`` for the local one, else the address of the peer.
+        """
+        for request in requests:
+            n_crashes = self._quarantine.n_crashes(request)
+            if n_crashes > 1:
+                self._log.change(
+                    "suspect",
+                    fingerprint=request.hex(),
+                    n_crashes=n_crashes,
+                    is_quarantined=self._quarantine.check(request) is not None,
+                    by=origin,
+                )
+
+    def _report_crash(self, suspects: set[bytes]) -> None:
+        """Log a crash and send the requests lost in it to all linked peers."""
+        self._log.change("upstream_crashed", n_suspects=len(suspects))
+        self._log_repeated_suspects(suspects, "upstream")
         frame = [FrameKind.SUSPECTS.value, self._quarantine.export()]
         self._links.broadcast(frame)
         for link in self._accepted_links:
--- a/packages/savoryroute/savoryroute/coordination/upstream_health.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_health.py
@@ -45,7 +45,7 @@
         pool: Connections to the upstream.
         quarantine: Records which requests were lost in each crash.
         log: Log of changes.
-        on_crash: Called after each crash in which requests were lost.
+        on_crash: Called after each crash with the fingerprints of the lost requests.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         pool: HttpPool,
         quarantine: Quarantine,
         log: EventLog,
-        on_crash: Callable[[], None],
+        on_crash: Callable[[set[bytes]], None],
     ) -> None:
         self._service = service
         self._pool = pool
@@ -108,7 +108,7 @@
         self._lost_calls.clear()
         if suspects:
             self._quarantine.note_crash(suspects)
-            self._on_crash()
+            self._on_crash(suspects)
 
     def _check(self) -> None:
         self._pool.open_spare(self._on_checked)
--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -205,11 +205,21 @@
         new = [item for item in chosen if item[1].n_exports < NEW_EXPORTS_MAX]
         return chosen[: max(len(new), OLD_EVENTS_MAX)]
 
-    def merge(self, rows: list[Any]) -> None:
-        """Merge the rows that a peer exported, ignoring malformed ones."""
-        for row in rows[:MERGED_MAX]:
-            if _is_row(row):
-                self._merge_row(*row)
+    def merge(self, rows: list[Any]) -> set[bytes]:
+        """Merge the rows that a peer exported, ignoring malformed ones.
+
+        Returns:
+            The requests with crashes that were not known before.
+        """
+        return {
+            row[0]
+            for row in rows[:MERGED_MAX]
+            if _is_row(row) and self._merge_row(*row)
+        }
+
+    def n_crashes(self, request: bytes) -> int:
+        """Return the number of crashes that count against a request."""
+        return len(self._counted(request))
 
     def entries(self) -> list[SuspectEntry]:
         """Return the suspects, those with the most crashes first."""
@@ -234,25 +244,30 @@
         age_ms: int,
         is_alone: bool,
         is_cleared: bool,
-    ) -> None:
-        """Add one event, or mark a known one as cleared."""
+    ) -> bool:
+        """Add one event, or mark a known one as cleared; return whether it is new."""
         known = self._events.get((request, crash_id))
         if known is None:
             at_s = self._clock() - age_ms / 1000
-            self._add(request, crash_id, _Event(at_s, is_alone, is_cleared))
-        elif is_cleared and not known.is_cleared and not known.is_alone:
+            return self._add(request, crash_id, _Event(at_s, is_alone, is_cleared))
+        if is_cleared and not known.is_cleared and not known.is_alone:
             known.is_cleared = True
             known.n_exports = 0
+        return False
 
-    def _add(self, request: bytes, crash_id: int, event: _Event) -> None:
-        """Add an event, evicting the oldest ones if there are too many."""
+    def _add(self, request: bytes, crash_id: int, event: _Event) -> bool:
+        """Add an event unless it has expired; return whether it was added.
+
+        If there are too many events, the oldest ones are evicted.
+        """
         self._evict_expired()
         if self._clock() - event.at_s >= self._memory_s:
-            return
+            return False
         while len(self._events) >= EVENTS_MAX:
             self._remove(next(iter(self._events)))
         self._events[request, crash_id] = event
         self._crash_ids.setdefault(request, set()).add(crash_id)
+        return True
 
     @property
     def _memory_s(self) -> float:
--- a/tests/mutations/ledger_mutations.py
+++ b/tests/mutations/ledger_mutations.py
@@ -208,16 +208,16 @@
     Mutation(
         "poison: a crash reported twice counts twice",
         "state/quarantine.py",
-        "            self._add(request, crash_id, _Event(at_s, is_alone, is_cleared))",
-        "            self._add(request, crash_id, _Event(at_s, is_alone, is_cleared))\n"
-        "            self._add(request, crash_id ^ 1, _Event(at_s, is_alone))",
+        "return self._add(request, crash_id, _Event(at_s, is_alone, is_cleared))",
+        "self._add(request, crash_id, _Event(at_s, is_alone, is_cleared))\n"
+        "            return self._add(request, crash_id ^ 1, _Event(at_s, is_alone))",
         QUARANTINE,
     ),
     Mutation(
         "poison: crashes reported by peers are ignored",
         "state/quarantine.py",
-        "            if _is_row(row):",
-        "            if False:",
+        "if _is_row(row) and self._merge_row(*row)",
+        "if False",
         QUARANTINE,
     ),
     Mutation(
