crash reports: tell daemons that were not linked when an upstream crashed

Cause: the daemon beside a crashed upstream reported it once, over the links open at that moment, at most 32 of the lost requests. A daemon that started later, was cut off, or had no link to the reporter never learned of it. Class: state told once to whoever listens, never reconciled. Change: crash_reports.py sends all lost requests, forwards what is new to four peers, and adds a digest of requests with several crashes to the poll of a peer a second; a daemon without links opens one for that. Ruled out: all links to all hosts (grows with the square); heartbeats with all rows (10 KB/s at 256 rows); only the poll (six seconds at 1,089 daemons, contact is three).

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -21,6 +21,7 @@
 from ..transport.http_client import HttpPool
 from ..transport.http_server import CallersListener
 from .call_queue import CallQueue
+from .crash_reports import CrashReports
 from .first_hop import FirstHop
 from .fleet_retries import FleetRetryBudget
 from .instance_selector import InstanceSelector
@@ -34,9 +35,9 @@
 
 __all__ = ["MeshNode"]
 
-# Peers to which each host forwards a new update. About one in a hundred connected hosts
-# then gets the change only with the next update or request.
-UPDATE_FANOUT = 4
+# Peers to which each host forwards what it learns. About one in a hundred connected
+# hosts then gets it only with the next poll.
+FORWARD_FANOUT = 4
 # Seconds between checks for timeouts, silent links and idle connections.
 SWEEP_INTERVAL_S = 0.05
 SLOTS_DEFAULT = 16
@@ -81,6 +82,9 @@
         self._was_listed = False
         self._accepted_links: set[FrameLink] = set()
         self._quarantine = Quarantine(time.monotonic, CRASHES_MAX, QUARANTINE_S)
+        self._crash_reports = CrashReports(
+            self._quarantine, log, self._broadcast, self._forward
+        )
         self._queue = CallQueue(SLOTS_DEFAULT, time.monotonic)
         self._pool = HttpPool(
             settings.upstream.ip, settings.upstream.port, names.request_id
@@ -95,7 +99,7 @@
                 self._pool,
                 self._quarantine,
                 log,
-                self._report_crash,
+                self._crash_reports.report,
             ),
             self._quarantine,
             log,
@@ -224,7 +228,7 @@
             self._poll_peers()
 
     def _poll_peers(self) -> None:
-        """Request newer routes and instances from peers when a poll is due."""
+        """Request from peers what is newer than here, when a poll is due."""
         synchronizer = self._synchronizer
         if not synchronizer.is_poll_due():
             return
@@ -237,17 +241,26 @@
         for ip in synchronizer.select_peers([*connections], others):
             if ip in connections:
                 connections[ip].send(request)
+                connections[ip].send(self._crash_reports.make_request())
             elif ip != self._settings.callers.ip:
                 self._links.dial(ip)
 
     def _forward_update(self, update: ViewUpdate, origin: str) -> None:
         """Send an update to some random peers other than its origin."""
+        self._forward(update.to_frame(), origin)
+
+    def _forward(self, frame: list[Any], origin: str) -> None:
+        """Send a frame to some random peers other than its origin."""
         connections = self._open_connections()
         ips = sorted(connections.keys() - {origin})
-        frame = update.to_frame()
-        for ip in self._rng.sample(ips, min(len(ips), UPDATE_FANOUT)):
+        for ip in self._rng.sample(ips, min(len(ips), FORWARD_FANOUT)):
             connections[ip].send(frame)
 
+    def _broadcast(self, frame: list[Any]) -> None:
+        """Send a frame to all linked peers."""
+        for connection in self._open_connections().values():
+            connection.send(frame)
+
     def _open_connections(self) -> dict[str, FrameLink]:
         """Return an open connection to each linked peer, opened by either side."""
         accepted = {link.peer_ip: link for link in self._accepted_links if link.is_open}
@@ -350,7 +363,11 @@
             if not self._synchronizer.merge_update(ip, ViewUpdate(*frame[1:])):
                 link.send(self._synchronizer.make_request().to_frame())
         elif kind == FrameKind.SUSPECTS:
-            self._log_repeated_suspects(self._quarantine.merge(frame[1]), ip)
+            self._crash_reports.merge(frame[1], ip)
+        elif kind == FrameKind.SUSPECTS_REQUEST:
+            reports = self._crash_reports.answer_to(frame[1])
+            if reports is not None:
+                link.send(reports)
         elif kind == FrameKind.LEAVING:
             self._note_leaving(ip)
 
@@ -360,30 +377,3 @@
         for instance in self._synchronizer.view.instances.values():
             if instance.ip == ip:
                 self._selector.note_leaving(instance)
-
-    def _log_repeated_suspects(self, requests: set[bytes], origin: str) -> None:
-        """Log the requests that were lost in more than one crash.
-
-        Args:
-            requests: Fingerprints of requests with a newly learned crash.
-            origin: ``upstream`` for the local one, else the address of the peer.
-        """
-        for request in requests:
-            n_crashes = self._quarantine.n_crashes(request)
-            if n_crashes > 1:
-                self._log.change(
-                    "suspect",
-                    fingerprint=request.hex(),
-                    n_crashes=n_crashes,
-                    is_quarantined=self._quarantine.check(request) is not None,
-                    by=origin,
-                )
-
-    def _report_crash(self, suspects: set[bytes]) -> None:
-        """Log a crash and send the requests lost in it to all linked peers."""
-        self._log.change("upstream_crashed", n_suspects=len(suspects))
-        self._log_repeated_suspects(suspects, "upstream")
-        frame = [FrameKind.SUSPECTS.value, self._quarantine.export()]
-        self._links.broadcast(frame)
-        for link in self._accepted_links:
-            link.send(frame)
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -151,11 +151,6 @@
         link.connection.send([FrameKind.CANCEL.value, call.id])
         return not is_incomplete
 
-    def broadcast(self, frame: list[Any]) -> None:
-        """Send a frame on all open links."""
-        for link in self._links.values():
-            link.connection.send(frame)
-
     def dial(self, ip: str) -> None:
         """Start to open a link to a host unless that is already under way."""
         if ip in self._dialling:
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -303,11 +303,10 @@
 
         Args:
             open_ips: Hosts with an open link.
-            other_ips: Other known hosts, used if the platform does not answer and no
-                link is open.
+            other_ips: Other known hosts, used if no link is open.
         """
         is_disconnected = self._is_disconnected()
-        candidates = open_ips or (other_ips if is_disconnected else [])
+        candidates = open_ips or other_ips
         n_polled = min(len(candidates), N_POLLED_DISCONNECTED if is_disconnected else 1)
         return self._rng.sample(candidates, n_polled)
 
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -33,6 +33,7 @@
     VIEW_UPDATE = 8
     SUSPECTS = 9
     BODY = 10
+    SUSPECTS_REQUEST = 11
 
 
 @attrs.define(slots=True)
--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import heapq
+import itertools
 import secrets
 import struct
 from collections import Counter, OrderedDict
@@ -33,6 +34,9 @@
 # A crash is remembered for this many times the length of a quarantine.
 MEMORY_FACTOR = 10
 
+# Fingerprint of a request and identity of a crash during which it was in flight.
+_Key = tuple[bytes, int]
+
 
 def fingerprint(method: str, service: str, target: str, body: bytes) -> bytes:
     """Return the digest that identifies equal requests as the same suspect."""
@@ -102,7 +106,7 @@
         self._clock = clock
         self._crashes_max = max(1, crashes_max)
         self._duration_s = duration_s
-        self._events: OrderedDict[tuple[bytes, int], _Event] = OrderedDict()
+        self._events: OrderedDict[_Key, _Event] = OrderedDict()
         self._crash_ids: dict[bytes, set[int]] = {}
         self._in_flight: Counter[bytes] = Counter()
         self._in_flight_lost: set[bytes] = set()
@@ -190,14 +194,56 @@
             request was the only one in flight, and whether it has been cleared.
         """
         self._evict_expired()
+        return self._rows(self._least_exported())
+
+    def export_new(self) -> list[Any]:
+        """Return rows of events that were never exported, at most ``MERGED_MAX``."""
+        self._evict_expired()
+        new = (item for item in self._events.items() if not item[1].n_exports)
+        return self._rows(list(itertools.islice(new, MERGED_MAX)))
+
+    def export_repeated(self) -> list[Any]:
+        """Return rows of the requests that were in flight at several crashes.
+
+        At most ``MERGED_MAX``: requests with more crashes go first, and among equals
+        the events that were exported less often.
+        """
+        self._evict_expired()
+        repeated = self._repeated()
+        repeated.sort(
+            key=lambda item: (-len(self._counted(item[0][0])), item[1].n_exports)
+        )
+        return self._rows(repeated[:MERGED_MAX])
+
+    def repeated_digest(self) -> int:
+        """Return a digest of what ``export_repeated`` chooses from; 0 for nothing."""
+        self._evict_expired()
+        digest = 0
+        for (request, crash_id), event in self._repeated():
+            text = b"%b %d %d" % (request, crash_id, event.is_cleared)
+            row = hashlib.blake2b(text, digest_size=CRASH_ID_BYTES).digest()
+            digest ^= int.from_bytes(row, "big")
+        return digest
+
+    def _repeated(self) -> list[tuple[_Key, _Event]]:
+        """Return the events of requests with several of them."""
+        return [
+            ((request, crash_id), self._events[request, crash_id])
+            for request, crash_ids in self._crash_ids.items()
+            if len(crash_ids) > 1
+            for crash_id in crash_ids
+        ]
+
+    def _rows(self, items: list[tuple[_Key, _Event]]) -> list[Any]:
+        """Return the rows of events, and count them as exported."""
         rows = []
-        for (request, crash_id), event in self._least_exported():
+        for (request, crash_id), event in items:
             event.n_exports += 1
             age_ms = int((self._clock() - event.at_s) * 1000)
             rows.append([request, crash_id, age_ms, event.is_alone, event.is_cleared])
         return rows
 
-    def _least_exported(self) -> list[tuple[tuple[bytes, int], _Event]]:
+    def _least_exported(self) -> list[tuple[_Key, _Event]]:
         """Return the events for one heartbeat: new ones, else a few old ones."""
         chosen = heapq.nsmallest(
             EXPORTED_MAX, self._events.items(), key=lambda item: item[1].n_exports
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -8,6 +8,27 @@
 
 
 MESH_MUTATIONS = [
+    Mutation(
+        "mesh poison: what peers report is not forwarded",
+        "coordination/crash_reports.py",
+        "            self._forward([FrameKind.SUSPECTS.value, rows], ip)",
+        "            pass",
+        "tests.savoryroute.coordination.test_crash_reports",
+    ),
+    Mutation(
+        "mesh poison: only the first rows of a crash are reported",
+        "coordination/crash_reports.py",
+        "while rows := self._quarantine.export_new():\n            self._broadcast(",
+        "if rows := self._quarantine.export_new():\n            self._broadcast(",
+        "tests.savoryroute.coordination.test_crash_reports",
+    ),
+    Mutation(
+        "mesh poison: a daemon that restarts learns of no earlier crash",
+        "coordination/crash_reports.py",
+        "return [FrameKind.SUSPECTS.value, rows] if rows else None",
+        "return None",
+        "tests.savoryroute.coordination.test_crash_reports",
+    ),
     Mutation(
         "mesh uploads: a call starts before its body is complete",
         "protocol/body_transfer.py",
--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -124,12 +124,18 @@
         return node.is_ready and len(node.synchronizer.view.instances) == n_listed
 
     def publish(self, version: int, **changes) -> None:
-        """Publish a route to each service; ``changes`` apply to all of them."""
+        """Publish a route to each service; ``changes`` apply to all of them.
+
+        With a ``traffic-split`` among the changes, the routes have no other service.
+        """
         names = sorted(set(self.services))
         routes = [
             path(f"/{name}/", name, self.kinds.get(name, "safe"), **changes)
             for name in names
         ]
+        if "traffic-split" in changes:
+            for route in routes:
+                del route["service"]
         source = configuration(version, {"shop.example": routes}, names)
         self.store.put("op/config", source)
 
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -143,18 +143,15 @@
 
 
 def path(prefix: str, service: str, kind: str = "safe", **changes) -> dict:
-    """Return the configuration of one path of a virtual host.
-
-    With a ``traffic-split`` among the changes, it has no service of its own.
-    """
-    target = {} if "traffic-split" in changes else {"service": service}
-    return target | {
+    """Return the configuration of one path of a virtual host."""
+    return {
         "name": f"r{prefix.replace('/', '-')}",
         "prefix": prefix,
         "kind": kind,
         "timeout": "1500ms",
         "target-latency": "1000ms",
         "priority": 1,
+        "service": service,
         "max-attempts": 2,
         **changes,
     }
