quarantine: count the crashes of a request at all services together

Cause: the fingerprint contained the service that the split or the configuration chose, so the same path and body was a new suspect at each service. Class: an identity that contains a routing decision. Change: on a platform the fingerprint has the virtual host in place of the service. Ruled out: method, target and body alone: / of all hosts would be one request.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -181,7 +181,8 @@
             request_id=fields.request_id,
             fingerprint=fingerprint(
                 request.method.decode("latin-1"),
-                forwarded.service,
+                # A split or a new configuration may send it to other services.
+                fields.host,
                 request.target.decode("latin-1"),
                 request.body,
             ),
--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -38,10 +38,17 @@
 _Key = tuple[bytes, int]
 
 
-def fingerprint(method: str, service: str, target: str, body: bytes) -> bytes:
-    """Return the digest that identifies equal requests as the same suspect."""
+def fingerprint(method: str, scope: str, target: str, body: bytes) -> bytes:
+    """Return the digest that identifies equal requests as the same suspect.
+
+    Args:
+        method: HTTP method.
+        scope: Service or virtual host in which the target is defined.
+        target: Path and query.
+        body: The complete body.
+    """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    names = (method.encode(), service.encode(), target.encode())
+    names = (method.encode(), scope.encode(), target.encode())
     digest.update(_NAME_LENGTHS.pack(*map(len, names)))
     digest.update(b"".join(names))
     digest.update(body)
