view synchronizer: poll hosts without a link while links are few

Cause: a daemon polls only peers with an open link. Two idle daemons that dialled each other polled only each other and learned nothing from the rest. Class: an overlay that may fall apart into groups. Change: below four links a daemon polls one further host each time, which opens a link. Ruled out: dialling all hosts; a link to the seeds, of which the platform names none.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -31,7 +31,7 @@
 from .request_records import RequestRecords
 from .throttle import ActionThrottle
 from .upstream_health import UpstreamHealth
-from .view_synchronizer import RouteDecoder, ViewSynchronizer
+from .view_synchronizer import LINKS_MIN, RouteDecoder, ViewSynchronizer
 
 __all__ = ["MeshNode"]
 
@@ -234,15 +234,16 @@
             return
         connections = self._open_connections()
         others: list[str] = []
-        if not connections:
-            others = [seed.ip for seed in self._settings.seeds]
-            others += [item.ip for item in synchronizer.view.instances.values()]
+        if len(connections) < LINKS_MIN:
+            known = {item.ip for item in synchronizer.view.instances.values()}
+            known.update(seed.ip for seed in self._settings.seeds)
+            others = sorted(known - connections.keys() - {self._settings.callers.ip})
         request = synchronizer.make_request().to_frame()
         for ip in synchronizer.select_peers([*connections], others):
             if ip in connections:
                 connections[ip].send(request)
                 connections[ip].send(self._crash_reports.make_request())
-            elif ip != self._settings.callers.ip:
+            else:
                 self._links.dial(ip)
 
     def _forward_update(self, update: ViewUpdate, origin: str) -> None:
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -25,13 +25,15 @@
 from ..state.fleet_view import RELISTING_GRACE_S, FleetView, Instance
 from ..state.route_table import RouteTable
 
-__all__ = ["ViewSynchronizer"]
+__all__ = ["LINKS_MIN", "RouteDecoder", "ViewSynchronizer"]
 
 # Seconds between polls of peers, while the platform answers and while it does not.
 POLL_INTERVAL_S = 1.0
 POLL_INTERVAL_DISCONNECTED_S = 0.25
 # Peers polled at a time while the platform does not answer.
 N_POLLED_DISCONNECTED = 2
+# Links below which further hosts are polled, so that no group of hosts is on its own.
+LINKS_MIN = 4
 # Seconds without an answer from the platform after which it counts as disconnected.
 DISCONNECTED_AFTER_S = 1.0
 
@@ -303,12 +305,15 @@
 
         Args:
             open_ips: Hosts with an open link.
-            other_ips: Other known hosts, used if no link is open.
+            other_ips: Other known hosts, used while few links are open.
         """
         is_disconnected = self._is_disconnected()
-        candidates = open_ips or other_ips
-        n_polled = min(len(candidates), N_POLLED_DISCONNECTED if is_disconnected else 1)
-        return self._rng.sample(candidates, n_polled)
+        n_polled = N_POLLED_DISCONNECTED if is_disconnected else 1
+        polled = self._rng.sample(open_ips, min(len(open_ips), n_polled))
+        if len(open_ips) < LINKS_MIN:
+            # Otherwise idle daemons could poll only each other.
+            polled += self._rng.sample(other_ips, min(len(other_ips), n_polled))
+        return polled
 
     def _is_disconnected(self) -> bool:
         """Return whether the platform is disconnected, or no routes are known yet."""
--- a/tests/savoryroute/coordination/test_view_synchronizer.py
+++ b/tests/savoryroute/coordination/test_view_synchronizer.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from savoryroute.coordination.view_synchronizer import ViewSynchronizer
+from savoryroute.coordination.view_synchronizer import LINKS_MIN, ViewSynchronizer
 from savoryroute.protocol.mesh_frames import ViewUpdate
 from savoryroute.state.event_log import EventLog
 from savoryroute.state.fleet_view import Instance
@@ -190,3 +190,21 @@
         expected = listed | {"i9": instance(9)}
         for synchronizer in fleet.synchronizers:
             self.assertEqual(synchronizer.view.instances, expected)
+
+
+class PolledPeersTest(unittest.TestCase):
+    def select(self, n_open):
+        synchronizer = Fleet(1).synchronizers[0]
+        open_ips = [f"open{number}" for number in range(n_open)]
+        with mock.patch.object(synchronizer, "_is_disconnected", return_value=False):
+            return synchronizer.select_peers(open_ips, ["other1", "other2"])
+
+    def test_a_host_without_a_link_is_polled_too_while_links_are_few(self):
+        for n_open in range(LINKS_MIN):
+            polled = self.select(n_open)
+            self.assertEqual(sum(ip.startswith("other") for ip in polled), 1)
+            self.assertEqual(sum(ip.startswith("open") for ip in polled), n_open > 0)
+
+    def test_one_linked_host_is_polled_while_links_suffice(self):
+        polled = self.select(LINKS_MIN)
+        self.assertEqual([ip.startswith("open") for ip in polled], [True])
