quarantine: one upstream for each end of a quarantine, twice as long each time

Cause: the retry follows in a millisecond, a crash is recognised 20 ms after the lost call; and a renewed quarantine was as short as the first. Change: if a request that was quarantined is lost again, that counts as a crash at once and is reported ahead of the answer; each further crash doubles the quarantine, up to eight times. Ruled out: a longer first quarantine (an innocent request that was lost in three crashes waits as long); no retry after any lost call (lost answers are common and harmless). Tests: QuarantineEndTest now begins with exactly three crashes, of an unsafe request, and counts runs in absolute numbers; before, its idempotent variant began with four crashes and so in a renewed quarantine.

--- a/packages/savoryroute/savoryroute/coordination/upstream_health.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_health.py
@@ -83,7 +83,15 @@
             self._log.change("upstream_back", service=self._service)
 
     def note_lost(self, fingerprint: bytes) -> None:
-        """Record a call whose connection was lost; check the upstream soon."""
+        """Record a call whose connection was lost; check the upstream soon.
+
+        A request whose quarantine has ended counts as having crashed the upstream at
+        once. Until the check, it could be sent to others.
+        """
+        if fingerprint and self._quarantine.has_crashed_enough(fingerprint):
+            self._quarantine.note_crash([fingerprint])
+            self._on_crash({fingerprint})
+            fingerprint = b""
         self._lost_calls.append(_LostCall(time.monotonic(), fingerprint))
         if not self._is_checking:
             self._is_checking = True
--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -31,8 +31,11 @@
 NEW_EXPORTS_MAX = 8
 OLD_EVENTS_MAX = 2
 
-# A crash is remembered for this many times the length of a quarantine.
+# A crash is remembered for this many times the length of a first quarantine.
 MEMORY_FACTOR = 10
+# Each further crash doubles the length of a quarantine, up to this many times: the
+# crashes must be remembered for longer than the quarantine lasts.
+DOUBLINGS_MAX = 3
 
 # Fingerprint of a request and identity of a crash during which it was in flight.
 _Key = tuple[bytes, int]
@@ -95,7 +98,8 @@
     Every request in flight during a crash becomes a suspect. An upstream runs at most
     one suspect at a time, and a suspect that completes is cleared. After
     ``crashes_max`` crashes a suspect is refused until ``duration_s`` after the last
-    crash. It then remains a suspect, and one further crash renews the quarantine.
+    crash. It then remains a suspect; one further crash renews the quarantine, for twice
+    as long each time.
     ``docs/design/poison.md`` states the resulting bound on crashes.
 
     Crashes are merged as a set of identities, so a crash that is reported twice
@@ -104,7 +108,7 @@
     Args:
         clock: Monotonic clock in seconds.
         crashes_max: Number of crashes after which a request is quarantined.
-        duration_s: Length of a quarantine in seconds.
+        duration_s: Length of a first quarantine in seconds.
     """
 
     def __init__(
@@ -156,7 +160,7 @@
             verdict=Verdict.NOT_RUN,
             reason=Reason.QUARANTINED,
             detail="upstreams crashed each time that this request ran",
-            retry_after_s=self._duration_s - self._last_age_s(request),
+            retry_after_s=self._length_s(request) - self._last_age_s(request),
         )
 
     def must_run_alone(self, request: bytes) -> bool:
@@ -270,6 +274,10 @@
             if _is_row(row) and self._merge_row(*row)
         }
 
+    def has_crashed_enough(self, request: bytes) -> bool:
+        """Return whether a request is quarantined, or was and may run again."""
+        return self.n_crashes(request) >= self._crashes_max
+
     def n_crashes(self, request: bytes) -> int:
         """Return the number of crashes that count against a request."""
         return len(self._counted(request))
@@ -339,9 +347,14 @@
 
     def _is_quarantined(self, request: bytes) -> bool:
         """Return whether a request is currently quarantined."""
-        if len(self._counted(request)) < self._crashes_max:
+        if not self.has_crashed_enough(request):
             return False
-        return self._last_age_s(request) < self._duration_s
+        return self._last_age_s(request) < self._length_s(request)
+
+    def _length_s(self, request: bytes) -> float:
+        """Return the length of the latest quarantine of a request in seconds."""
+        n_renewals = max(0, self.n_crashes(request) - self._crashes_max)
+        return self._duration_s * 2 ** min(n_renewals, DOUBLINGS_MAX)
 
     def _last_age_s(self, request: bytes) -> float:
         """Return the seconds since the last crash that counts against a request."""
--- a/tests/mutations/ledger_mutations.py
+++ b/tests/mutations/ledger_mutations.py
@@ -244,7 +244,7 @@
     Mutation(
         "poison: quarantine never ends",
         "state/quarantine.py",
-        "return self._last_age_s(request) < self._duration_s",
+        "return self._last_age_s(request) < self._length_s(request)",
         "return True",
         QUARANTINE,
     ),
--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -130,7 +130,11 @@
         """
         names = sorted(set(self.services))
         routes = [
-            path(f"/{name}/", name, self.kinds.get(name, "safe"), **changes)
+            path(
+                f"/{name}/",
+                name,
+                **{"kind": self.kinds.get(name, "safe"), **changes},
+            )
             for name in names
         ]
         if "traffic-split" in changes:
--- a/tests/savoryroute_platform/test_crashes.py
+++ b/tests/savoryroute_platform/test_crashes.py
@@ -140,8 +140,6 @@
 class QuarantineEndTest(RepeatedCrashTest):
     """The request still crashes upstreams when its quarantine ends."""
 
-    kinds = {"planner": "safe"}
-
     async def asyncSetUp(self):
         patch = mock.patch.object(mesh_node, "QUARANTINE_S", 1.5)
         patch.start()
@@ -150,21 +148,21 @@
 
     async def test_end_of_a_quarantine_costs_one_upstream(self):
         await self.crash_three()
-        n_before = self.n_runs
+        self.fleet.publish(2, kind="safe")
         await asyncio.sleep(1.6)
         # The caller sends an idempotent request again as soon as it fails.
         for _ in range(2):
             await self.request("/planner/x", method="POST", body=b"poison")
-        self.assertEqual(self.n_runs, n_before + 1)
+        self.assertEqual(self.n_runs, 4)
 
     async def test_renewed_quarantine_lasts_longer(self):
         await self.crash_three()
         await asyncio.sleep(1.6)
         await self.request_poison()
-        n_before = self.n_runs
+        self.assertEqual(self.n_runs, 4)
         await asyncio.sleep(1.6)
         await self.request_poison()
-        self.assertEqual(self.n_runs, n_before)
+        self.assertEqual(self.n_runs, 4)
 
 
 class ReplacementTest(PathTest):
