logs, metrics: the rate limit that an upstream names

Change: the daemon beside the upstream reads the header, logs when a limit is named, changed, lifted or unreadable, and exports it. Nothing acts on it yet. Ruled out: a line at each first hop, which says the same once for each host.

--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import re
 import time
 from collections.abc import Callable
 
@@ -25,6 +26,8 @@
 # Fraction of the slots that is used; some upstreams slow down when nearly full.
 SLOTS_FRACTION = 0.95
 
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+
 AnswerHandler = Callable[[MeshAnswer], None]
 
 
@@ -127,6 +130,8 @@
         self._quarantine = quarantine
         self._log = log
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
+        self._rate_limit: float | None = None
+        self._rate_limit_text: bytes | None = None
         self.is_leaving = False
         self.n_open = 0
         self.n_runs = 0
@@ -136,6 +141,11 @@
         """Slots of the upstream and the calls that wait for them."""
         return self._queue
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Requests a second that the upstream takes, None without a limit."""
+        return self._rate_limit
+
     def run(self, call: MeshCall, body: bytes, on_answer: AnswerHandler) -> LocalCall:
         """Run, queue or refuse a call.
 
@@ -265,9 +275,12 @@
         names = self._names
         head: list[bytes] = []
         is_not_executed = False
+        rate_limit: bytes | None = None
         for name, value in answer.headers:
             if name == names.load:
                 self._note_load(value)
+            elif name == names.rate_limit:
+                rate_limit = value
             elif name == names.not_executed:
                 is_not_executed = True
             if name not in HOP_BY_HOP:
@@ -279,6 +292,10 @@
             return MeshAnswer(
                 call.id, Verdict.NOT_RUN, Reason.NO_UPSTREAM, detail, was_sent=True
             )
+        is_signed = answer.header(names.signature) is not None
+        # A rejection without the header does not lift a limit, nor do stray bytes.
+        if is_signed or (is_not_executed and rate_limit is not None):
+            self._note_rate_limit(call.request_id, rate_limit)
         if is_not_executed:
             detail = f"the upstream rejected the request with status {answer.status}"
             return MeshAnswer(
@@ -289,7 +306,7 @@
                 was_sent=True,
                 is_load=True,
             )
-        if answer.header(names.signature) is None:
+        if not is_signed:
             return MeshAnswer(
                 call.id,
                 Verdict.MAY_HAVE_RUN,
@@ -348,6 +365,36 @@
         if slots.isdigit() and int(slots) > 0:
             self._queue.slots = usable_slots(int(slots))
 
+    def _note_rate_limit(self, request_id: bytes, text: bytes | None) -> None:
+        """Set the rate limit from the header of an answer.
+
+        Args:
+            request_id: Identity of the answered request.
+            text: Value of the header, None if the answer has none.
+        """
+        if text == self._rate_limit_text:
+            return
+        self._rate_limit_text = text
+        rate_limit = None
+        if text is not None:
+            if not _DECIMAL.fullmatch(text):
+                # An earlier limit stays, as the upstream may still be in need.
+                self._log.request(
+                    "upstream_limit_unreadable",
+                    request_id.decode("latin-1"),
+                    value=text[:40].decode("latin-1"),
+                    allowed="a decimal number",
+                )
+                return
+            rate_limit = float(text)
+        self._log.request(
+            "upstream_limit",
+            request_id.decode("latin-1"),
+            per_s=rate_limit,
+            before_per_s=self._rate_limit,
+        )
+        self._rate_limit = rate_limit
+
     def _cancel(self, local: LocalCall) -> None:
         if local.is_over:
             return
--- a/packages/savoryroute/savoryroute/protocol/header_names.py
+++ b/packages/savoryroute/savoryroute/protocol/header_names.py
@@ -22,6 +22,8 @@
         caller_service: Service of the host where the request originated.
         expected_instance: The only upstream instance that may run the request.
         load: Load that an upstream reports: calls running, calls waiting, slots.
+        rate_limit: Requests a second that an upstream in need takes from all hosts
+            together, in each of its answers for as long as the limit holds.
         not_executed: Present if the upstream did not run the request.
         signature: Present in each answer that the upstream itself generated.
         id_separator: Separates the identity of an action from the rest of the identity
@@ -33,6 +35,7 @@
     caller_service: bytes
     expected_instance: bytes
     load: bytes
+    rate_limit: bytes
     not_executed: bytes
     signature: bytes
     id_separator: bytes
