--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+import time
 from collections import Counter
 from urllib.parse import parse_qs, urlsplit
 
@@ -190,6 +191,8 @@
         self.runs: list[dict] = []
         self.n_closed = 0
         self.slots = 4
+        # Value of the header that names a rate limit.
+        self.rate_limit: str | None = None
         # A body with these bytes crashes the upstream before it answers.
         self.poison: bytes | None = None
         # Bytes of a body after which the connection is reset.
@@ -250,6 +253,7 @@
                 b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
             )
             return True
+        fields["at_s"] = time.monotonic()
         self.runs.append(fields)
         if self.poison is not None and self.poison in fields["body"]:
             self.crash()
@@ -261,7 +265,7 @@
             return False
         request_id = fields["request-id"].encode()
         full_answer = complete_answer(
-            request_id, b"answer to " + request_id, self.slots
+            request_id, b"answer to " + request_id, self.slots, self.rate_limit
         )
         if action is None:
             writer.write(full_answer)
@@ -272,10 +276,13 @@
         return await action(fields, writer, full_answer)
 
 
-def complete_answer(request_id: bytes, body: bytes, slots: int = 4) -> bytes:
+def complete_answer(
+    request_id: bytes, body: bytes, slots: int = 4, rate_limit: str | None = None
+) -> bytes:
     """Return the bytes of a complete answer of an upstream."""
+    limit = b"" if rate_limit is None else b"Server-Limit: %b\r\n" % rate_limit.encode()
     return (
         b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n"
-        b"Server-Load: 1,0,%d\r\nContent-Length: %d\r\n\r\n%b"
-        % (request_id, slots, len(body), body)
+        b"Server-Load: 1,0,%d\r\n%bContent-Length: %d\r\n\r\n%b"
+        % (request_id, slots, limit, len(body), body)
     )
