local upstream, selector: no calls to an upstream that says it is leaving

Daemons went by the store's list alone, which may say so later or not at all. Same class as LIMIT: a statement of an upstream that has no reader. Change: the daemon beside the upstream refuses further and waiting calls to the instance as not run; its answers carry the statement to first hops, which keep it by identity and start. Ruled out: is_leaving of the daemon itself, which the next change of the list resets.

--- a/packages/savoryroute/savoryroute/coordination/instance_selector.py
+++ b/packages/savoryroute/savoryroute/coordination/instance_selector.py
@@ -53,6 +53,8 @@
 UNAVAILABLE_S = 0.5
 # A host that leaves for a restart is back after about this time in seconds.
 LEAVING_S = 3.0
+# Instances that are remembered as leaving, more than are replaced at a time.
+LEAVING_MAX = 1024
 # Instances compared in the local failure domain, and as many in the others. Comparing
 # all would take too long in a large fleet.
 SAMPLE_SIZE = 4
@@ -187,6 +189,9 @@
         self._clock = clock
         self._records: dict[str, InstanceRecord] = {}
         self._route_latency_s: dict[str, float] = {}
+        # By identity and start, as an upstream may start again under its identity. They
+        # outlive the records, which are dropped while an instance is not listed.
+        self._leaving: dict[tuple[str, int], None] = {}
 
     @property
     def records(self) -> dict[str, InstanceRecord]:
@@ -222,6 +227,7 @@
                 instance.id not in tried
                 and self.record(instance).unavailable_until_s <= now_s
                 and not is_suspect(instance.ip)
+                and (instance.id, instance.started_ms) not in self._leaving
             )
 
         near, far = instances.split(self._failure_domain)
@@ -244,6 +250,10 @@
         """Record the answer to a call."""
         instance = sent.instance
         self.record(instance).sent.pop(sent, None)
+        if answer.is_leaving:
+            self._leaving[instance.id, instance.started_ms] = None
+            if len(self._leaving) > LEAVING_MAX:
+                del self._leaving[next(iter(self._leaving))]
         if answer.limit:
             self.note_report(instance, answer.n_reported, answer.limit)
         if answer.was_sent and not _is_downstream_failure(answer):
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -131,6 +131,7 @@
         self._log = log
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
         self._rate_limit_text: bytes | None = None
+        self._leaving_instance = ""
         self.is_leaving = False
         self.n_open = 0
         self.n_runs = 0
@@ -185,12 +186,26 @@
         self.is_leaving = True
         self._queue.clear(Reason.LEAVING)
 
+    def note_start(self) -> None:
+        """Forget what an earlier upstream at the address said of itself."""
+        self._leaving_instance = ""
+        self._rate_limit_text = None
+        self._queue.rate_limit.set(None)
+
+    def _note_leaving(self, instance: str) -> None:
+        """Refuse the calls to an instance that says it is leaving."""
+        if instance == self._leaving_instance:
+            return
+        self._leaving_instance = instance
+        self._log.change("upstream_leaving", instance=instance)
+        self._queue.clear(Reason.LEAVING)
+
     def check(self, call: MeshCall) -> tuple[Reason, str] | None:
         """Return why a call is refused at once, whatever the queue, or None."""
         if call.service != self._service:
             detail = f"this host runs {self._service}, not {call.service}"
             return Reason.NO_UPSTREAM, detail
-        if self.is_leaving:
+        if self.is_leaving or call.instance == self._leaving_instance:
             return Reason.LEAVING, "the upstream is leaving"
         if self._health.is_down:
             return Reason.UNREACHABLE, "the upstream recently refused a connection"
@@ -270,12 +285,15 @@
         names = self._names
         head: list[bytes] = []
         is_not_executed = False
+        is_leaving = False
         rate_limit: bytes | None = None
         for name, value in answer.headers:
             if name == names.load:
                 self._note_load(value)
             elif name == names.rate_limit:
                 rate_limit = value
+            elif name == names.leaving:
+                is_leaving = value.strip() == b"1"
             elif name == names.not_executed:
                 is_not_executed = True
             if name not in HOP_BY_HOP:
@@ -291,6 +309,8 @@
         # A rejection without the header does not lift a limit, nor do stray bytes.
         if is_signed or (is_not_executed and rate_limit is not None):
             self._note_rate_limit(call.request_id, rate_limit)
+        if is_leaving and (is_signed or is_not_executed):
+            self._note_leaving(call.instance)
         if is_not_executed:
             detail = f"the upstream rejected the request with status {answer.status}"
             return MeshAnswer(
@@ -433,6 +453,7 @@
             queue.load_for(local.call.rank), local.downstream_pressure
         )
         answer.limit = round(queue.usable_slots)
+        answer.is_leaving = local.call.instance == self._leaving_instance
         answer.wait_ms = int(queue.expected_wait_s(queue.n_waiting) * 1000)
         local.on_answer(answer)
 
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -80,6 +80,7 @@
         self._rng = random.Random()
         self._is_leaving = False
         self._was_listed = False
+        self._local_start: tuple[str, int] | None = None
         self._accepted_links: set[FrameLink] = set()
         self._quarantine = Quarantine(time.monotonic, CRASHES_MAX, QUARANTINE_S)
         self._crash_reports = CrashReports(
@@ -285,6 +286,10 @@
         if local is not None:
             self._was_listed = True
             self._queue.slots = usable_slots(local.slots)
+            start = (local.id, local.started_ms)
+            if start != self._local_start:
+                self._local_start = start
+                self._upstream.note_start()
         is_taking = local.is_ready if local is not None else not self._was_listed
         if self._is_leaving or is_taking != self._upstream.is_leaving:
             return
--- a/packages/savoryroute/savoryroute/protocol/header_names.py
+++ b/packages/savoryroute/savoryroute/protocol/header_names.py
@@ -24,6 +24,7 @@
         load: Load that an upstream reports: calls running, calls waiting, slots.
         rate_limit: Requests a second that an upstream in need takes from all hosts
             together, in each of its answers for as long as the limit holds.
+        leaving: Present with the value 1 in the answers of an upstream that is leaving.
         not_executed: Present if the upstream did not run the request.
         signature: Present in each answer that the upstream itself generated.
         id_separator: Separates the identity of an action from the rest of the identity
@@ -36,6 +37,7 @@
     expected_instance: bytes
     load: bytes
     rate_limit: bytes
+    leaving: bytes
     not_executed: bytes
     signature: bytes
     id_separator: bytes
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -127,6 +127,7 @@
         wait_ms: Milliseconds that a new call would wait for a slot.
         is_load: Whether it failed for lack of capacity, here or downstream.
         pressure: Highest load of a queue along the call chain, as calls per slot.
+        is_leaving: Whether the upstream said that it is leaving.
     """
 
     id: int
@@ -142,6 +143,7 @@
     wait_ms: int = 0
     is_load: bool = False
     pressure: float = 0.0
+    is_leaving: bool = False
 
     def to_frame(self) -> list[Any]:
         """Return the frame."""
@@ -160,6 +162,7 @@
             self.wait_ms,
             self.is_load,
             round(self.pressure, 3),
+            self.is_leaving,
         ]
 
     @classmethod
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -8,6 +8,20 @@
 
 
 MESH_MUTATIONS = [
+    Mutation(
+        "mesh leaving: first hops forget that an upstream leaves",
+        "coordination/instance_selector.py",
+        "        if answer.is_leaving:",
+        "        if False:",
+        "tests.savoryroute_platform.test_leaving_upstreams",
+    ),
+    Mutation(
+        "mesh leaving: an upstream that started again counts as leaving",
+        "coordination/local_upstream.py",
+        '        self._leaving_instance = ""\n        self._rate_limit_text = None\n',
+        "        self._rate_limit_text = None\n",
+        "tests.savoryroute_platform.test_leaving_upstreams",
+    ),
     Mutation(
         "mesh limits: each answer grants the rate limit again",
         "coordination/rate_limit.py",
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -193,6 +193,8 @@
         self.slots = 4
         # Value of the header that names a rate limit.
         self.rate_limit: str | None = None
+        # Whether it says in its answers that it is leaving.
+        self.is_leaving = False
         # A body with these bytes crashes the upstream before it answers.
         self.poison: bytes | None = None
         # Bytes of a body after which the connection is reset.
@@ -265,7 +267,11 @@
             return False
         request_id = fields["request-id"].encode()
         full_answer = complete_answer(
-            request_id, b"answer to " + request_id, self.slots, self.rate_limit
+            request_id,
+            b"answer to " + request_id,
+            self.slots,
+            self.rate_limit,
+            self.is_leaving,
         )
         if action is None:
             writer.write(full_answer)
@@ -277,12 +283,18 @@
 
 
 def complete_answer(
-    request_id: bytes, body: bytes, slots: int = 4, rate_limit: str | None = None
+    request_id: bytes,
+    body: bytes,
+    slots: int = 4,
+    rate_limit: str | None = None,
+    is_leaving: bool = False,
 ) -> bytes:
     """Return the bytes of a complete answer of an upstream."""
-    limit = b"" if rate_limit is None else b"Server-Limit: %b\r\n" % rate_limit.encode()
+    state = b"Server-Leaving: 1\r\n" if is_leaving else b""
+    if rate_limit is not None:
+        state += b"Server-Limit: %b\r\n" % rate_limit.encode()
     return (
         b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Stamp: s\r\n"
         b"Server-Load: 1,0,%d\r\n%bContent-Length: %d\r\n\r\n%b"
-        % (request_id, slots, limit, len(body), body)
+        % (request_id, slots, state, len(body), body)
     )
