http client: give up answers without end

Change: at most 64 KiB beside the body, with an allowance for small chunks; the bodies of all answers share a budget of 15% of the memory. Ruled out: a bound on headers in the parser's callbacks, which see a header only when it is complete; a bound per message, which informational answers pass.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -48,7 +48,8 @@
 LEAVE_LISTEN_S = 2.6
 # While leaving, idle connections of callers are closed after this time in seconds.
 LEAVE_IDLE_S = 0.3
-# Share of the memory that request bodies may take up. While a body is copied or sent,
+# Share of the memory that request bodies may take up, and as much for the bodies of
+# answers that the local upstream is sending. While a body is copied or sent,
 # up to three times as much is in use.
 BODIES_MEMORY_SHARE = 0.15
 # Margin in seconds before the end of the grace period, when the process is killed.
@@ -88,7 +89,10 @@
         )
         self._queue = CallQueue(SLOTS_DEFAULT, time.monotonic)
         self._pool = HttpPool(
-            settings.upstream.ip, settings.upstream.port, names.request_id
+            settings.upstream.ip,
+            settings.upstream.port,
+            names.request_id,
+            BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE)),
         )
         self._upstream = LocalUpstream(
             settings.service,
--- a/packages/savoryroute/savoryroute/state/body_budget.py
+++ b/packages/savoryroute/savoryroute/state/body_budget.py
@@ -1,9 +1,10 @@
-"""Bound on the memory that request bodies take up in one daemon.
+"""Bound on the memory that bodies of requests or of answers take up in one daemon.
 
 Load pattern: a burst of uploads, or callers that send long bodies slowly. Each body is
 held until its request is answered, since an attempt that did not run is followed by
 another one. Without a bound the process is killed for its memory, with all requests in
-progress; with it, further long bodies are refused before they are read.
+progress; with it, further long bodies are refused before they are read. Upstreams in
+trouble may send answers without end; these are given up.
 
 Source: admission control on the use of memory as in Welsh and Culler, Adaptive Overload
 Control for Busy Internet Servers (2003).
@@ -22,7 +23,7 @@
 
 @attrs.define
 class BodyBudget:
-    """Bytes of the request bodies that this daemon may hold.
+    """Bytes of the bodies that this daemon may hold.
 
     Args:
         limit_bytes: Bytes above which long bodies are refused.
--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -10,6 +10,7 @@
 import httptools
 from result import Err, Ok, Result
 
+from ..state.body_budget import BodyBudget
 from .exchange_outcome import ExchangeFailure, FailureKind, HttpAnswer
 from .keepalive import enable_keepalive
 
@@ -25,6 +26,10 @@
 # only reuses a connection that was idle for at most this long.
 NON_IDEMPOTENT_IDLE_S = 1.5
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
+# Bytes of an answer beside its body: heads, trailers, and the framing of chunks. A body
+# in chunks of one byte has five for each of its bytes.
+FRAMING_BYTES_MAX = 64 * 1024
+FRAMING_BYTES_PER_BODY_BYTE = 8
 
 _TIMEOUT_VALUE = re.compile(rb"timeout\s*=\s*(\d+)")
 
@@ -103,6 +108,8 @@
         self._is_message_open = False
         self._ends_with_close = False
         self._answer: HttpAnswer | None = None
+        self._framing_bytes = 0
+        self._body_bytes = 0
         self.idle_since_s = time.monotonic()
         self.idle_max_s = IDLE_DEFAULT_S
         self._reset_message()
@@ -110,7 +117,7 @@
     def _reset_message(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._release_body()
         self._has_length = False
         self._ends_with_close = False
 
@@ -127,6 +134,7 @@
     def start(self, pending: PendingExchange) -> None:
         """Start an exchange on this connection."""
         self._pending = pending
+        self._framing_bytes = 0
         pending.attach(self)
         # Two buffers, so that a long body is not copied; neither is needed afterwards.
         self._transport.writelines([pending.data, pending.body])
@@ -136,6 +144,7 @@
         """Close the connection at once and drop its exchange."""
         self._can_reuse = False
         self._pending = None
+        self._release_body()
         if self._transport is not None:
             self._transport.abort()
 
@@ -147,6 +156,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         self._can_reuse = False
         self._pool.discard(self)
+        self._release_body()
         pending, self._pending = self._pending, None
         if pending is not None:
             detail = "the connection was lost before the complete answer arrived"
@@ -164,6 +174,7 @@
             # No exchange is in progress, so the bytes belong to no request.
             self.abort()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -172,6 +183,8 @@
                 self._fail(f"invalid HTTP response: {type(error).__name__}")
         if self._answer is not None:
             self._finish()
+        elif self._framing_bytes > FRAMING_BYTES_MAX:
+            self._fail(f"more than {FRAMING_BYTES_MAX} bytes beside the answer's body")
 
     def on_message_begin(self) -> None:
         self._reset_message()
@@ -198,12 +211,23 @@
             self._store_answer()
 
     def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > ANSWER_BYTES_MAX:
+        if self._pending is None:
+            # The rest of what was read when the exchange failed.
+            return
+        bodies = self._pool.bodies
+        if self._body_bytes + len(body) > ANSWER_BYTES_MAX:
             self._fail(f"the answer body is longer than {ANSWER_BYTES_MAX} bytes")
+        elif not bodies.try_reserve(len(body), self._body_bytes):
+            self._fail(f"no memory: answer bodies take up {bodies.held_bytes} bytes")
         else:
+            self._body_bytes += len(body)
+            self._framing_bytes -= len(body) * (1 + FRAMING_BYTES_PER_BODY_BYTE)
             self._body.append(body)
 
+    def _release_body(self) -> None:
+        self._pool.bodies.release(self._body_bytes)
+        self._body_bytes = 0
+
     def on_message_complete(self) -> None:
         self._is_message_open = False
         if self._parser.get_status_code() < 200:
@@ -231,6 +255,7 @@
         """Release or close the connection, then finish the exchange."""
         answer, self._answer = self._answer, None
         pending, self._pending = self._pending, None
+        self._release_body()
         if self._transport.get_write_buffer_size():
             # The server answered before the complete request was written.
             self._can_reuse = False
@@ -264,12 +289,20 @@
         port: Port of the server.
         id_header: Lower-case name of the header in which the server echoes the
             request's identity, or an empty string.
+        bodies: Memory for the bodies of answers; by default for one of the longest.
     """
 
-    def __init__(self, ip: str, port: int, id_header: bytes = b"") -> None:
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        id_header: bytes = b"",
+        bodies: BodyBudget | None = None,
+    ) -> None:
         self._ip = ip
         self._port = port
         self.id_header = id_header
+        self.bodies = BodyBudget(ANSWER_BYTES_MAX) if bodies is None else bodies
         self.connections: set[_PooledConnection] = set()
         self._idle: list[_PooledConnection] = []
         self._n_opened = 0
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -8,6 +8,20 @@
 
 
 MESH_MUTATIONS = [
+    Mutation(
+        "mesh answers: a head without end is read until the deadline",
+        "transport/http_client.py",
+        "elif self._framing_bytes > FRAMING_BYTES_MAX:",
+        "elif False:",
+        "tests.savoryroute.transport.test_http_client.EndlessAnswerTest",
+    ),
+    Mutation(
+        "mesh answers: the memory of an answer stays reserved",
+        "transport/http_client.py",
+        "self._pool.bodies.release(self._body_bytes)",
+        "pass",
+        "tests.savoryroute.transport.test_http_client.EndlessAnswerTest",
+    ),
     Mutation(
         "mesh leaving: first hops forget that an upstream leaves",
         "coordination/instance_selector.py",
--- a/tests/savoryroute/transport/test_http_client.py
+++ b/tests/savoryroute/transport/test_http_client.py
@@ -8,8 +8,9 @@
 
 import json5
 
+from savoryroute.state.body_budget import BodyBudget
 from savoryroute.transport.exchange_outcome import ExchangeFailure, FailureKind
-from savoryroute.transport.http_client import HttpPool
+from savoryroute.transport.http_client import ANSWER_BYTES_MAX, HttpPool
 
 CASES = json5.loads((Path(__file__).parent / "faulty_answers.json5").read_text())
 ANSWER = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nContent-Length: 4\r\n\r\nnext"
@@ -143,3 +144,87 @@
         pending.cancel()
         self.assertEqual((await self.exchange(pool, b"q2")).body, b"next")
         self.assertEqual(pool.n_opened, 2)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Beginning of an answer, and what then follows without end.
+ENDLESS = {
+    "header value": (HEAD + b"A: ", b"a" * 4096),
+    "header lines": (HEAD, b"A: b\r\n" * 500),
+    "informational answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+    "chunk extension": (CHUNKED + b"4;", b"a" * 4096),
+    "trailer": (CHUNKED + b"0\r\n", b"A: b\r\n" * 500),
+    "answers to other requests": (
+        b"",
+        b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n" * 50,
+    ),
+    "chunked body": (CHUNKED, b"1000\r\n" + b"a" * 4096 + b"\r\n"),
+    "body without a length": (HEAD + b"\r\n", b"a" * 4096),
+    "body of a stated length": (
+        HEAD + b"Content-Length: 999999999999\r\n\r\n",
+        b"a" * 4096,
+    ),
+}
+BODY_LIMIT_BYTES = 1 << 20
+# Bytes that may be in buffers of the system when the client closes.
+IN_TRANSIT_BYTES = 16 << 20
+
+
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """An upstream in trouble sends bytes until its caller closes the connection."""
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.begin)
+        try:
+            while self.repeated and not writer.is_closing():
+                writer.write(self.repeated)
+                self.n_sent += len(self.repeated)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+            self.closed.set()
+
+    async def fetch(self, bodies, n_requests=1):
+        """Return the outcomes of concurrent exchanges with the endless server."""
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.n_sent, self.closed = 0, asyncio.Event()
+        pool = HttpPool(
+            "127.0.0.1", server.sockets[0].getsockname()[1], b"request-id", bodies
+        )
+        self.addCleanup(pool.close)
+        loop = asyncio.get_running_loop()
+        outcomes = [loop.create_future() for _ in range(n_requests)]
+        for outcome in outcomes:
+            pool.send(REQUEST % b"q1", outcome.set_result, b"q1")
+        return await asyncio.wait_for(asyncio.gather(*outcomes), 5.0)
+
+    async def test_answer_is_given_up_and_its_connection_closed(self):
+        for name, (self.begin, self.repeated) in ENDLESS.items():
+            with self.subTest(name):
+                bodies = BodyBudget(BODY_LIMIT_BYTES)
+                (outcome,) = await self.fetch(bodies)
+                self.assertEqual(outcome.kind, FailureKind.BAD_ANSWER)
+                await asyncio.wait_for(self.closed.wait(), 2.0)
+                self.assertLess(self.n_sent, IN_TRANSIT_BYTES + ANSWER_BYTES_MAX)
+                self.assertEqual(bodies.held_bytes, 0)
+
+    async def test_bodies_of_all_answers_together_are_bounded(self):
+        self.begin, self.repeated = ENDLESS["chunked body"]
+        bodies = BodyBudget(BODY_LIMIT_BYTES)
+        outcomes = await self.fetch(bodies, n_requests=8)
+        kinds = {outcome.kind for outcome in outcomes}
+        self.assertEqual(kinds, {FailureKind.BAD_ANSWER})
+        self.assertEqual(bodies.held_bytes, 0)
+        self.assertGreaterEqual(bodies.n_refused, 7)
+
+    async def test_long_body_in_chunks_of_one_byte_is_complete(self):
+        n_bytes = 200_000
+        self.begin = CHUNKED + b"1\r\na\r\n" * n_bytes + b"0\r\n\r\n"
+        self.repeated = b""
+        (outcome,) = await self.fetch(BodyBudget(BODY_LIMIT_BYTES))
+        self.assertEqual(len(outcome.body), n_bytes)
