--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -32,6 +32,8 @@
         self.items: dict[str, dict] = {}
         self.history: list[dict] = []
         self.history_start = 0
+        # Rises each time the store returns from an older copy.
+        self.era = 1
         self.refused_ips: set[str] = set()
         self.is_silent = False
         self.n_calls: Counter[str] = Counter()
@@ -64,7 +66,17 @@
         self.history.clear()
         waiting, self._waiting = self._waiting, []
         for exchange, _, _ in waiting:
-            exchange.respond(410, b"", b"{}")
+            self._respond(exchange, 410, {})
+
+    def copy(self) -> tuple[int, dict[str, dict]]:
+        """Return the revision and the items."""
+        return self.revision, dict(self.items)
+
+    def return_from(self, copy: tuple[int, dict[str, dict]]) -> None:
+        """Return from a copy; later changes are lost, their revisions free again."""
+        self.era += 1
+        self.revision, self.items = copy[0], dict(copy[1])
+        self.expire_history()
 
     def abort_watches(self) -> None:
         self._listener.abort()
@@ -83,13 +95,17 @@
         self.n_calls[url.path] += 1
         ip = exchange._connection._transport.get_extra_info("peername")[0]
         if ip in self.refused_ips:
-            exchange.respond(503, b"", b"{}")
+            self._respond(exchange, 503, {})
         elif url.path == "/api/kv-range":
             self._range(exchange, query["prefix"], query.get("after", ""))
         elif url.path == "/api/kv-watch":
             self._watch(exchange, query["prefix"], int(query["after"]))
         else:
-            exchange.respond(404, b"", b"{}")
+            self._respond(exchange, 404, {})
+
+    def _respond(self, exchange: Exchange, status: int, answer: dict) -> None:
+        head = b"Store-Era: %d\r\n" % self.era
+        exchange.respond(status, head, json.dumps(answer).encode())
 
     def _range(self, exchange: Exchange, prefix: str, after: str) -> None:
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
@@ -99,13 +115,13 @@
             "has-more": len(keys) > 3,
             "store-revision": self.revision,
         }
-        exchange.respond(200, b"", json.dumps(answer).encode())
+        self._respond(exchange, 200, answer)
 
     def _watch(self, exchange: Exchange, prefix: str, after: int) -> None:
         if exchange.is_done:
             return
-        if after < self.history_start:
-            exchange.respond(410, b"", b"{}")
+        if not self.history_start <= after <= self.revision:
+            self._respond(exchange, 410, {})
             return
         events = [
             event
@@ -116,7 +132,7 @@
             self._waiting.append((exchange, prefix, after))
             return
         answer = {"events": events, "store-revision": events[-1]["revision"]}
-        exchange.respond(200, b"", json.dumps(answer).encode())
+        self._respond(exchange, 200, answer)
 
 
 def configuration(
