soak: upstreams name rate limits and say that they leave

Change: two faults; a limit is checked at the upstream from half a second after it is named, also while the daemon beside it is killed.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -53,6 +53,8 @@
         self.processes: list[subprocess.Popen] = []
         self.logs: list[pathlib.Path] = []
         self.version = 0
+        # Index of the host, requests a second, and monotonic times of begin and end.
+        self.limits: list[tuple[int, float, float, float]] = []
 
     def ip(self, index: int) -> str:
         return f"127.0.{self.subnet}.{index + 1}"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,6 +13,7 @@
 import signal
 import sys
 import tempfile
+import time
 
 from tests.savoryroute_platform.mesh_fleet import Caller
 
@@ -31,6 +32,9 @@
 RECOVERY_S = 4.0
 RECOVERED_SHARE = 0.95
 N_LAST = 100
+# Requests a second that upstreams name as limits, and seconds until they must hold.
+RATE_LIMITS = (1.5, 5.0, 20.0)
+LIMIT_DELAY_S = 0.5
 # Shares of requests that may run once only, of uploads among these, and of uploads
 # whose callers leave half way. Lengths of the bodies of uploads in bytes.
 ONCE_SHARE = 0.4
@@ -97,6 +101,29 @@
     fleet.list_instance(index)
 
 
+@fault
+async def limit_rate(fleet, index, rng):
+    """Let an upstream name a rate limit; its daemon may be killed meanwhile."""
+    upstream = fleet.upstreams[index]
+    upstream.rate_limit = str(rng.choice(RATE_LIMITS))
+    began_s = time.monotonic() + LIMIT_DELAY_S
+    await asyncio.sleep(LIMIT_DELAY_S + rng.uniform(0.5, 2.0))
+    if rng.random() < 0.5:
+        await kill(fleet, index, rng)
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    fleet.limits.append((index, float(upstream.rate_limit), began_s, time.monotonic()))
+    upstream.rate_limit = None
+
+
+@fault
+async def leave(fleet, index, rng):
+    """Let an upstream say that it leaves; later it starts under its identity again."""
+    fleet.upstreams[index].is_leaving = True
+    await asyncio.sleep(rng.uniform(0.2, 2.0))
+    fleet.upstreams[index].is_leaving = False
+    fleet.list_instance(index, born=int(time.time() * 1000))
+
+
 @fault
 async def change_routes(fleet, index, rng):
     fleet.publish()
@@ -246,6 +273,7 @@
                 self.problems.append(f"{request_id} reached {n_runs} upstreams")
             if self.answers.get(request_id) == 503 and request_id in unsafe:
                 self.problems.append(f"{request_id} was answered not run, but ran")
+        self._check_limits()
         n_served = sum(status == 200 for status in self.latest)
         if len(self.latest) < N_LAST / 2 or n_served < RECOVERED_SHARE * len(
             self.latest
@@ -253,6 +281,18 @@
             counts = dict(collections.Counter(self.latest))
             self.problems.append(f"not recovered: {counts}")
 
+    def _check_limits(self) -> None:
+        """Check that upstreams got no more than the rates that they named."""
+        for index, per_s, began_s, ended_s in self.fleet.limits:
+            times = [run["at_s"] for run in self.fleet.upstreams[index].runs]
+            n_runs = sum(began_s <= at_s <= ended_s for at_s in times)
+            if n_runs > 1.5 * per_s * (ended_s - began_s) + 5:
+                seconds = ended_s - began_s
+                self.problems.append(
+                    f"host {index} got {n_runs} requests in {seconds:.1f} s at a limit"
+                    f" of {per_s} a second"
+                )
+
     async def _check_routes(self) -> None:
         """Check that each daemon has the newest route."""
         for index in range(len(self.fleet.SERVICES)):
