--- a/tests/savoryroute/state/test_quarantine.py
+++ b/tests/savoryroute/state/test_quarantine.py
@@ -61,6 +61,19 @@
         self.local.note_crash([POISON])
         self.assertIsNotNone(self.local.check(POISON))
 
+    def test_each_renewed_quarantine_is_twice_as_long(self):
+        self.local.note_crash([POISON])
+        for length_s in (60.0, 120.0, 240.0):
+            self.local.note_crash([POISON])
+            self.assertAlmostEqual(self.local.check(POISON).retry_after_s, length_s)
+            self.now_s += length_s
+            self.assertIsNone(self.local.check(POISON))
+
+    def test_longest_quarantine_is_eight_times_the_first(self):
+        for _ in range(20):
+            self.local.note_crash([POISON])
+        self.assertAlmostEqual(self.local.check(POISON).retry_after_s, 480.0)
+
     def test_success_clears_a_neighbour_on_all_daemons(self):
         remote = self.make()
         self.local.note_crash([POISON, NEIGHBOUR])
