tests: entries of leaving upstreams name the slots that these report

The entries named 4 slots, the answers 20, and each change of the list applies the entry's. The test of a next start passed only by its timing: a refusal as leaving keeps calls away for half a second. Change: the same slots in both, and twice that time; checks and bounds are unchanged.

--- a/tests/savoryroute_platform/test_leaving_upstreams.py
+++ b/tests/savoryroute_platform/test_leaving_upstreams.py
@@ -2,8 +2,13 @@
 
 import asyncio
 
+from savoryroute.coordination.instance_selector import UNAVAILABLE_S
+
 from .test_path import PathTest
 
+# Slots of each upstream, enough for all requests that are sent at the same time.
+SLOTS = 30
+
 
 class LeavingHeaderTest(PathTest):
     services = ("front", "planner", "planner")
@@ -11,9 +16,16 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        for planner in self.planners:
-            planner.slots = 20
-            planner.delay_s = 0.05
+        for index in (1, 2):
+            self.fleet.upstreams[index].slots = SLOTS
+            self.fleet.upstreams[index].delay_s = 0.05
+            self.fleet.list_instance(index, slots=SLOTS)
+        revision = self.fleet.store.revision
+        await self.fleet.wait_until(
+            lambda: all(
+                node.synchronizer.view.revision == revision for node in self.fleet.nodes
+            )
+        )
 
     async def request_many(self, n_requests):
         """Send requests at the same time; return their statuses."""
@@ -54,7 +66,7 @@
         fleet = self.fleet
         fleet.store.remove("servers/i-1")
         await asyncio.sleep(0.1)
-        fleet.list_instance(1)
+        fleet.list_instance(1, slots=SLOTS)
         await fleet.wait_until(
             lambda: all(fleet.is_synchronized(node) for node in fleet.nodes)
         )
@@ -70,8 +82,9 @@
     async def test_next_start_under_the_same_identity_gets_requests(self):
         n_runs = await self.leave()
         self.planners[0].is_leaving = False
-        self.fleet.list_instance(1, born=1_800_000_000_000)
-        await asyncio.sleep(0.3)
+        self.fleet.list_instance(1, slots=SLOTS, born=1_800_000_000_000)
+        # A refusal as leaving keeps calls away for a while in any case.
+        await asyncio.sleep(2 * UNAVAILABLE_S)
         # The other upstream is gone, so that this one has to be used.
         self.planners[1].crash()
         await asyncio.sleep(0.1)
