tests: a killed daemon of a test fleet closes the links that it accepted

Cause: the mutation 'first hops forget that an upstream leaves' was not caught: first hops went on talking to the killed daemon over its open links, so that tests of restarts tested nothing. Change: restart_node aborts these links.

--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -153,6 +153,8 @@
         for task in self._tasks[index]:
             task.cancel()
         await self.nodes[index].close()
+        for link in list(self.nodes[index]._accepted_links):
+            link.abort()
         self._clients[index].close()
         started = await self.start_node(index, self.services[index])
         self.nodes[index], self._tasks[index], self._clients[index] = started
