tests: crashes of other requests do not end a quarantine

Cause: a request that has crashed enough upstreams is sent to upstreams again before its quarantine ends: with 170 calls in flight, some 24 crashes of other requests fill the 4,096 events, and the oldest are evicted first, whatever they count for.

--- a/tests/savoryroute/state/test_quarantine.py
+++ b/tests/savoryroute/state/test_quarantine.py
@@ -145,6 +145,26 @@
         self.local.note_crash([POISON])
         self.assertEqual(len(self.local), 1)
 
+    def test_crashes_of_other_requests_do_not_end_a_quarantine(self):
+        # With many calls in flight, one crash evicts many events.
+        for _ in range(2):
+            self.local.note_crash([POISON, NEIGHBOUR])
+        self.local.note_success(NEIGHBOUR)
+        for i in range(40):
+            others = [b"%8d%8d" % (i, j) for j in range(170)]
+            self.local.note_crash(others)
+            self.now_s += 1.0
+        self.assertLessEqual(len(self.local), quarantines.EVENTS_MAX)
+        refusal = self.local.check(POISON)
+        self.assertIsNotNone(refusal)
+        self.assertAlmostEqual(refusal.retry_after_s, 20.0)
+
+    def test_memory_is_bounded_by_quarantined_requests_too(self):
+        for i in range(quarantines.EVENTS_MAX // 100 + 2):
+            for _ in range(2):
+                self.local.note_crash([b"%8d%8d" % (i, j) for j in range(100)])
+        self.assertEqual(len(self.local), quarantines.EVENTS_MAX)
+
     def test_crashes_by_a_resent_poison_request_are_bounded(self):
         for seed in range(20):
             for lag in (0, 1, 5):
