quarantine: crashes of other requests do not evict a quarantined one

Callers of a service whose upstreams crash for another reason saw a request that had crashed three upstreams sent on before its quarantine ended. Cause: all events share 4,096 places and the oldest one was evicted, whatever it counted for. Class: evidence bounded by age alone. Change: events of requests that were lost once go first, then those without a quarantine. Ruled out: more places (delays the same fault), places by request (a request that crashes many upstreams must keep each event for the length of its quarantine).

--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -119,6 +119,8 @@
         self._duration_s = duration_s
         self._events: OrderedDict[_Key, _Event] = OrderedDict()
         self._crash_ids: dict[bytes, set[int]] = {}
+        # Requests with one event, the oldest first: the first to be evicted.
+        self._with_one_event: OrderedDict[bytes, None] = OrderedDict()
         self._in_flight: Counter[bytes] = Counter()
         self._in_flight_lost: set[bytes] = set()
 
@@ -317,19 +319,38 @@
         return False
 
     def _add(self, request: bytes, crash_id: int, event: _Event) -> bool:
-        """Add an event unless it has expired; return whether it was added.
-
-        If there are too many events, the oldest ones are evicted.
-        """
+        """Add an event unless it has expired; return whether it was added."""
         self._evict_expired()
         if self._clock() - event.at_s >= self._memory_s:
             return False
         while len(self._events) >= EVENTS_MAX:
-            self._remove(next(iter(self._events)))
+            self._remove(self._least_needed())
         self._events[request, crash_id] = event
         self._crash_ids.setdefault(request, set()).add(crash_id)
+        self._note_n_events(request)
         return True
 
+    def _least_needed(self) -> _Key:
+        """Return the event to evict when there are too many.
+
+        Oldest first: events of requests that were lost once, else of requests without
+        a quarantine, else of any.
+        """
+        for request in self._with_one_event:
+            if not self._is_quarantined(request):
+                return request, next(iter(self._crash_ids[request]))
+        for key in self._events:
+            if not self._is_quarantined(key[0]):
+                return key
+        return next(iter(self._events))
+
+    def _note_n_events(self, request: bytes) -> None:
+        """Update whether a request has a single event."""
+        if len(self._crash_ids.get(request, ())) == 1:
+            self._with_one_event[request] = None
+        else:
+            self._with_one_event.pop(request, None)
+
     @property
     def _memory_s(self) -> float:
         """Time in seconds for which a crash is remembered."""
@@ -378,6 +399,7 @@
         crash_ids.discard(crash_id)
         if not crash_ids:
             del self._crash_ids[request]
+        self._note_n_events(request)
 
 
 def _counts(event: _Event, since_s: float) -> bool:
--- a/tests/mutations/ledger_mutations.py
+++ b/tests/mutations/ledger_mutations.py
@@ -241,6 +241,13 @@
         "",
         QUARANTINE,
     ),
+    Mutation(
+        "poison: crashes of other requests evict those of a quarantined one",
+        "state/quarantine.py",
+        "self._remove(self._least_needed())",
+        "self._remove(next(iter(self._events)))",
+        QUARANTINE,
+    ),
     Mutation(
         "poison: quarantine never ends",
         "state/quarantine.py",
