tests: the retry budget in each window, counted at the upstreams

Two faults of coordination/fleet_retries.py break the rule, shown on daemons and stand-ins: requests up to 15 s old earn retries, and the calls of repeated runs have no bound at all.

--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -85,9 +85,15 @@
 class MeshFleet:
     """Daemons beside upstreams; ``services`` holds the service of each host."""
 
-    def __init__(self, services: list[str], kinds: dict[str, str] | None = None):
+    def __init__(
+        self,
+        services: list[str],
+        kinds: dict[str, str] | None = None,
+        retry_slack: float = 1000.0,
+    ):
         self.services = services
         self.kinds = kinds or {}
+        self.retry_slack = retry_slack
         self.subnet = next(_subnets) % 200 + 10
         ports = free_ports(5)
         self.port, self.link_port, self.ready_port, self.app_port = ports[:4]
@@ -181,7 +187,7 @@
                 "platform": f"127.0.0.1:{self.store_port}",
                 "seeds": [f"{self.ip(0)}:{self.link_port}"],
                 "retry_ratio": 0.2,
-                "retry_slack": 1000.0,
+                "retry_slack": self.retry_slack,
                 "grace_s": "6s",
                 "memory_mb": 300,
             }
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -205,6 +205,8 @@
         self.delay_s = delay_s
         self.script: list = []
         self.runs: list[dict] = []
+        # Monotonic time and id of each request, also of those that it sheds.
+        self.arrivals: list[tuple[float, str]] = []
         self.n_closed = 0
         self.slots = 4
         # Value of the header that names a rate limit.
@@ -265,6 +267,7 @@
         if fields.get("expected-instance", self.instance) != self.instance:
             writer.write(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")
             return True
+        self.arrivals.append((time.monotonic(), fields["request-id"]))
         action = self.script.pop(0) if self.script else None
         if action == "shed":
             writer.write(
