retry budget: admit repeats beside the upstream, from an exact budget

Cause: each sending daemon kept a share of the fleet's budget. It earned by windows up to 15 s old, and calls of repeated runs were taken from it without a bound. A sender sees neither what reaches an upstream nor the rule's windows. Change: the daemon beside an upstream counts arrivals exactly and admits a repeat only if each window that contains the present allows it (repeat_budget.py): a fixed mix of the requests of two windows, which adds up over the upstreams, and a whole part of the slack. repeat_admission.py orders repeats by rank and progress, starts repeated runs only if the services below have repeats left, and recognises calls of repeated runs after their run has ended. Only requests of callers earn, the stricter reading. Answers carry the share left. Both faults go with the one mechanism, so they share a commit. Old checks replaced: test_fleet_retries becomes test_repeat_budget, which counts in every window and has all its loads and more; test_shed_chains keeps its loads and inequalities, but 'chains before single calls' needs more slack, as the stricter budget completes no chain there, by the oracle either.

--- a/packages/savoryroute/savoryroute/coordination/call_queue.py
+++ b/packages/savoryroute/savoryroute/coordination/call_queue.py
@@ -39,6 +39,7 @@
         queue_timeout_s: Longest wait in the queue in seconds.
         start: Called to run the call once a slot is free.
         refuse: Called with the reason if the wait ends without a slot.
+        admit: Called before ``start``; returns why the call may not start, or None.
         order: Rank and arrival number, the sort key; set by the queue.
         expires_s: Monotonic time at which the wait ends; set by the queue.
     """
@@ -49,6 +50,7 @@
     queue_timeout_s: float
     start: Callable[[], None]
     refuse: Callable[[Reason], None]
+    admit: Callable[[], Reason | None] = lambda: None
     order: tuple[int, int] = (0, 0)
     expires_s: float = 0.0
 
@@ -131,8 +133,10 @@
         if now_s >= call.deadline_s:
             return Reason.DEADLINE
         if not self._waiting and self._may_start():
-            self._start(call)
-            return None
+            reason = call.admit()
+            if reason is None:
+                self._start(call)
+            return reason
         slack_s = call.deadline_s - now_s - self.usual_s(call.group)
         max_wait_s = min(call.queue_timeout_s, slack_s)
         self._n_arrivals += 1
@@ -167,6 +171,10 @@
             if now_s + self.usual_s(call.group) > call.deadline_s:
                 call.refuse(Reason.DEADLINE)
                 continue
+            reason = call.admit()
+            if reason is not None:
+                call.refuse(reason)
+                continue
             self._start(call)
 
     def _may_start(self) -> bool:
--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -5,10 +5,11 @@
 import asyncio
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 
 from ..protocol.header_names import HeaderNames
-from ..protocol.mesh_frames import MeshAnswer, MeshCall
+from ..protocol.mesh_frames import AttemptKind, MeshAnswer, MeshCall
 from ..protocol.request_head import RequestHead, read_request_head
 from ..state.fleet_view import FleetView
 from ..state.quarantine import Quarantine, fingerprint
@@ -16,12 +17,12 @@
 from ..transport.caller_exchange import Exchange
 from ..verdict import Reason, Verdict
 from .attempt_choice import choose_instance
-from .fleet_retries import FleetRetryBudget
 from .forwarded_request import ForwardedRequest
 from .instance_selector import InstanceSelector, SentCall
 from .local_upstream import LocalUpstream
 from .mesh_retry_after import mesh_retry_after_s
 from .peer_links import PeerLinks
+from .repeat_admission import reserved_share
 from .request_records import RequestRecords
 from .retry_rule import NextStep, next_step, status_of
 from .throttle import ActionThrottle
@@ -53,7 +54,6 @@
         selector: Selects an instance for each attempt.
         links: Links to other daemons.
         upstream: The upstream on this host.
-        budget: Retry budget by service.
         throttle: Refuses new actions by the load downstream.
         quarantine: Requests that crashed upstreams, as reported by peers.
         records: Log lines and metrics of requests.
@@ -70,7 +70,6 @@
         selector: InstanceSelector,
         links: PeerLinks,
         upstream: LocalUpstream,
-        budget: FleetRetryBudget,
         throttle: ActionThrottle,
         quarantine: Quarantine,
         records: RequestRecords,
@@ -84,23 +83,21 @@
         self._selector = selector
         self._links = links
         self._upstream = upstream
-        self._budget = budget
         self._throttle = throttle
         self._quarantine = quarantine
         self._records = records
         self._rng = rng
         self._split = WeightedRoundRobin()
-        self._n_retries = 0
-        self._n_retries_refused = 0
+        self._n_retries: Counter[str] = Counter()
+        self._n_retries_refused: Counter[str] = Counter()
         self._caller_header = b"%b: %b\r\n" % (names.caller_service, service.encode())
 
     def gauges(self) -> dict[str, float | dict[str, float]]:
-        """Return admitted shares by route, and retries made, refused and left."""
+        """Return admitted shares by route, and retries by service."""
         return {
             "admitted_share": self._throttle.shares,
-            "repeats": self._n_retries,
-            "repeats_refused": self._n_retries_refused,
-            "repeats_left": self._budget.balances,
+            "repeats": dict(self._n_retries),
+            "repeats_refused": dict(self._n_retries_refused),
         }
 
     def handle(self, exchange: Exchange) -> None:
@@ -124,10 +121,6 @@
             )
             return
         forwarded = self._open(exchange, route, fields)
-        if forwarded.call.is_repeat:
-            self._budget.note_repeated_call(forwarded.service)
-        else:
-            self._budget.note_request(forwarded.service)
         if request.is_body_skipped:
             detail = "no memory for the body: other bodies take up too much"
             self._give_up(forwarded, Reason.OVERLOAD, detail)
@@ -177,7 +170,8 @@
             time_left_ms=0,
             is_idempotent=route.is_idempotent,
             is_head=request.method == b"HEAD",
-            is_repeat=parent is not None and parent.call.is_repeat,
+            kind=self._upstream.repeats.first_attempt_of(fields.request_id),
+            n_done=0 if parent is None else parent.n_downstream_served,
             request_id=fields.request_id,
             fingerprint=fingerprint(
                 request.method.decode("latin-1"),
@@ -278,14 +272,16 @@
             self._place(forwarded)
 
     def _try_retry(self, forwarded: ForwardedRequest, answer: MeshAnswer) -> NextStep:
-        """Return ``RETRY`` if the budget allows one, else how to end the request."""
-        parent = forwarded.parent
-        n_done = 0 if parent is None else parent.n_downstream_served
-        if self._budget.try_retry(forwarded.service, forwarded.call.rank, n_done):
-            self._n_retries += 1
-            forwarded.call.is_repeat = True
+        """Return ``RETRY`` if one is likely admitted, else how to end the request.
+
+        The daemon beside the upstream that gets the retry decides.
+        """
+        call = forwarded.call
+        call.kind = AttemptKind.RETRY
+        if answer.repeat_share > reserved_share(call):
+            self._n_retries[forwarded.service] += 1
             return NextStep.RETRY
-        self._n_retries_refused += 1
+        self._n_retries_refused[forwarded.service] += 1
         ran = answer.verdict is Verdict.RAN
         return NextStep.RETURN_ANSWER if ran else NextStep.GIVE_UP
 
@@ -345,10 +341,13 @@
         is_served: bool = False,
     ) -> None:
         """Report the end of an admitted request to its parent call or the throttle."""
-        pressure = 0.0 if forwarded.answer is None else forwarded.answer.pressure
+        answer = forwarded.answer
         if forwarded.parent is not None:
-            forwarded.parent.note_downstream_call(pressure, is_load_failure, is_served)
+            forwarded.parent.note_downstream_call(
+                forwarded.service, answer, is_load_failure, is_served
+            )
         else:
+            pressure = 0.0 if answer is None else answer.pressure
             self._throttle.note_end(forwarded.route.name, pressure, is_load_failure)
 
     def _answer_problem(
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -16,6 +16,7 @@
 from ..transport.http_client import HttpPool, PendingExchange
 from ..verdict import Reason, Verdict
 from .call_queue import CallQueue, QueuedCall
+from .repeat_admission import RepeatAdmission
 from .running_calls import RunningCalls
 from .upstream_health import UpstreamHealth
 
@@ -26,6 +27,8 @@
 # Fraction of the slots that is used; some upstreams slow down when nearly full.
 SLOTS_FRACTION = 0.95
 
+_NO_REPEAT_LEFT = "the retry budget of the upstream or of one that it calls is spent"
+
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 
 AnswerHandler = Callable[[MeshAnswer], None]
@@ -81,18 +84,29 @@
         return self.pending is not None and self.pending.is_sent
 
     def note_downstream_call(
-        self, pressure: float, is_load_failure: bool, is_served: bool
+        self,
+        service: str,
+        answer: MeshAnswer | None,
+        is_load_failure: bool,
+        is_served: bool,
     ) -> None:
         """Record how a downstream call of this call ended.
 
         Args:
-            pressure: Load of the fullest call queue on its path, calls over slots.
+            service: Service that was called.
+            answer: Last answer to an attempt, None if there is none.
             is_load_failure: Whether it failed for lack of capacity.
             is_served: Whether an upstream answered it with success.
         """
         self.n_downstream_served += is_served
-        self.downstream_pressure = max(self.downstream_pressure, pressure)
         self.has_downstream_load_failure |= is_load_failure
+        if answer is None:
+            return
+        self.downstream_pressure = max(self.downstream_pressure, answer.pressure)
+        repeats = self._upstream.repeats
+        repeats.note_downstream(self.call.route, service, answer.repeat_share)
+        if self.call.is_repeat and answer.reason is Reason.RETRY_BUDGET:
+            repeats.note_refused_call(self.call.route)
 
     def cancel(self) -> None:
         """Cancel the call; ``on_answer`` is not called afterwards."""
@@ -109,6 +123,7 @@
         names: Header names of the platform.
         health: Whether the upstream accepts connections, and what crashed it.
         quarantine: Evidence of requests that crash upstreams.
+        repeats: Decides which repeats the upstream gets.
         log: Log of decisions.
     """
 
@@ -120,6 +135,7 @@
         names: HeaderNames,
         health: UpstreamHealth,
         quarantine: Quarantine,
+        repeats: RepeatAdmission,
         log: EventLog,
     ) -> None:
         self._service = service
@@ -128,6 +144,7 @@
         self._names = names
         self._health = health
         self._quarantine = quarantine
+        self._repeats = repeats
         self._log = log
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
         self._rate_limit_text: bytes | None = None
@@ -141,6 +158,11 @@
         """Slots of the upstream and the calls that wait for them."""
         return self._queue
 
+    @property
+    def repeats(self) -> RepeatAdmission:
+        """Decides which repeats the upstream gets."""
+        return self._repeats
+
     def run(self, call: MeshCall, body: bytes, on_answer: AnswerHandler) -> LocalCall:
         """Run, queue or refuse a call.
 
@@ -163,10 +185,13 @@
             now_s + call.time_left_ms / 1000,
             call.queue_timeout_ms / 1000,
             lambda: self._start(local),
-            lambda reason: self._refuse(local, reason, "waited too long for a slot"),
+            lambda reason: self._refuse_waiting(local, reason),
+            lambda: self._admit(call),
         )
         reason = self._queue.offer(local.queued_call)
-        if reason is not None:
+        if reason is Reason.RETRY_BUDGET:
+            self._refuse(local, reason, _NO_REPEAT_LEFT)
+        elif reason is not None:
             detail = (
                 f"{self._queue.n_running} calls run and {self._queue.n_waiting} wait"
                 f" for {self._queue.slots} slots,"
@@ -211,8 +236,21 @@
             return Reason.UNREACHABLE, "the upstream recently refused a connection"
         if call.fingerprint and self._quarantine.check(call.fingerprint) is not None:
             return Reason.QUARANTINED, "upstreams crashed each time this request ran"
+        if not self._repeats.may_start(call):
+            return Reason.RETRY_BUDGET, _NO_REPEAT_LEFT
         return None
 
+    def _admit(self, call: MeshCall) -> Reason | None:
+        """Return why a call that gets a slot may not start, or None."""
+        return None if self._repeats.try_start(call) else Reason.RETRY_BUDGET
+
+    def _refuse_waiting(self, local: LocalCall, reason: Reason) -> None:
+        """Refuse a call whose wait has ended without a slot."""
+        detail = "waited too long for a slot"
+        if reason is Reason.RETRY_BUDGET:
+            detail = _NO_REPEAT_LEFT
+        self._refuse(local, reason, detail)
+
     def _start(self, local: LocalCall) -> None:
         """Send a call that got a slot."""
         call = local.call
@@ -250,6 +288,7 @@
             return
         local.pending.cancel()
         was_sent = local.pending.is_sent
+        self._note_arrival(local, was_sent)
         verdict = Verdict.MAY_HAVE_RUN if was_sent else Verdict.NOT_RUN
         self._release_slot(local, time.monotonic() - local.started_s)
         self._answer(
@@ -271,6 +310,11 @@
         if local.is_over:
             return
         latency_s = time.monotonic() - local.started_s
+        is_unsent = (
+            isinstance(outcome, ExchangeFailure)
+            and outcome.kind is FailureKind.NOT_SENT
+        )
+        self._note_arrival(local, not is_unsent)
         if isinstance(outcome, ExchangeFailure):
             answer = self._classify_failure(local, outcome)
             self._log_failure(local, answer)
@@ -418,6 +462,7 @@
             if local.queued_call is not None:
                 self._queue.withdraw(local.queued_call)
         else:
+            self._note_arrival(local, local.pending.is_sent)
             local.pending.cancel()
             self._release_slot(local, None)
         self._close(local)
@@ -432,12 +477,17 @@
         self._running.end(local.call.request_id, local)
         self._queue.finish(local.call.route, latency_s)
 
+    def _note_arrival(self, local: LocalCall, has_arrived: bool) -> None:
+        """Count a call whose exchange has ended if the upstream got it."""
+        if has_arrived:
+            self._repeats.note_request(local.call, local.started_s)
+
     def parent_of(self, request_id: bytes) -> LocalCall | None:
         """Return the running call that made a request, None if none here did."""
         return self._running.parent_of(request_id)
 
     def _refuse(self, local: LocalCall, reason: Reason, detail: str) -> None:
-        is_load = reason in (Reason.OVERLOAD, Reason.DEADLINE)
+        is_load = reason in (Reason.OVERLOAD, Reason.DEADLINE, Reason.RETRY_BUDGET)
         answer = MeshAnswer(
             local.call.id, Verdict.NOT_RUN, reason, detail, is_load=is_load
         )
@@ -454,6 +504,7 @@
         )
         answer.limit = round(queue.usable_slots)
         answer.is_leaving = local.call.instance == self._leaving_instance
+        answer.repeat_share = self._repeats.share_left(local.call.route)
         answer.wait_ms = int(queue.expected_wait_s(queue.n_waiting) * 1000)
         local.on_answer(answer)
 
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -11,7 +11,7 @@
 from ..protocol.mesh_frames import FrameKind, ViewRequest, ViewUpdate
 from ..state.body_budget import BodyBudget
 from ..state.event_log import EventLog
-from ..state.fleet_view import FleetView
+from ..state.fleet_view import FleetView, Instance
 from ..state.mesh_settings import MeshSettings
 from ..state.metrics import Metrics
 from ..state.quarantine import Quarantine
@@ -23,11 +23,12 @@
 from .call_queue import CallQueue
 from .crash_reports import CrashReports
 from .first_hop import FirstHop
-from .fleet_retries import FleetRetryBudget
 from .instance_selector import InstanceSelector
 from .local_upstream import LocalUpstream, usable_slots
 from .peer_calls import PeerCalls
 from .peer_links import PeerLinks
+from .repeat_admission import RepeatAdmission
+from .repeat_budget import RepeatBudget, slack_part
 from .request_records import RequestRecords
 from .throttle import ActionThrottle
 from .upstream_health import UpstreamHealth
@@ -94,6 +95,10 @@
             names.request_id,
             BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE)),
         )
+        self._repeat_budget = RepeatBudget(settings.retry_ratio, time.monotonic)
+        self._repeats = RepeatAdmission(
+            self._repeat_budget, names.id_separator, time.monotonic, self._rng
+        )
         self._upstream = LocalUpstream(
             settings.service,
             self._pool,
@@ -107,6 +112,7 @@
                 self._crash_reports.report,
             ),
             self._quarantine,
+            self._repeats,
             log,
         )
         self._bodies = BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE))
@@ -117,9 +123,6 @@
         self._selector = InstanceSelector(
             settings.callers.ip, settings.failure_domain, self._rng, time.monotonic
         )
-        self._budget = FleetRetryBudget(
-            settings.retry_ratio, settings.retry_slack, time.monotonic, self._rng
-        )
         self._links = PeerLinks(settings.links.port, log, self._on_control_frame)
         self._metrics = Metrics(self._gauges)
 
@@ -135,7 +138,6 @@
             self._selector,
             self._links,
             self._upstream,
-            self._budget,
             ActionThrottle(time.monotonic, self._rng),
             self._quarantine,
             RequestRecords(log, self._metrics, table, self._synchronizer.view),
@@ -281,7 +283,6 @@
         settings = self._settings
         view: FleetView = self._synchronizer.view
         ips = {instance.ip for instance in view.instances.values()}
-        self._budget.set_daemons(len(ips))
         self._links.keep_only(ips)
         self._selector.keep_only(view.instances)
         local = view.instance_at(settings.callers.ip)
@@ -294,6 +295,7 @@
             if start != self._local_start:
                 self._local_start = start
                 self._upstream.note_start()
+        self._repeat_budget.set_slack(self._slack_part(local))
         is_taking = local.is_ready if local is not None else not self._was_listed
         if self._is_leaving or is_taking != self._upstream.is_leaving:
             return
@@ -303,6 +305,14 @@
             self._upstream.leave()
         self._log.change("own_upstream", is_taking_calls=is_taking)
 
+    def _slack_part(self, local: Instance | None) -> int:
+        """Return the part of the retry budget's slack for the local upstream."""
+        if local is None:
+            return 0
+        instances = self._synchronizer.view.instances.values()
+        ids = sorted(item.id for item in instances if item.service == local.service)
+        return slack_part(self._settings.retry_slack, ids.index(local.id), len(ids))
+
     def _on_bad_request(self, status: int, detail: str) -> None:
         self._log.request("bad_request", "", status=status, detail=detail)
 
@@ -326,6 +336,9 @@
             "upstream_runs": self._upstream.n_runs,
             "upstream_rate_limit": self._queue.rate_limit.per_s or 0.0,
             "upstream_connections_opened": self._pool.n_opened,
+            "repeats_admitted": self._repeats.n_admitted,
+            "repeats_turned_away": self._repeats.n_refused,
+            "repeats_left": {self._settings.service: self._repeats.left},
             "body_bytes_held": self._bodies.held_bytes,
             "bodies_refused": self._bodies.n_refused,
             "links_open": len(self._links.open_connections),
--- a/packages/savoryroute/savoryroute/coordination/retries.py
+++ b/packages/savoryroute/savoryroute/coordination/retries.py
@@ -25,6 +25,7 @@
         Reason.KEY_REUSED,
         Reason.KEY_SPENT,
         Reason.QUARANTINED,
+        Reason.RETRY_BUDGET,
         Reason.TOO_LARGE,
         Reason.UNKNOWN_ROUTE,
         Reason.UNKNOWN_SERVICE,
@@ -42,7 +43,7 @@
     Within any time span, retries are at most ``RETRIES_SAVED_MAX`` (or one
     second's minimum, if larger) plus ``ratio`` times the first attempts plus
     ``minimum_per_s`` times the seconds. The bound holds for each daemon; over the
-    fleet the saved retries of all daemons add up. ``FleetRetryBudget`` bounds the
+    fleet the saved retries of all daemons add up. ``RepeatBudget`` bounds the
     sum over the fleet instead.
 
     Source: retry budgets as in Finagle.
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -14,7 +14,14 @@
 
 from ..verdict import Reason, Verdict
 
-__all__ = ["FrameKind", "MeshAnswer", "MeshCall", "ViewRequest", "ViewUpdate"]
+__all__ = [
+    "AttemptKind",
+    "FrameKind",
+    "MeshAnswer",
+    "MeshCall",
+    "ViewRequest",
+    "ViewUpdate",
+]
 
 _VERDICTS = (Verdict.RAN, Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
 _VERDICT_NUMBERS = {verdict: number for number, verdict in enumerate(_VERDICTS)}
@@ -36,6 +43,18 @@
     SUSPECTS_REQUEST = 11
 
 
+class AttemptKind(enum.IntEnum):
+    """What an attempt is to the retry budget of the service that it is for."""
+
+    # First attempt of a request of a caller.
+    OF_CALLER = 0
+    # First attempt of a call that a first run of an upstream made.
+    OF_UPSTREAM = 1
+    # First attempt of a call that a repeated run made.
+    OF_REPEAT = 2
+    RETRY = 3
+
+
 @attrs.define(slots=True)
 class MeshCall:
     """One attempt of a request.
@@ -50,7 +69,8 @@
         time_left_ms: Milliseconds to the deadline.
         is_idempotent: Whether the request is idempotent.
         is_head: Whether the method is HEAD.
-        is_repeat: Whether it is a retry, or was made by a run that was one.
+        kind: What it is to the retry budget.
+        n_done: Calls that the run which makes this call has completed before.
         request_id: Identity of the request; the upstream echoes it.
         fingerprint: Digest by which the quarantine recognizes equal requests.
         head: Request line and headers, without the empty line.
@@ -67,12 +87,18 @@
     time_left_ms: int
     is_idempotent: bool
     is_head: bool
-    is_repeat: bool
+    kind: AttemptKind
+    n_done: int
     request_id: bytes
     fingerprint: bytes
     head: bytes
     body_bytes: int
 
+    @property
+    def is_repeat(self) -> bool:
+        """Whether it is a retry, or was made by a run that was one."""
+        return self.kind >= AttemptKind.OF_REPEAT
+
     def to_frame(self, inline_body: bytes) -> list[Any]:
         """Return the frame.
 
@@ -91,7 +117,8 @@
             self.time_left_ms,
             self.is_idempotent,
             self.is_head,
-            self.is_repeat,
+            self.kind.value,
+            self.n_done,
             self.request_id,
             self.fingerprint,
             self.head,
@@ -105,8 +132,11 @@
 
         Raises:
             TypeError: The frame has a wrong number of items.
+            ValueError: The kind of the attempt is not known.
         """
-        return cls(*frame[1:-1]), frame[-1]
+        call = cls(*frame[1:-1])
+        call.kind = AttemptKind(call.kind)
+        return call, frame[-1]
 
 
 @attrs.define(slots=True)
@@ -128,6 +158,7 @@
         is_load: Whether it failed for lack of capacity, here or downstream.
         pressure: Highest load of a queue along the call chain, as calls per slot.
         is_leaving: Whether the upstream said that it is leaving.
+        repeat_share: Share of the repeats left to the upstream and further downstream.
     """
 
     id: int
@@ -144,6 +175,7 @@
     is_load: bool = False
     pressure: float = 0.0
     is_leaving: bool = False
+    repeat_share: float = 1.0
 
     def to_frame(self) -> list[Any]:
         """Return the frame."""
@@ -163,6 +195,7 @@
             self.is_load,
             round(self.pressure, 3),
             self.is_leaving,
+            round(self.repeat_share, 3),
         ]
 
     @classmethod
--- a/packages/savoryroute/savoryroute/verdict.py
+++ b/packages/savoryroute/savoryroute/verdict.py
@@ -30,6 +30,7 @@
     CONNECTION_LOST = "connection_lost"
     ALLOWANCE_SPENT = "allowance_spent"
     QUARANTINED = "quarantined"
+    RETRY_BUDGET = "retry_budget"
     KEY_REQUIRED = "key_required"
     KEY_INVALID = "key_invalid"
     KEY_REUSED = "key_reused"
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -7,6 +7,8 @@
 __all__ = ["MESH_MUTATIONS"]
 
 
+REPEAT_BUDGET = "tests.savoryroute.coordination.test_repeat_budget"
+
 MESH_MUTATIONS = [
     Mutation(
         "mesh answers: a head without end is read until the deadline",
@@ -134,26 +136,89 @@
         "if n_arrivals < attempts_max:",
         "tests.savoryroute_platform.test_attempts.UnsafeTest",
     ),
+    Mutation(
+        "mesh retries: both windows earn in full",
+        "coordination/repeat_budget.py",
+        "(1.0 - CURRENT_WEIGHT) * n_before",
+        "n_before",
+        f"{REPEAT_BUDGET}.ServiceBudgetTest",
+    ),
+    Mutation(
+        "mesh retries: requests of two windows ago earn",
+        "coordination/repeat_budget.py",
+        "until[began] - until[began - N_INTERVALS + 1]",
+        "until[began] - until[0]",
+        f"{REPEAT_BUDGET}.RepeatBudgetTest",
+    ),
+    Mutation(
+        "mesh retries: only windows that begin now are checked",
+        "coordination/repeat_budget.py",
+        "for n_ago, n_here in enumerate(reversed(self._repeats)):",
+        "for n_ago, n_here in [(0, self._repeats[-1])]:",
+        f"{REPEAT_BUDGET}.RepeatBudgetTest",
+    ),
+    Mutation(
+        "mesh retries: repeats come at any pace",
+        "coordination/repeat_budget.py",
+        "return min(self._left, self._paced)",
+        "return self._left",
+        "tests.savoryroute.coordination.test_shed_chains",
+    ),
+    Mutation(
+        "mesh retries: each upstream has the slack of the service",
+        "coordination/repeat_budget.py",
+        "return (index + 1) * n_repeats // n_upstreams - n_before",
+        "return n_repeats",
+        f"{REPEAT_BUDGET}.ServiceBudgetTest",
+    ),
+    Mutation(
+        "mesh retries: a larger part of the slack is used at once",
+        "coordination/repeat_budget.py",
+        "self._former_slacks.append((now_s + WINDOW_S, self._slack))",
+        "pass",
+        f"{REPEAT_BUDGET}.RepeatBudgetTest",
+    ),
+    Mutation(
+        "mesh retries: a daemon that starts uses the slack at once",
+        "coordination/repeat_budget.py",
+        "self._former_slacks = deque([(clock() + WINDOW_S, 0)])",
+        "self._former_slacks = deque()",
+        f"{REPEAT_BUDGET}.RepeatBudgetTest",
+    ),
+    Mutation(
+        "mesh retries: calls of upstreams earn",
+        "coordination/repeat_admission.py",
+        "if call.kind is AttemptKind.OF_CALLER:",
+        "if True:",
+        "tests.savoryroute.coordination.test_repeat_admission",
+    ),
     Mutation(
         "mesh retries: calls of repeated runs are not counted",
-        "coordination/fleet_retries.py",
-        "self._advance(service).balance -= 1.0",
-        "self._advance(service)",
-        "tests.savoryroute.coordination.test_fleet_retries.FleetBoundTest",
+        "coordination/repeat_admission.py",
+        "if action in self._repeated:",
+        "if False:",
+        "tests.savoryroute_platform.test_retry_budget.ChainTest",
     ),
     Mutation(
-        "mesh retries: each daemon saves up the slack of the fleet",
-        "coordination/fleet_retries.py",
-        "slack = self._slack * SLACK_SHARE / self._n_daemons",
-        "slack = self._slack * SLACK_SHARE",
-        "tests.savoryroute.coordination.test_fleet_retries.FleetBoundTest",
+        "mesh retries: repeated runs start whatever is left downstream",
+        "coordination/repeat_admission.py",
+        "return self._rng.random() < share",
+        "return True",
+        "tests.savoryroute.coordination.test_repeat_admission",
     ),
     Mutation(
         "mesh retries: no part is reserved for better ranks",
-        "coordination/fleet_retries.py",
-        "budget.balance - _reserved_share(rank, n_done) * budget.balance_max",
-        "budget.balance",
-        "tests.savoryroute.coordination.test_fleet_retries.ServiceBudgetTest",
+        "coordination/repeat_admission.py",
+        "n_kept = reserved_share(call) * self._budget.saved_max",
+        "n_kept = 0.0",
+        "tests.savoryroute.coordination.test_repeat_admission",
+    ),
+    Mutation(
+        "mesh retries: the daemon beside the upstream admits every repeat",
+        "coordination/local_upstream.py",
+        "return None if self._repeats.try_start(call) else Reason.RETRY_BUDGET",
+        "return None",
+        "tests.savoryroute_platform.test_retry_budget",
     ),
     Mutation(
         "mesh throttle: failures with free slots refuse whole routes",
--- a/tests/retry_rule_count.py
+++ b/tests/retry_rule_count.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Iterator
 
-__all__ = ["WINDOW_S", "worst_window"]
+__all__ = ["WINDOW_S", "fullest_window", "worst_window"]
 
 WINDOW_S = 10.0
 # The windows whose requests count begin so many seconds earlier.
@@ -29,24 +30,34 @@
         ratio: Repeats allowed for each request.
         slack: Further repeats allowed in each window.
     """
+    windows = _windows(requests_s, repeats_s, ratio, slack)
+    return max(windows, key=lambda window: window[0] - window[1], default=(0, slack))
+
+
+def fullest_window(
+    requests_s: list[float], repeats_s: list[float], ratio: float, slack: float
+) -> float:
+    """Return the largest share of its allowed repeats that a window holds.
+
+    Args: See ``worst_window``.
+    """
+    windows = _windows(requests_s, repeats_s, ratio, slack)
+    return max((repeats / allowed for repeats, allowed in windows), default=0.0)
+
+
+def _windows(
+    requests_s: list[float], repeats_s: list[float], ratio: float, slack: float
+) -> Iterator[tuple[int, float]]:
+    """Yield repeats and allowed repeats of all windows that differ."""
     requests_s, repeats_s = sorted(requests_s), sorted(repeats_s)
 
-    def n_requests(from_s: float) -> int:
+    def n_between(times_s: list[float], from_s: float) -> int:
         to_s = from_s + WINDOW_S
-        return bisect.bisect_left(requests_s, to_s) - bisect.bisect_left(
-            requests_s, from_s
-        )
+        return bisect.bisect_left(times_s, to_s) - bisect.bisect_left(times_s, from_s)
 
-    worst = 0, slack
     for from_s in _edges(requests_s, repeats_s):
-        n_repeats = bisect.bisect_left(
-            repeats_s, from_s + WINDOW_S
-        ) - bisect.bisect_left(repeats_s, from_s)
-        most = max(n_requests(from_s - shift_s) for shift_s in SHIFTS_S)
-        allowed = ratio * most + slack
-        if n_repeats - allowed > worst[0] - worst[1]:
-            worst = n_repeats, allowed
-    return worst
+        most = max(n_between(requests_s, from_s - shift_s) for shift_s in SHIFTS_S)
+        yield n_between(repeats_s, from_s), ratio * most + slack
 
 
 def _edges(requests_s: list[float], repeats_s: list[float]) -> set[float]:
--- a/tests/savoryroute/coordination/test_peer_links.py
+++ b/tests/savoryroute/coordination/test_peer_links.py
@@ -10,7 +10,12 @@
     SUSPECT_AFTER_S,
     PeerLinks,
 )
-from savoryroute.protocol.mesh_frames import FrameKind, MeshAnswer, MeshCall
+from savoryroute.protocol.mesh_frames import (
+    AttemptKind,
+    FrameKind,
+    MeshAnswer,
+    MeshCall,
+)
 from savoryroute.state.event_log import EventLog
 from savoryroute.transport.frame_link import FrameLink, FrameLinkServer
 from savoryroute.verdict import Reason, Verdict
@@ -18,7 +23,21 @@
 
 def make_call():
     return MeshCall(
-        0, "s", "i", "r", 0, 100, 1000, True, False, False, b"q", b"f", b"h", 0
+        0,
+        "s",
+        "i",
+        "r",
+        0,
+        100,
+        1000,
+        True,
+        False,
+        AttemptKind.OF_CALLER,
+        0,
+        b"q",
+        b"f",
+        b"h",
+        0,
     )
 
 
--- a/tests/savoryroute/protocol/test_body_transfer.py
+++ b/tests/savoryroute/protocol/test_body_transfer.py
@@ -14,7 +14,7 @@
     IncomingBodies,
     inline_body,
 )
-from savoryroute.protocol.mesh_frames import FrameKind, MeshCall
+from savoryroute.protocol.mesh_frames import AttemptKind, FrameKind, MeshCall
 from savoryroute.state.body_budget import SMALL_BODY_BYTES
 from savoryroute.transport.frame_link import WRITE_BUFFER_BYTES, FrameLink
 
@@ -60,8 +60,9 @@
         0,
         100,
         time_left_ms,
-        0,
-        0,
+        False,
+        False,
+        AttemptKind.OF_CALLER,
         0,
         b"q",
         b"",
--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -123,6 +123,12 @@
         await self.wait_until(
             lambda: all(self.is_synchronized(node) for node in self.nodes)
         )
+        for node in self.nodes:
+            # As if the daemons had been running for longer than a budget window.
+            budget = node._repeat_budget
+            budget._former_slacks.clear()
+            budget._recalculate()
+            budget._paced = budget.saved_max
         return self
 
     def is_synchronized(self, node: MeshNode) -> bool:
--- a/tests/savoryroute_platform/test_path.py
+++ b/tests/savoryroute_platform/test_path.py
@@ -142,7 +142,7 @@
         body, _ = self.fleet.nodes[0]._metrics.render("text/plain")
         text = body.decode()
         self.assertIn('savoryroute_admitted_share{of="r-planner-"} 1', text)
-        self.assertRegex(text, r'repeats_left\{of="planner"\} [0-9.]+')
+        self.assertRegex(text, r'repeats_left\{of="front"\} [0-9.]+')
         self.assertRegex(text, r'requests_total\{[^}]*verdict="ran"[^}]*\} 3')
         self.assertIn("savoryroute_calls_running 0", text)
         for line in text.splitlines():
--- a/tests/shed_replay.py
+++ b/tests/shed_replay.py
@@ -1,10 +1,10 @@
 """Replay of a leaf service that sheds half of what it gets, in virtual time.
 
 Actions enter at random first hops and run on random hosts, which make their calls to
-the leaf one after the other. An action is served if all of its calls are. Retry budget,
-retry rule and throttle are those of the product; the budget is kept by the hosts that
-make the calls. An oracle knows arrivals and the share of shed calls, and spends the
-retries that the fleet is allowed where they serve the most worth.
+the leaf one after the other. An action is served if all of its calls are. Admission of
+repeats, retry rule and throttle are those of the product; repeats are admitted by the
+daemons beside the upstreams of the leaf. An oracle knows arrivals and the share of shed
+calls, and spends the retries that the fleet is allowed where they serve the most worth.
 """
 
 from __future__ import annotations
@@ -15,23 +15,24 @@
 
 import attrs
 
-from savoryroute.coordination.fleet_retries import FleetRetryBudget
+from savoryroute.coordination.repeat_admission import RepeatAdmission, reserved_share
+from savoryroute.coordination.repeat_budget import RepeatBudget, slack_part
 from savoryroute.coordination.retry_rule import NextStep, next_step
 from savoryroute.coordination.throttle import ActionThrottle
-from savoryroute.protocol.mesh_frames import MeshAnswer
+from savoryroute.protocol.mesh_frames import AttemptKind, MeshAnswer, MeshCall
 from savoryroute.verdict import Reason, Verdict
 
 from .virtual_time import VirtualTime
 
-__all__ = ["Leaf", "Route", "ShedReplay", "oracle_worth"]
+__all__ = ["RATIO", "Leaf", "Route", "ShedReplay", "oracle_worth"]
 
 LEAF = "leaf"
 RATIO = 0.2
 BUDGET_WINDOW_S = 10.0
 ATTEMPTS_MAX = 2
-N_INSTANCES = 3
 SLOTS = 40
 SHED_ANSWER_S = 0.003
+PLACEMENTS_MAX = 3
 
 
 @attrs.frozen
@@ -88,12 +89,19 @@
         routes: Actions that arrive.
         leaf: The leaf service.
         n_hosts: Hosts that make the calls; each has a daemon.
+        n_upstreams: Upstreams of the leaf.
         slack: Retries that the fleet may make beyond the ratio in a window.
         seed: Seed of arrivals and faults.
     """
 
     def __init__(
-        self, routes: list[Route], leaf: Leaf, n_hosts: int, slack: float, seed: int
+        self,
+        routes: list[Route],
+        leaf: Leaf,
+        n_hosts: int,
+        n_upstreams: int,
+        slack: float,
+        seed: int,
     ) -> None:
         self._routes = routes
         self._leaf = leaf
@@ -101,19 +109,20 @@
         self._rng = random.Random(seed)
         self._time = VirtualTime()
         clock = self._time.now_s
-        self._budgets = [
-            FleetRetryBudget(RATIO, slack, clock, random.Random(seed * 1000 + host))
-            for host in range(n_hosts)
-        ]
-        for budget in self._budgets:
-            budget.set_daemons(n_hosts)
+        self._upstreams = []
+        for number in range(n_upstreams):
+            budget = RepeatBudget(RATIO, clock)
+            budget.set_slack(slack_part(slack, number, n_upstreams))
+            rng = random.Random(seed * 1000 + number)
+            self._upstreams.append(RepeatAdmission(budget, b".", clock, rng))
         self._throttles = [
             ActionThrottle(clock, random.Random(seed * 1000 + host))
             for host in range(n_hosts)
         ]
         self.arrived: list[tuple[float, Route]] = []
         self.served: list[tuple[float, Route]] = []
-        self.first_calls: list[float] = []
+        # Times of the calls that callers make themselves.
+        self.direct_calls: list[float] = []
         self.retries: list[float] = []
 
     def play(self, seconds: float) -> ShedReplay:
@@ -146,7 +155,7 @@
         one half a window before it, whichever has most.
         """
         worst = float("-inf")
-        n_requests = _SlidingCount(self.first_calls)
+        n_requests = _SlidingCount(self.direct_calls)
         window: deque[float] = deque()
         for at_s in self.retries:
             window.append(at_s)
@@ -162,7 +171,7 @@
     def _arrive(self, route: Route) -> None:
         now_s = self._time.now_s()
         self.arrived.append((now_s, route))
-        n_hosts = len(self._budgets)
+        n_hosts = len(self._throttles)
         first_hop, host = self._rng.randrange(n_hosts), self._rng.randrange(n_hosts)
         if not self._throttles[first_hop].admits(route.name, route.rank):
             return
@@ -170,12 +179,25 @@
         self._call(_Action(route, now_s, first_hop, host))
 
     def _call(self, action: _Action) -> None:
-        self.first_calls.append(self._time.now_s())
-        self._budgets[action.host].note_request(LEAF)
-        self._send(action, 1)
-
-    def _send(self, action: _Action, n_arrivals: int) -> None:
+        kind = AttemptKind.OF_UPSTREAM
+        if action.route.is_direct:
+            kind = AttemptKind.OF_CALLER
+            self.direct_calls.append(self._time.now_s())
+        self._send(action, kind, 1)
+
+    def _send(self, action: _Action, kind: AttemptKind, n_arrivals: int) -> None:
+        """Send an attempt to an upstream that admits it, if one of three does."""
         leaf, now_s = self._leaf, self._time.now_s()
+        call = _call_of(action, kind)
+        for upstream in self._rng.sample(self._upstreams, PLACEMENTS_MAX):
+            if upstream.may_start(call) and upstream.try_start(call):
+                break
+        else:
+            self._end(action, 0.5, True)
+            return
+        if call.is_repeat:
+            self.retries.append(now_s)
+        upstream.note_request(call, now_s)
         is_failing = leaf.from_s <= now_s < leaf.to_s
         if is_failing and self._rng.random() < leaf.shed_share:
             answer = MeshAnswer(
@@ -187,6 +209,7 @@
                 n_reported=SLOTS // 2,
                 limit=SLOTS,
                 pressure=0.5,
+                repeat_share=upstream.share_left(LEAF),
             )
             delay_s = SHED_ANSWER_S
         else:
@@ -203,22 +226,40 @@
                 return
             self.served.append((action.began_s, action.route))
             self._end(action, 0.5, False)
-        elif step is NextStep.RETRY and self._try_retry(action):
-            self.retries.append(self._time.now_s())
-            self._send(action, n_arrivals + 1)
+        elif step is NextStep.RETRY and answer.repeat_share > reserved_share(
+            _call_of(action, AttemptKind.RETRY)
+        ):
+            self._send(action, AttemptKind.RETRY, n_arrivals + 1)
         else:
             self._end(action, answer.pressure, answer.is_load)
 
-    def _try_retry(self, action: _Action) -> bool:
-        budget = self._budgets[action.host]
-        return budget.try_retry(LEAF, action.route.rank, action.n_done)
-
     def _end(self, action: _Action, pressure: float, is_load_failure: bool) -> None:
         route = action.route
         throttle = self._throttles[action.first_hop]
         throttle.note_end(route.name, pressure, is_load_failure)
 
 
+def _call_of(action: _Action, kind: AttemptKind) -> MeshCall:
+    """Return the frame of an attempt, as far as admission reads it."""
+    return MeshCall(
+        id=0,
+        service=LEAF,
+        instance="",
+        route=LEAF,
+        rank=action.route.rank,
+        queue_timeout_ms=0,
+        time_left_ms=0,
+        is_idempotent=True,
+        is_head=False,
+        kind=kind,
+        n_done=action.n_done,
+        request_id=b"",
+        fingerprint=b"",
+        head=b"",
+        body_bytes=0,
+    )
+
+
 class _SlidingCount:
     """Number of events in any time span, from their sorted times."""
 
@@ -234,15 +275,15 @@
 def oracle_worth(routes: list[Route], leaf: Leaf, slack: float) -> float:
     """Return the expected worth that an oracle serves during the fault.
 
-    The fleet may repeat ``RATIO`` of the calls that it makes without the fault, and the
-    slack. A call gets through after an expected ``shed / (1 - shed)`` retries. The
-    oracle completes first the actions with the most worth for each retry; the others
-    get no retry and are served if none of their calls is shed.
+    The fleet may repeat ``RATIO`` of the calls of callers, and the slack. A call gets
+    through after an expected ``shed / (1 - shed)`` retries. The oracle completes first
+    the actions with the most worth for each retry; the others get no retry and are
+    served if none of their calls is shed.
     """
     seconds = leaf.to_s - leaf.from_s
     shed = leaf.shed_share
-    n_calls = sum(route.per_s * route.n_calls for route in routes) * seconds
-    budget = RATIO * n_calls + slack
+    n_direct = sum(route.per_s for route in routes if route.is_direct) * seconds
+    budget = RATIO * n_direct + slack
     worth = 0.0
     for route in sorted(routes, key=lambda route: -route.worth / route.n_calls):
         n_actions = route.per_s * seconds
