soak: repeats at the service stay within the retry budget

Cause: the soak ran real daemons with a slack of 50 and counted no repeats; a report of users came from real processes. Change: upstreams shed everything for a while as a further fault, the slack is 10, and arrivals beyond the first of each request are counted in every window as the rule does.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -22,11 +22,13 @@
 
 from .proxy import Proxy
 
-__all__ = ["SoakFleet"]
+__all__ = ["RETRY_RATIO", "RETRY_SLACK", "SoakFleet"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "platform" / "main.py"
 STOP_TIMEOUT_S = 10.0
+RETRY_RATIO = 0.2
+RETRY_SLACK = 10.0
 
 
 class SoakFleet:
@@ -134,8 +136,8 @@
             "upstream": f"{ip}:{self.proxy_port}",
             "platform": f"{ip}:{self.store_proxy_port}",
             "seeds": [],
-            "retry_ratio": 0.2,
-            "retry_slack": 50.0,
+            "retry_ratio": RETRY_RATIO,
+            "retry_slack": RETRY_SLACK,
             "grace_s": "6s",
             "memory_mb": 300,
         }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,9 +15,10 @@
 import tempfile
 import time
 
+from tests.retry_rule_count import worst_window
 from tests.savoryroute_platform.mesh_fleet import Caller
 
-from .fleet import SoakFleet
+from .fleet import RETRY_RATIO, RETRY_SLACK, SoakFleet
 from .proxy import Fault
 
 __all__ = ["Soak", "run_seed"]
@@ -35,6 +36,8 @@
 # Requests a second that upstreams name as limits, and seconds until they must hold.
 RATE_LIMITS = (1.5, 5.0, 20.0)
 LIMIT_DELAY_S = 0.5
+# More requests than an upstream gets while it sheds.
+N_SHED = 10_000
 # Shares of requests that may run once only, of uploads among these, and of uploads
 # whose callers leave half way. Lengths of the bodies of uploads in bytes.
 ONCE_SHARE = 0.4
@@ -94,6 +97,14 @@
     fleet.upstreams[index].script += [rng.choice(scripts) for _ in range(10)]
 
 
+@fault
+async def shed(fleet, index, rng):
+    """Let an upstream reject all requests for a while."""
+    fleet.upstreams[index].script += ["shed"] * N_SHED
+    await asyncio.sleep(rng.uniform(0.2, 3.0))
+    fleet.upstreams[index].script.clear()
+
+
 @fault
 async def drain(fleet, index, rng):
     fleet.list_instance(index, state="draining")
@@ -142,6 +153,7 @@
         self.fleet = SoakFleet(seed)
         self.answers: dict[str, int] = {}
         self.bodies: dict[str, bytes] = {}
+        self.sent_s: list[float] = []
         self.latest: collections.deque[int] = collections.deque(maxlen=N_LAST)
         self.problems: list[str] = []
         self.faults: list[str] = []
@@ -230,6 +242,7 @@
     ) -> Caller | None:
         request_id = caller.write(target, method=method, body=body)
         self.bodies[request_id] = body
+        self.sent_s.append(time.monotonic())
         async with asyncio.timeout(ANSWER_TIMEOUT_S):
             answer = await caller.read()
         if not answer.is_complete:
@@ -274,6 +287,7 @@
             if self.answers.get(request_id) == 503 and request_id in unsafe:
                 self.problems.append(f"{request_id} was answered not run, but ran")
         self._check_limits()
+        self._check_retries()
         n_served = sum(status == 200 for status in self.latest)
         if len(self.latest) < N_LAST / 2 or n_served < RECOVERED_SHARE * len(
             self.latest
@@ -293,6 +307,23 @@
                     f" of {per_s} a second"
                 )
 
+    def _check_retries(self) -> None:
+        """Check that the service got no more repeats than the budget allows."""
+        arrivals = sorted(
+            arrival for item in self.fleet.upstreams for arrival in item.arrivals
+        )
+        seen: set[str] = set()
+        repeats_s = []
+        for at_s, request_id in arrivals:
+            if request_id in seen:
+                repeats_s.append(at_s)
+            seen.add(request_id)
+        n_repeats, allowed = worst_window(
+            self.sent_s, repeats_s, RETRY_RATIO, RETRY_SLACK
+        )
+        if n_repeats > allowed:
+            self.problems.append(f"{n_repeats} repeats, {allowed:.0f} allowed")
+
     async def _check_routes(self) -> None:
         """Check that each daemon has the newest route."""
         for index in range(len(self.fleet.SERVICES)):
