tests: rate limits are counted in every window of three seconds

Two runs beside the same processes: a load of 3 s took 5.0 and 4.2 s. Change: the most runs in any window of 3 s, in both tests that bound a load; the bound is unchanged, and each window is held to it.

--- a/tests/savoryroute_platform/test_rate_limits.py
+++ b/tests/savoryroute_platform/test_rate_limits.py
@@ -38,6 +38,20 @@
     def n_runs_since(self, planner, since_s):
         return sum(run["at_s"] >= since_s for run in planner.runs)
 
+    def most_runs(self, planner, since_s, seconds):
+        """Return the most runs in any window of that length.
+
+        On a busy machine a load takes longer than its requests are planned for.
+        """
+        times = [run["at_s"] for run in planner.runs if run["at_s"] >= since_s]
+        return max(
+            (
+                sum(0.0 <= at_s - begun_s < seconds for at_s in times)
+                for begun_s in times
+            ),
+            default=0,
+        )
+
     def allowed(self, seconds):
         """Return the runs that a limited upstream may get in a time."""
         return 1.5 * LIMIT_PER_S * seconds + 5
@@ -48,7 +62,7 @@
         began_s = time.monotonic()
         answers = await self.load(3.0)
         self.assertEqual({answer.status for answer in answers}, {200})
-        n_limited = self.n_runs_since(self.planners[0], began_s)
+        n_limited = self.most_runs(self.planners[0], began_s, 3.0)
         self.assertLessEqual(n_limited, self.allowed(3.0))
         # It is not abandoned, or it could not lift its limit.
         async with asyncio.timeout(10.0):
@@ -65,7 +79,7 @@
         self.assertEqual({answer.status for answer in refused}, {503})
         self.assertTrue(all("retry-after" in answer.headers for answer in refused))
         for planner in self.planners:
-            n_limited = self.n_runs_since(planner, began_s)
+            n_limited = self.most_runs(planner, began_s, 3.0)
             self.assertLessEqual(n_limited, self.allowed(3.0))
             # The limit is used: a daemon beside the upstream sees the whole load.
             self.assertGreater(n_limited, 0.6 * LIMIT_PER_S * 3.0)
