upstream reports: slots, limit and leaving that an upstream states, in a module

Change: moved as they were into upstream_reports.py; the function is slots_to_fill. A local name of repeat_budget.py reads better. No behaviour changes.

--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
-import re
 import time
 from collections.abc import Callable
 
@@ -19,26 +17,17 @@
 from .repeat_admission import RepeatAdmission
 from .running_calls import RunningCalls
 from .upstream_health import UpstreamHealth
+from .upstream_reports import UpstreamReports
 
-__all__ = ["LocalCall", "LocalUpstream", "usable_slots"]
+__all__ = ["LocalCall", "LocalUpstream"]
 
 # Seconds after the deadline of a call for which the upstream's answer is awaited.
 ANSWER_GRACE_S = 0.1
-# Fraction of the slots that is used; some upstreams slow down when nearly full.
-SLOTS_FRACTION = 0.95
-
 _NO_REPEAT_LEFT = "the retry budget of the upstream or of one that it calls is spent"
 
-_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
-
 AnswerHandler = Callable[[MeshAnswer], None]
 
 
-def usable_slots(slots: int) -> int:
-    """Return how many calls to run concurrently at an upstream."""
-    return max(1, math.ceil(slots * SLOTS_FRACTION) - 1)
-
-
 class LocalCall:
     """One call to the local upstream."""
 
@@ -147,8 +136,7 @@
         self._repeats = repeats
         self._log = log
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
-        self._rate_limit_text: bytes | None = None
-        self._leaving_instance = ""
+        self._reports = UpstreamReports(queue, log)
         self.is_leaving = False
         self.n_open = 0
         self.n_runs = 0
@@ -213,24 +201,14 @@
 
     def note_start(self) -> None:
         """Forget what an earlier upstream at the address said of itself."""
-        self._leaving_instance = ""
-        self._rate_limit_text = None
-        self._queue.rate_limit.set(None)
-
-    def _note_leaving(self, instance: str) -> None:
-        """Refuse the calls to an instance that says it is leaving."""
-        if instance == self._leaving_instance:
-            return
-        self._leaving_instance = instance
-        self._log.change("upstream_leaving", instance=instance)
-        self._queue.clear(Reason.LEAVING)
+        self._reports.note_start()
 
     def check(self, call: MeshCall) -> tuple[Reason, str] | None:
         """Return why a call is refused at once, whatever the queue, or None."""
         if call.service != self._service:
             detail = f"this host runs {self._service}, not {call.service}"
             return Reason.NO_UPSTREAM, detail
-        if self.is_leaving or call.instance == self._leaving_instance:
+        if self.is_leaving or self._reports.is_leaving(call.instance):
             return Reason.LEAVING, "the upstream is leaving"
         if self._health.is_down:
             return Reason.UNREACHABLE, "the upstream recently refused a connection"
@@ -333,7 +311,7 @@
         rate_limit: bytes | None = None
         for name, value in answer.headers:
             if name == names.load:
-                self._note_load(value)
+                self._reports.note_load(value)
             elif name == names.rate_limit:
                 rate_limit = value
             elif name == names.leaving:
@@ -352,9 +330,9 @@
         is_signed = answer.header(names.signature) is not None
         # A rejection without the header does not lift a limit, nor do stray bytes.
         if is_signed or (is_not_executed and rate_limit is not None):
-            self._note_rate_limit(call.request_id, rate_limit)
+            self._reports.note_rate_limit(call.request_id, rate_limit)
         if is_leaving and (is_signed or is_not_executed):
-            self._note_leaving(call.instance)
+            self._reports.note_leaving(call.instance)
         if is_not_executed:
             detail = f"the upstream rejected the request with status {answer.status}"
             return MeshAnswer(
@@ -418,43 +396,6 @@
             seconds=round(time.monotonic() - local.started_s, 4),
         )
 
-    def _note_load(self, value: bytes) -> None:
-        """Set the number of slots from the load header of an answer."""
-        slots = value.rpartition(b",")[2].strip()
-        if slots.isdigit() and int(slots) > 0:
-            self._queue.slots = usable_slots(int(slots))
-
-    def _note_rate_limit(self, request_id: bytes, text: bytes | None) -> None:
-        """Set the rate limit from the header of an answer.
-
-        Args:
-            request_id: Identity of the answered request.
-            text: Value of the header, None if the answer has none.
-        """
-        if text == self._rate_limit_text:
-            return
-        self._rate_limit_text = text
-        per_s = None
-        if text is not None:
-            if not _DECIMAL.fullmatch(text):
-                # An earlier limit stays, as the upstream may still be in need.
-                self._log.request(
-                    "upstream_limit_unreadable",
-                    request_id.decode("latin-1"),
-                    value=text[:40].decode("latin-1"),
-                    allowed="a decimal number",
-                )
-                return
-            per_s = float(text)
-        self._log.request(
-            "upstream_limit",
-            request_id.decode("latin-1"),
-            per_s=per_s,
-            before_per_s=self._queue.rate_limit.per_s,
-        )
-        self._queue.rate_limit.set(per_s)
-        self._queue.start_waiting()
-
     def _cancel(self, local: LocalCall) -> None:
         if local.is_over:
             return
@@ -503,7 +444,7 @@
             queue.load_for(local.call.rank), local.downstream_pressure
         )
         answer.limit = round(queue.usable_slots)
-        answer.is_leaving = local.call.instance == self._leaving_instance
+        answer.is_leaving = self._reports.is_leaving(local.call.instance)
         answer.repeat_share = self._repeats.share_left(local.call.route)
         answer.wait_ms = int(queue.expected_wait_s(queue.n_waiting) * 1000)
         local.on_answer(answer)
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -24,7 +24,7 @@
 from .crash_reports import CrashReports
 from .first_hop import FirstHop
 from .instance_selector import InstanceSelector
-from .local_upstream import LocalUpstream, usable_slots
+from .local_upstream import LocalUpstream
 from .peer_calls import PeerCalls
 from .peer_links import PeerLinks
 from .repeat_admission import RepeatAdmission
@@ -32,6 +32,7 @@
 from .request_records import RequestRecords
 from .throttle import ActionThrottle
 from .upstream_health import UpstreamHealth
+from .upstream_reports import slots_to_fill
 from .view_synchronizer import LINKS_MIN, RouteDecoder, ViewSynchronizer
 
 __all__ = ["MeshNode"]
@@ -290,7 +291,7 @@
             local = None
         if local is not None:
             self._was_listed = True
-            self._queue.slots = usable_slots(local.slots)
+            self._queue.slots = slots_to_fill(local.slots)
             start = (local.id, local.started_ms)
             if start != self._local_start:
                 self._local_start = start
--- a/packages/savoryroute/savoryroute/coordination/repeat_budget.py
+++ b/packages/savoryroute/savoryroute/coordination/repeat_budget.py
@@ -170,8 +170,8 @@
             n_repeats += n_here
             n_during = until[last + 1] - until[min(began + 1, last + 1)]
             n_before = until[began] - until[began - N_INTERVALS + 1]
-            mixed = CURRENT_WEIGHT * n_during + (1.0 - CURRENT_WEIGHT) * n_before
-            allowed = self._ratio * mixed + slack
+            n_earning = CURRENT_WEIGHT * n_during + (1.0 - CURRENT_WEIGHT) * n_before
+            allowed = self._ratio * n_earning + slack
             self._left = min(self._left, allowed - n_repeats)
             if n_ago == 0:
                 self._per_window = self._ratio * n_before + slack
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -33,7 +33,7 @@
     ),
     Mutation(
         "mesh leaving: an upstream that started again counts as leaving",
-        "coordination/local_upstream.py",
+        "coordination/upstream_reports.py",
         '        self._leaving_instance = ""\n        self._rate_limit_text = None\n',
         "        self._rate_limit_text = None\n",
         "tests.savoryroute_platform.test_leaving_upstreams",
