--- a/tests/savoryroute/coordination/test_shed_chains.py
+++ b/tests/savoryroute/coordination/test_shed_chains.py
@@ -32,7 +32,7 @@
 
 
 class ShedChainsTest(unittest.TestCase):
-    """6 hosts and 3 upstreams of the leaf as in a fleet of 13, 126 and 42 as in one of 195.
+    """6 hosts and 3 upstreams of the leaf, as in a fleet of 13; 126 and 42, of 195.
 
     Once only the calls of callers allow repeats, and once the slack is larger, so that
     some chains can be completed.
