upstream reports: decode the load header by position

Cause: the last figure counted as the slots. With the fourth figure an upstream with 25 slots was filled with 94 calls at its usual speed and with 237 at 2.5 times the work time, so the slower its machine, the more calls it got. Change: protocol/server_load.py reads running, waiting, slots and work time, each by its position. Unreadable figures leave the others in force and are logged once per change. Ruled out: taking the third figure only if there are four; a header of five would fail again.

--- a/packages/savoryroute/savoryroute/coordination/upstream_reports.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_reports.py
@@ -5,6 +5,7 @@
 import math
 import re
 
+from ..protocol.server_load import read_server_load
 from ..state.event_log import EventLog
 from ..verdict import Reason
 from .call_queue import CallQueue
@@ -36,11 +37,23 @@
         # Last value of the header, so that only changes are parsed and logged.
         self._rate_limit_text: bytes | None = None
         self._leaving_instance = ""
+        self._work_time = 1.0
+        # Figures of the load header that could not be read in the last answer.
+        self._unreadable: tuple[str, ...] = ()
+
+    @property
+    def work_time(self) -> float:
+        """Factor by which work takes longer at the upstream now than usual.
+
+        1.0 if its last answer does not state it.
+        """
+        return self._work_time
 
     def note_start(self) -> None:
         """Forget what an earlier upstream at the address said of itself."""
         self._leaving_instance = ""
         self._rate_limit_text = None
+        self._work_time = 1.0
         self._queue.rate_limit.set(None)
 
     def is_leaving(self, instance: str) -> bool:
@@ -56,10 +69,18 @@
         self._queue.clear(Reason.LEAVING)
 
     def note_load(self, value: bytes) -> None:
-        """Set the number of slots from the load header of an answer."""
-        slots = value.rpartition(b",")[2].strip()
-        if slots.isdigit() and int(slots) > 0:
-            self._queue.slots = slots_to_fill(int(slots))
+        """Set slots and work time from the load header of an answer."""
+        load = read_server_load(value)
+        if load.unreadable != self._unreadable:
+            self._unreadable = load.unreadable
+            self._log.change(
+                "upstream_load_unreadable",
+                unreadable=load.unreadable,
+                value=value[:40].decode("latin-1"),
+            )
+        if load.n_slots is not None:
+            self._queue.slots = slots_to_fill(load.n_slots)
+        self._work_time = 1.0 if load.work_time is None else load.work_time
 
     def note_rate_limit(self, request_id: bytes, text: bytes | None) -> None:
         """Set the rate limit from the header of an answer.
