organisations, work time: interfaces that the parts of hard load share

Cause: two deployments need organisations of callers and upstreams of uneven speed (docs/design/hard-load.md). The parts are built side by side and need the same types. Change: organisations by key digest, ranks on one scale, organisation of a call and work time of an answer in the frames, optional bounds in the settings, header names. Nothing decides by them yet; without organisations ranks are those of the routes, as before. Ruled out: whole-number ranks for organisations; the tables by rank end at the third. Measured: tests of the modules, of the path and of attempts pass.

--- a/packages/savoryroute/savoryroute/coordination/call_queue.py
+++ b/packages/savoryroute/savoryroute/coordination/call_queue.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 from collections.abc import Callable
 
 import attrs
@@ -44,14 +45,14 @@
         expires_s: Monotonic time at which the wait ends; set by the queue.
     """
 
-    rank: int
+    rank: float
     group: str
     deadline_s: float
     queue_timeout_s: float
     start: Callable[[], None]
     refuse: Callable[[Reason], None]
     admit: Callable[[], Reason | None] = lambda: None
-    order: tuple[int, int] = (0, 0)
+    order: tuple[float, int] = (0, 0)
     expires_s: float = 0.0
 
 
@@ -110,12 +111,12 @@
         """Moving average of the seconds for which a call holds its slot."""
         return self._mean_s
 
-    def load_for(self, rank: int) -> float:
+    def load_for(self, rank: float) -> float:
         """Return the load by running calls and waiting ones of this rank or better.
 
         It is their number over the usable slots.
         """
-        n_ahead = bisect.bisect(self._waiting, (rank + 1, 0), key=_order)
+        n_ahead = bisect.bisect(self._waiting, (rank, math.inf), key=_order)
         return (self._n_running + n_ahead) / self.usable_slots
 
     def usual_s(self, group: str) -> float:
@@ -207,5 +208,5 @@
             call.refuse(reason)
 
 
-def _order(call: QueuedCall) -> tuple[int, int]:
+def _order(call: QueuedCall) -> tuple[float, int]:
     return call.order
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -445,6 +445,7 @@
         )
         answer.limit = round(queue.usable_slots)
         answer.is_leaving = self._reports.is_leaving(local.call.instance)
+        answer.work_time = self._reports.work_time
         answer.repeat_share = self._repeats.share_left(local.call.route)
         answer.wait_ms = int(queue.expected_wait_s(queue.n_waiting) * 1000)
         local.on_answer(answer)
--- a/packages/savoryroute/savoryroute/coordination/repeat_admission.py
+++ b/packages/savoryroute/savoryroute/coordination/repeat_admission.py
@@ -25,6 +25,7 @@
 import attrs
 
 from ..protocol.mesh_frames import AttemptKind, MeshCall
+from .rank_table import value_for_rank
 from .repeat_budget import WINDOW_S, RepeatBudget
 
 __all__ = ["RepeatAdmission", "reserved_share"]
@@ -55,7 +56,7 @@
     by_progress = RESERVED_AT_START * RESERVED_PER_CALL**call.n_done
     if call.kind is AttemptKind.OF_REPEAT:
         return by_progress
-    by_rank = RESERVED_BY_RANK[min(max(call.rank, 0), len(RESERVED_BY_RANK) - 1)]
+    by_rank = value_for_rank(RESERVED_BY_RANK, call.rank)
     return max(RESERVED_FOR_RUNS, by_rank + (1.0 - by_rank) * by_progress)
 
 
--- a/packages/savoryroute/savoryroute/coordination/throttle.py
+++ b/packages/savoryroute/savoryroute/coordination/throttle.py
@@ -19,6 +19,8 @@
 
 import attrs
 
+from .rank_table import value_for_rank
+
 __all__ = ["ActionThrottle"]
 
 # Seconds between changes of the admitted share: about the duration of one action.
@@ -54,7 +56,7 @@
     n_load_failures: int = 0
     pressure_sum: float = 0.0
 
-    def adjust(self, now_s: float, rank: int) -> None:
+    def adjust(self, now_s: float, rank: float) -> None:
         """Set the admitted share by the window's outcomes and begin the next window."""
         excess = self._excess(rank)
         if excess is None:
@@ -68,7 +70,7 @@
         self.n_ended = self.n_load_failures = 0
         self.pressure_sum = 0.0
 
-    def _excess(self, rank: int) -> float | None:
+    def _excess(self, rank: float) -> float | None:
         """Return the excess of load or failures over the targets, None without data."""
         if not self.n_ended:
             return None
@@ -76,9 +78,9 @@
         failure_share = self.n_load_failures / self.n_ended
         # A single failure among few answers is not significant.
         is_significant = self.n_load_failures > 1
-        excess = pressure - PRESSURE_TARGETS[rank]
+        excess = pressure - value_for_rank(PRESSURE_TARGETS, rank)
         if is_significant:
-            failure_excess = failure_share - FAILURE_TARGETS[rank]
+            failure_excess = failure_share - value_for_rank(FAILURE_TARGETS, rank)
             excess = max(excess, failure_excess * FAILURE_FACTOR)
         return excess
 
@@ -101,7 +103,7 @@
         """Admitted share by route."""
         return {route: state.share for route, state in self._states.items()}
 
-    def admits(self, route: str, rank: int) -> bool:
+    def admits(self, route: str, rank: float) -> bool:
         """Return whether a request is admitted.
 
         Args:
@@ -113,7 +115,7 @@
         if state is None:
             state = self._states[route] = _RouteState(now_s)
         if now_s - state.since_s >= WINDOW_S:
-            state.adjust(now_s, min(max(rank, 0), len(PRESSURE_TARGETS) - 1))
+            state.adjust(now_s, rank)
         return state.share >= 1.0 or self._rng.random() < state.share
 
     def note_end(self, route: str, pressure: float, is_load_failure: bool) -> None:
--- a/packages/savoryroute/savoryroute/protocol/header_names.py
+++ b/packages/savoryroute/savoryroute/protocol/header_names.py
@@ -27,6 +27,9 @@
         leaving: Present with the value 1 in the answers of an upstream that is leaving.
         not_executed: Present if the upstream did not run the request.
         signature: Present in each answer that the upstream itself generated.
+        credentials: Scheme and key by which a caller says whose request it is.
+        credentials_scheme: Scheme of keys in lower case.
+        organisation: Name of the caller's organisation, for the upstream.
         id_separator: Separates the identity of an action from the rest of the identity
             of a further call that it makes.
     """
@@ -40,6 +43,9 @@
     leaving: bytes
     not_executed: bytes
     signature: bytes
+    credentials: bytes
+    credentials_scheme: bytes
+    organisation: bytes
     id_separator: bytes
 
     @property
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -41,6 +41,8 @@
     SUSPECTS = 9
     BODY = 10
     SUSPECTS_REQUEST = 11
+    QUOTA_REQUEST = 12
+    QUOTA_GRANT = 13
 
 
 class AttemptKind(enum.IntEnum):
@@ -76,13 +78,14 @@
         head: Request line and headers, without the empty line.
         body_bytes: Length of the body. A short body follows in the frame, a long one
             in further frames (``body_transfer``).
+        organisation: Name of the organisation of the action, or an empty string.
     """
 
     id: int
     service: str
     instance: str
     route: str
-    rank: int
+    rank: float
     queue_timeout_ms: int
     time_left_ms: int
     is_idempotent: bool
@@ -93,6 +96,7 @@
     fingerprint: bytes
     head: bytes
     body_bytes: int
+    organisation: str = ""
 
     @property
     def is_repeat(self) -> bool:
@@ -123,6 +127,7 @@
             self.fingerprint,
             self.head,
             self.body_bytes,
+            self.organisation,
             inline_body,
         ]
 
@@ -159,6 +164,7 @@
         pressure: Highest load of a queue along the call chain, as calls per slot.
         is_leaving: Whether the upstream said that it is leaving.
         repeat_share: Share of the repeats left to the upstream and further downstream.
+        work_time: Factor by which work takes longer at the upstream now than usual.
     """
 
     id: int
@@ -176,6 +182,7 @@
     pressure: float = 0.0
     is_leaving: bool = False
     repeat_share: float = 1.0
+    work_time: float = 1.0
 
     def to_frame(self) -> list[Any]:
         """Return the frame."""
@@ -196,6 +203,7 @@
             round(self.pressure, 3),
             self.is_leaving,
             round(self.repeat_share, 3),
+            round(self.work_time, 2),
         ]
 
     @classmethod
--- a/packages/savoryroute/savoryroute/state/mesh_settings.py
+++ b/packages/savoryroute/savoryroute/state/mesh_settings.py
@@ -46,6 +46,12 @@
         retry_slack: Retries that the fleet may make in addition to these.
         grace_s: Time in seconds from a stop signal until the process is killed.
         memory_bytes: Memory above which the process is killed.
+        revocation_s: Time in seconds after which no host may accept a revoked key, None
+            if revocation has no such bound.
+        quota_window_s: Length in seconds of the windows in which quotas are bounded,
+            None if there are no quotas.
+        quota_overage: Fraction by which a quota may be exceeded in a window.
+        quota_slack: Requests by which it may be exceeded besides.
     """
 
     host: str
@@ -62,6 +68,10 @@
     retry_slack: float
     grace_s: float
     memory_bytes: int
+    revocation_s: float | None = None
+    quota_window_s: float | None = None
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
 
 
 def read_mesh_settings(
@@ -82,9 +92,15 @@
 
 
 def _read_settings(root: ObjectReader) -> MeshSettings:
-    known = attrs.fields_dict(MeshSettings).keys() | {"metrics_port", "ip", "memory_mb"}
+    known = attrs.fields_dict(MeshSettings).keys() | {
+        "metrics_port",
+        "ip",
+        "memory_mb",
+        "strict_revocation",
+    }
     root.allow_only(known)
     ip = root.address_ip("ip")
+    is_bounded = root.boolean("strict_revocation", False)
     return MeshSettings(
         host=root.text("host", NAME_PATTERN, NAME_ALLOWED),
         service=root.text("service", NAME_PATTERN, NAME_ALLOWED),
@@ -100,4 +116,13 @@
         retry_slack=root.number("retry_slack", 0.0, SLACK_MAX),
         grace_s=root.seconds("grace_s", 0.0, SECONDS_MAX),
         memory_bytes=int(root.number("memory_mb", MEMORY_MB_MIN, MEMORY_MB_MAX) * MB),
+        revocation_s=_optional_seconds(root, "revocation_s") if is_bounded else None,
+        quota_window_s=_optional_seconds(root, "quota_window_s"),
+        quota_overage=root.number("quota_overage", 0.0, RATIO_MAX, 0.0),
+        quota_slack=root.number("quota_slack", 0.0, SLACK_MAX, 0.0),
     )
+
+
+def _optional_seconds(root: ObjectReader, name: str) -> float | None:
+    """Return a duration in seconds, None if the member is missing."""
+    return root.seconds(name, 0.0, SECONDS_MAX) if name in root else None
--- a/packages/savoryroute/savoryroute/state/route_table.py
+++ b/packages/savoryroute/savoryroute/state/route_table.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .organisations import Organisation, Organisations
+
 __all__ = [
     "CallerLimits",
     "RouteTable",
@@ -14,6 +16,11 @@
 ]
 
 
+# Lowest rank of a table with organisations: that of routes of the least importance in
+# deployments without.
+RANK_LOWEST = 2.0
+
+
 @attrs.frozen
 class WeightedService:
     """One part of a route's traffic.
@@ -41,6 +48,7 @@
         attempts_max: Maximum number of upstreams to which one request is sent.
         parts: Services that handle the route, with their weights; none if they could
             not be read, so that its requests are refused.
+        is_public: Whether its requests need no key of an organisation.
     """
 
     name: str
@@ -51,6 +59,7 @@
     target_latency_s: float
     attempts_max: int
     parts: tuple[WeightedService, ...]
+    is_public: bool = False
 
 
 @attrs.frozen
@@ -94,6 +103,8 @@
             applies instead, one sentence each.
         is_complete: Whether host name and prefix of all published routes are known.
             If not, a request without a route may belong to a route that is missing.
+        organisations: Organisations of callers; None if the configuration has none, so
+            that no request needs a key.
     """
 
     version: int
@@ -102,9 +113,11 @@
     limits: CallerLimits = CallerLimits()
     defects: tuple[str, ...] = ()
     is_complete: bool = True
+    organisations: Organisations | None = None
     _by_prefix: dict[str, dict[str, TableRoute]] = attrs.field(
         init=False, repr=False, eq=False
     )
+    _rank_positions: dict[int, int] = attrs.field(init=False, repr=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
         by_prefix = {
@@ -112,6 +125,29 @@
             for host, routes in self.routes.items()
         }
         object.__setattr__(self, "_by_prefix", by_prefix)
+        ranks = {route.rank for routes in self.routes.values() for route in routes}
+        positions = {rank: i for i, rank in enumerate(sorted(ranks))}
+        object.__setattr__(self, "_rank_positions", positions)
+
+    def rank_of(self, route: TableRoute, organisation: Organisation | None) -> float:
+        """Return the rank of a request, 0 the highest.
+
+        Without organisations it is the rank of the route. With them the priority of
+        the organisation goes before that of the route, on a scale from 0 to
+        ``RANK_LOWEST``; a request of no organisation lies there by its route alone.
+
+        Args:
+            route: Route of this table that the request matched.
+            organisation: Organisation of the caller, or None.
+        """
+        if self.organisations is None:
+            return route.rank
+        position = self._rank_positions[route.rank]
+        n_positions = len(self._rank_positions)
+        if organisation is not None:
+            position += n_positions * self.organisations.rank_position(organisation)
+            n_positions *= self.organisations.n_ranks
+        return RANK_LOWEST * position / max(1, n_positions - 1)
 
     def find(self, host: str, target: str) -> TableRoute | None:
         """Return the route with the longest prefix that matches the path, or None.
--- a/packages/savoryroute/savoryroute/verdict.py
+++ b/packages/savoryroute/savoryroute/verdict.py
@@ -46,6 +46,8 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_ROUTE = "unknown_route"
     UNREADABLE_ROUTE = "unreadable_route"
+    QUOTA = "quota"
+    STALE_CONFIGURATION = "stale_configuration"
 
 
 @attrs.frozen
--- a/tests/savoryroute/state/test_mesh_settings.py
+++ b/tests/savoryroute/state/test_mesh_settings.py
@@ -51,6 +51,22 @@
             self.assertIn(name, str(error))
             self.assertIn("allowed:", str(error))
 
+    def test_bounds_of_organisations_are_optional(self):
+        self.assertIsNone(self.parse().unwrap().revocation_s)
+        self.assertIsNone(self.parse().unwrap().quota_window_s)
+        bounds = {
+            "strict_revocation": True,
+            "revocation_s": "5000ms",
+            "quota_window_s": "5s",
+            "quota_overage": 0.25,
+            "quota_slack": 20,
+        }
+        settings = self.parse(**bounds).unwrap()
+        self.assertEqual(settings.revocation_s, 5.0)
+        self.assertEqual(settings.quota_window_s, 5.0)
+        bounds["strict_revocation"] = False
+        self.assertIsNone(self.parse(**bounds).unwrap().revocation_s)
+
     def test_unknown_member_is_refused_with_a_suggestion(self):
         error = self.parse(retry_ration=1).unwrap_err()
         self.assertIn("did you mean retry_ratio?", str(error))
--- a/tests/savoryroute/state/test_route_table.py
+++ b/tests/savoryroute/state/test_route_table.py
@@ -3,10 +3,13 @@
 import collections
 import unittest
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
+from savoryroute.state.organisations import Organisation, Organisations
 from savoryroute.state.route_table import (
+    RANK_LOWEST,
     RouteTable,
     TableRoute,
     WeightedRoundRobin,
@@ -67,3 +70,31 @@
         for part in parts:
             expected = n_requests * part.weight / sum(weights)
             self.assertAlmostEqual(counts[part.service], expected, delta=len(parts))
+
+
+class RankTest(unittest.TestCase):
+    """Guards against a route's priority that goes before an organisation's."""
+
+    def setUp(self):
+        plain = table("/a/", "/b/", "/c/")
+        self.routes = tuple(
+            attrs.evolve(item, rank=rank)
+            for item, rank in zip(plain.routes["shop.example"], (0, 4, 7), strict=True)
+        )
+
+    def test_rank_is_that_of_the_route_without_organisations(self):
+        plain = RouteTable(1, {"shop.example": self.routes}, {})
+        self.assertEqual([plain.rank_of(r, None) for r in self.routes], [0, 4, 7])
+
+    def test_organisation_goes_before_the_route(self):
+        first, second = Organisation("first", 1), Organisation("second", 5)
+        organisations = Organisations([(b"1", first), (b"2", second)])
+        full = RouteTable(
+            1, {"shop.example": self.routes}, {}, organisations=organisations
+        )
+        ranks = [full.rank_of(r, o) for o in (first, second) for r in self.routes]
+        self.assertEqual(ranks, sorted(set(ranks)))
+        self.assertEqual((ranks[0], ranks[-1]), (0.0, RANK_LOWEST))
+        self.assertEqual(
+            [full.rank_of(r, None) for r in self.routes], [0.0, 1.0, RANK_LOWEST]
+        )
