store: order lists by era, then revision, over returns from an older copy

Cause: revisions go back and are given out again when the store returns from an older copy. A list from before the return outranked each correct one until the counter had passed its revision, in the daemons, in what they sent to peers and in their watches. Change: era and revision form one ordered number in the client of the store, so that comparisons, frames and change logs stay as they are. Departures outlive the return: an instance that was listed as draining or removed gets no work until it reports again or the store had 6 s to remove it. Instances that the copy lacks are retained for two seconds. Ruled out: a pair in each comparison and frame (a forgotten one is the fault again); forgetting the list (live instances would be gone at once).

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -15,6 +15,7 @@
 from ..state.mesh_settings import MeshSettings
 from ..state.metrics import Metrics
 from ..state.quarantine import Quarantine
+from ..state.revision import era_of, revision_in_era
 from ..state.route_table import CallerLimits, RouteTable
 from ..transport.caller_exchange import Exchange
 from ..transport.frame_link import FrameLink, FrameLinkServer
@@ -349,7 +350,8 @@
             "routes_defects": 0
             if synchronizer.table is None
             else len(synchronizer.table.defects),
-            "list_revision": synchronizer.view.revision,
+            "list_revision": revision_in_era(synchronizer.view.revision),
+            "platform_era": era_of(synchronizer.view.revision),
             "instances": len(synchronizer.view.instances),
             "platform_heard": int(synchronizer.is_platform_reachable),
             "log_lines_left_out": self._log.n_left_out,
--- a/packages/savoryroute/savoryroute/coordination/request_records.py
+++ b/packages/savoryroute/savoryroute/coordination/request_records.py
@@ -9,6 +9,7 @@
 from ..state.event_log import EventLog
 from ..state.fleet_view import FleetView
 from ..state.metrics import Metrics
+from ..state.revision import revision_in_era
 from ..state.route_table import RouteTable
 from ..verdict import Reason, Verdict
 from .forwarded_request import ForwardedRequest
@@ -66,7 +67,7 @@
             pressure=round(answer.pressure, 2),
             arrivals=forwarded.n_arrivals,
             routes_version=self._version(),
-            list_revision=self._view.revision,
+            list_revision=revision_in_era(self._view.revision),
             seconds=seconds,
         )
 
@@ -93,7 +94,7 @@
             tried=forwarded.tried,
             arrivals=forwarded.n_arrivals,
             routes_version=self._version(),
-            list_revision=self._view.revision,
+            list_revision=revision_in_era(self._view.revision),
             seconds=seconds,
         )
 
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -23,6 +23,7 @@
 from ..state.change_log import ChangeLog
 from ..state.event_log import EventLog
 from ..state.fleet_view import RELISTING_GRACE_S, FleetView, Instance
+from ..state.revision import era_of, revision_in_era
 from ..state.route_table import RouteTable
 
 __all__ = ["LINKS_MIN", "RouteDecoder", "ViewSynchronizer"]
@@ -43,6 +44,9 @@
 # Upper bound in seconds on the age of the list that is sent to peers; older lists all
 # count the same.
 AGE_MAX_S = 3600.0
+# Seconds for which entries that a return of the store restored are doubted: longer
+# than the store lists an instance that is silent (three heartbeats of 1.5 s).
+RESTORED_DOUBT_S = 6.0
 
 RouteDecoder = Callable[[bytes], RouteTable]
 
@@ -206,7 +210,14 @@
         changes = {id_: item for id_, item in changes.items() if item != known.get(id_)}
         for id_, instance in changes.items():
             self._log_instance(id_, known.get(id_), instance, origin)
-        self._view.apply(revision, changes, retain_until_s)
+        restored_until_s = None
+        era, known_era = era_of(revision), era_of(self._view.revision)
+        if self._view.revision and era > known_era:
+            now_s = time.monotonic()
+            retain_until_s = now_s + RELISTING_GRACE_S
+            restored_until_s = now_s + RESTORED_DOUBT_S
+            self._log.change("platform_returned", era=era, old=known_era, by=origin)
+        self._view.apply(revision, changes, retain_until_s, restored_until_s)
         if changes:
             self._on_change()
 
@@ -260,7 +271,11 @@
                 changes = dict.fromkeys(update.removed) | rows
                 self._apply_changes(update.revision, changes, retain_until_s, ip)
             else:
-                self._log.change("list_from_peer", peer=ip, revision=update.revision)
+                self._log.change(
+                    "list_from_peer",
+                    peer=ip,
+                    revision=revision_in_era(update.revision),
+                )
                 self._apply_list(update.revision, rows, retain_until_s, ip)
         if update.revision == self._view.revision:
             current_at_s = time.monotonic() - update.age_ms / 1000
--- a/tests/savoryroute/state/test_fleet_view.py
+++ b/tests/savoryroute/state/test_fleet_view.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+import attrs
+
 from savoryroute.state.fleet_view import FleetView, Instance
+from savoryroute.state.revision import ordered_revision
 
 
 def instance(id_, is_ready=True, ip=None, service="planner", started_ms=0):
@@ -65,3 +68,46 @@
         changes = {"a": None, "n": instance("n", ip=ip, started_ms=9)}
         self.view.apply(6, changes, retain_until_s=12.0)
         self.assertEqual(self.ids(), ["b", "n"])
+
+
+class ReturnTest(unittest.TestCase):
+    """Guards against work for instances whose departure the store has forgotten."""
+
+    def setUp(self):
+        self.view = FleetView()
+        self.a, self.b = instance("a", started_ms=5), instance("b", started_ms=5)
+        self.view.apply(ordered_revision(1, 5), {"a": self.a, "b": self.b})
+        draining = attrs.evolve(self.a, is_ready=False, sequence=3)
+        self.view.apply(ordered_revision(1, 9), {"a": draining, "b": None})
+
+    def ids(self):
+        return sorted(item.id for item in self.view.of_service("planner"))
+
+    def return_with(self, *instances):
+        changes = {item.id: item for item in instances}
+        revision = ordered_revision(2, 6)
+        self.view.apply(revision, changes, restored_until_s=20.0)
+
+    def test_entries_of_the_copy_do_not_bring_departed_instances_back(self):
+        self.return_with(self.a, self.b)
+        self.assertEqual(self.ids(), [])
+        self.assertFalse(self.view.instance_at(self.a.ip).is_ready)
+
+    def test_later_report_or_start_does(self):
+        restarted = attrs.evolve(self.b, started_ms=6)
+        self.return_with(self.a, restarted)
+        self.assertEqual(self.ids(), ["b"])
+        reported = attrs.evolve(self.a, sequence=4)
+        self.view.apply(ordered_revision(2, 7), {"a": reported})
+        self.assertEqual(self.ids(), ["a", "b"])
+
+    def test_entries_that_the_store_keeps_are_trusted_in_the_end(self):
+        self.return_with(self.a, self.b)
+        self.view.expire_retained(19.9)
+        self.assertEqual(self.ids(), [])
+        self.view.expire_retained(20.0)
+        self.assertEqual(self.ids(), ["a", "b"])
+
+    def test_entry_listed_again_within_an_era_is_used(self):
+        self.view.apply(ordered_revision(1, 10), {"b": self.b})
+        self.assertEqual(self.ids(), ["b"])
--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -15,6 +15,7 @@
 from savoryroute.coordination.mesh_node import MeshNode
 from savoryroute.state.event_log import EventLog
 from savoryroute.state.mesh_settings import parse_mesh_settings
+from savoryroute.state.revision import ordered_revision
 from savoryroute_lab.wiring import free_ports
 
 from .stand_ins import StoreStandIn, UpstreamStandIn, configuration, entry, path
@@ -131,6 +132,10 @@
             budget._paced = budget.saved_max
         return self
 
+    def has_list_of(self, node: MeshNode, revision: int, era: int) -> bool:
+        """Whether a daemon has the list of a revision of the store, or a later one."""
+        return node.synchronizer.view.revision >= ordered_revision(era, revision)
+
     def is_synchronized(self, node: MeshNode) -> bool:
         n_listed = sum(1 for key in self.store.items if key.startswith("servers/"))
         return node.is_ready and len(node.synchronizer.view.instances) == n_listed
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -34,6 +34,8 @@
         self.history_start = 0
         # Rises each time the store returns from an older copy.
         self.era = 1
+        # Text of the era in the answers if it is another one; no header if empty.
+        self.era_text: bytes | None = None
         self.refused_ips: set[str] = set()
         self.is_silent = False
         self.n_calls: Counter[str] = Counter()
@@ -104,7 +106,8 @@
             self._respond(exchange, 404, {})
 
     def _respond(self, exchange: Exchange, status: int, answer: dict) -> None:
-        head = b"Store-Era: %d\r\n" % self.era
+        era = b"%d" % self.era if self.era_text is None else self.era_text
+        head = b"Store-Era: %b\r\n" % era if era else b""
         exchange.respond(status, head, json.dumps(answer).encode())
 
     def _range(self, exchange: Exchange, prefix: str, after: str) -> None:
--- a/tests/savoryroute_platform/test_leaving_upstreams.py
+++ b/tests/savoryroute_platform/test_leaving_upstreams.py
@@ -20,10 +20,11 @@
             self.fleet.upstreams[index].slots = SLOTS
             self.fleet.upstreams[index].delay_s = 0.05
             self.fleet.list_instance(index, slots=SLOTS)
-        revision = self.fleet.store.revision
-        await self.fleet.wait_until(
+        fleet, store = self.fleet, self.fleet.store
+        await fleet.wait_until(
             lambda: all(
-                node.synchronizer.view.revision == revision for node in self.fleet.nodes
+                fleet.has_list_of(node, store.revision, store.era)
+                for node in fleet.nodes
             )
         )
 
--- a/tests/savoryroute_platform/test_watchers.py
+++ b/tests/savoryroute_platform/test_watchers.py
@@ -13,8 +13,8 @@
     services = ("front", "planner", "planner", "planner", "planner", "planner")
 
     def is_up_to_date(self):
-        revision = self.fleet.store.revision
-        return all(n.synchronizer.view.revision >= revision for n in self.fleet.nodes)
+        store, fleet = self.fleet.store, self.fleet
+        return all(fleet.has_list_of(n, store.revision, store.era) for n in fleet.nodes)
 
     async def test_few_watch_calls_update_the_entire_fleet_in_time(self):
         fleet = self.fleet
