--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -234,4 +234,25 @@
         "if route is None or not route.parts:",
         "tests.savoryroute_platform.test_unreadable_routes",
     ),
+    Mutation(
+        "mesh store: a restored list brings departed instances back",
+        "state/fleet_view.py",
+        "            if self._is_outdated(instance):",
+        "            if False:",
+        "tests.savoryroute.state.test_fleet_view",
+    ),
+    Mutation(
+        "mesh store: a restored entry is doubted for ever",
+        "state/fleet_view.py",
+        "            self._restored_until_s = None\n            self._index()",
+        "            pass",
+        "tests.savoryroute.state.test_fleet_view",
+    ),
+    Mutation(
+        "mesh store: eras are not part of the order",
+        "state/revision.py",
+        "return era * REVISIONS_PER_ERA + revision",
+        "return revision",
+        "tests.savoryroute.state.test_revision",
+    ),
 ]
