configuration proof: age of the newest proof that the routes are in force

Watches may stay silent, so they bound nothing. Change: a linearizable read of the configuration, counted from when it was sent, and the proofs of peers, counted from the poll that they answer. Frames without organisations stay as they were. A text of routes that is refused again leaves no second line, as the reads would repeat it. Ruled out: marking the platform unreachable when a read of the proof fails; it would retain removed instances for two seconds at each failure.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -21,6 +21,7 @@
 from ..transport.http_client import HttpPool
 from ..transport.http_server import CallersListener
 from .call_queue import CallQueue
+from .configuration_proof import ConfigurationProof, proof_limit_s
 from .crash_reports import CrashReports
 from .first_hop import FirstHop
 from .instance_selector import InstanceSelector
@@ -119,7 +120,12 @@
         self._bodies = BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE))
         self._peer_calls = PeerCalls(self._upstream, self._bodies)
         self._synchronizer = ViewSynchronizer(
-            decode_routes, log, self._rng, self._on_view, self._forward_update
+            decode_routes,
+            log,
+            self._rng,
+            self._on_view,
+            self._forward_update,
+            ConfigurationProof(log, self._rng, proof_limit_s(settings.revocation_s)),
         )
         self._selector = InstanceSelector(
             settings.callers.ip, settings.failure_domain, self._rng, time.monotonic
@@ -246,10 +252,9 @@
             known = {item.ip for item in synchronizer.view.instances.values()}
             known.update(seed.ip for seed in self._settings.seeds)
             others = sorted(known - connections.keys() - {self._settings.callers.ip})
-        request = synchronizer.make_request().to_frame()
         for ip in synchronizer.select_peers([*connections], others):
             if ip in connections:
-                connections[ip].send(request)
+                connections[ip].send(synchronizer.make_request().to_frame())
                 connections[ip].send(self._crash_reports.make_request())
             else:
                 self._links.dial(ip)
@@ -352,6 +357,7 @@
             "list_revision": synchronizer.view.revision,
             "instances": len(synchronizer.view.instances),
             "platform_heard": int(synchronizer.is_platform_reachable),
+            "configuration_proof_age_seconds": synchronizer.proof.gauge_s,
             "log_lines_left_out": self._log.n_left_out,
         }
         gauges.update(self._first_hop.gauges())
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -24,6 +24,7 @@
 from ..state.event_log import EventLog
 from ..state.fleet_view import RELISTING_GRACE_S, FleetView, Instance
 from ..state.route_table import RouteTable
+from .configuration_proof import ConfigurationProof
 
 __all__ = ["LINKS_MIN", "RouteDecoder", "ViewSynchronizer"]
 
@@ -58,6 +59,7 @@
         on_change: Called after each change.
         forward_update: Sends an update to some peers, except to the peer at the given
             address.
+        proof: Proof that the active routes are in force.
     """
 
     def __init__(
@@ -67,17 +69,20 @@
         rng: random.Random,
         on_change: Callable[[], None],
         forward_update: Callable[[ViewUpdate, str], None],
+        proof: ConfigurationProof,
     ) -> None:
         self._decode_routes = decode_routes
         self._log = log
         self._rng = rng
         self._on_change = on_change
         self._forward_update = forward_update
+        self._proof = proof
         self._changes = ChangeLog()
         self._current_at_s = float("-inf")
         self._view = FleetView()
         self._table: RouteTable | None = None
         self._routes_source = b""
+        self._refused_source = b""
         self._is_platform_reachable = False
         self._disconnected_since_s: float | None = time.monotonic()
         self._reconnected_s = float("-inf")
@@ -93,6 +98,16 @@
         """Active routes, or None before the first."""
         return self._table
 
+    @property
+    def proof(self) -> ConfigurationProof:
+        """Proof that the active routes are in force."""
+        return self._proof
+
+    @property
+    def proof_age_s(self) -> float:
+        """Age in seconds of that proof, infinite without one."""
+        return self._proof.age_s
+
     @property
     def is_platform_reachable(self) -> bool:
         """Whether the latest call to the platform succeeded."""
@@ -125,23 +140,33 @@
             self._disconnected_since_s = time.monotonic()
             self._log.change("platform_lost", error=detail)
 
-    def merge_routes(self, source: bytes, origin: str) -> None:
+    def merge_routes(self, source: bytes, origin: str) -> int | None:
         """Activate published routes if they are newer than the active ones.
 
         Args:
             source: Published text of the routes.
             origin: ``platform``, or the address of the peer that sent them.
+
+        Returns:
+            The version of the published routes, None if they are invalid.
         """
+        if self._table is not None and source == self._routes_source:
+            return self._table.version
         try:
             table = self._decode_routes(source)
         except DocumentError as error:
-            self._log.change("routes_refused", origin=origin, error=str(error)[:300])
-            return
+            if source != self._refused_source:
+                self._refused_source = source
+                detail = str(error)[:300]
+                self._log.change("routes_refused", origin=origin, error=detail)
+            return None
         if self._table is not None and table.version <= self._table.version:
-            return
+            return table.version
         old = None if self._table is None else self._table.version
         self._table = table
         self._routes_source = source
+        has_organisations = table.organisations is not None
+        self._proof.activate(table.version, has_organisations, origin == "platform")
         self._log.change(
             "routes_in_force",
             version=table.version,
@@ -152,6 +177,20 @@
         for defect in table.defects[:N_DEFECTS_LOGGED_MAX]:
             self._log.change("route_defect", version=table.version, detail=defect)
         self._on_change()
+        return table.version
+
+    def merge_read(self, source: bytes, sent_s: float) -> bool:
+        """Merge the routes that a read returned; return whether it is a proof.
+
+        Args:
+            source: Published text of the routes.
+            sent_s: Time from ``ConfigurationProof.start_read``.
+        """
+        version = self.merge_routes(source, "platform")
+        if version is None:
+            self._proof.record_failure("the platform's routes cannot be read")
+            return False
+        return self._proof.record_read(sent_s, version)
 
     def merge_list(self, revision: int, instances: dict[str, Instance]) -> None:
         """Replace the instances by the full list read from the platform."""
@@ -213,14 +252,18 @@
     def expire(self) -> None:
         """Drop the retained instances that were not listed again in time."""
         self._view.expire_retained(time.monotonic())
+        self._proof.check()
 
     def make_request(self) -> ViewRequest:
-        """Return a request for everything newer than what this daemon has."""
+        """Return a request to one peer, sent now, for all that is newer than here."""
         version = -1 if self._table is None else self._table.version
-        return ViewRequest(version, self._view.revision)
+        return ViewRequest(version, self._view.revision, self._proof.start_poll())
 
     def update_for(self, request: ViewRequest) -> ViewUpdate | None:
         """Return what the requesting peer lacks, or None if it lacks nothing."""
+        return self._proof.add_to(self._newer_than(request), request.number)
+
+    def _newer_than(self, request: ViewRequest) -> ViewUpdate | None:
         version, source = -1, b""
         if self._table is not None and self._table.version > request.version:
             version, source = self._table.version, self._routes_source
@@ -249,6 +292,7 @@
         """
         if update.version >= 0:
             self.merge_routes(update.source, ip)
+        self._proof.adopt(update, ip)
         if update.revision > self._view.revision:
             if update.base > self._view.revision:
                 return False
@@ -316,8 +360,11 @@
         return polled
 
     def _is_disconnected(self) -> bool:
-        """Return whether the platform is disconnected, or no routes are known yet."""
-        if self._table is None:
+        """Return whether to rely on peers: for the platform, or the first routes.
+
+        A platform that answers watches may still fail the reads of the proof.
+        """
+        if self._table is None or self._proof.is_stale:
             return True
         since_s = self._disconnected_since_s
         return since_s is not None and time.monotonic() - since_s > DISCONNECTED_AFTER_S
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -23,6 +23,9 @@
     "ViewUpdate",
 ]
 
+# Last fields of a ``ViewUpdate``, which only answers with a proof have.
+N_PROOF_FIELDS = 3
+
 _VERDICTS = (Verdict.RAN, Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
 _VERDICT_NUMBERS = {verdict: number for number, verdict in enumerate(_VERDICTS)}
 
@@ -228,14 +231,18 @@
     Attributes:
         version: Version of the sender's routes, -1 for none.
         revision: Revision of the sender's list of instances.
+        number: Number that the answer repeats, 0 and not in the frame if the sender's
+            routes contain no organisations.
     """
 
     version: int
     revision: int
+    number: int = 0
 
     def to_frame(self) -> list[Any]:
         """Return the frame."""
-        return [FrameKind.VIEW_REQUEST.value, self.version, self.revision]
+        frame = [FrameKind.VIEW_REQUEST.value, self.version, self.revision]
+        return [*frame, self.number] if self.number else frame
 
 
 @attrs.frozen
@@ -252,6 +259,10 @@
         age_ms: Milliseconds since the platform confirmed the list.
         retain_ms: Milliseconds during which removed instances are retained, since the
             platform was unreachable and they may come back.
+        number: Number of the request that this answers with the age of a proof; 0, and
+            with the other two not in the frame, if it has none.
+        proof_version: Version of the routes that the sender has a proof for.
+        proof_age_ms: Milliseconds since this proof, when the answer was made.
     """
 
     version: int
@@ -262,7 +273,13 @@
     removed: list[str]
     age_ms: int
     retain_ms: int
+    number: int = 0
+    proof_version: int = -1
+    proof_age_ms: int = 0
 
     def to_frame(self) -> list[Any]:
         """Return the frame."""
-        return [FrameKind.VIEW_UPDATE.value, *attrs.astuple(self, recurse=False)]
+        row = attrs.astuple(self, recurse=False)
+        if not self.number:
+            row = row[:-N_PROOF_FIELDS]
+        return [FrameKind.VIEW_UPDATE.value, *row]
--- a/tests/savoryroute/coordination/test_view_synchronizer.py
+++ b/tests/savoryroute/coordination/test_view_synchronizer.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from savoryroute.coordination.configuration_proof import ConfigurationProof
 from savoryroute.coordination.view_synchronizer import LINKS_MIN, ViewSynchronizer
 from savoryroute.protocol.mesh_frames import ViewUpdate
 from savoryroute.state.event_log import EventLog
@@ -36,6 +37,7 @@
                 lambda update, origin, number=number: self.forward(
                     number, update, origin
                 ),
+                ConfigurationProof(log, random.Random(number), 4.75),
             )
             for number in range(n_synchronizers)
         ]
--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -10,7 +10,11 @@
 from savoryroute_platform.configuration import decode_routes
 from savoryroute_platform.names import HEADERS, READY_PATH
 from savoryroute_platform.store import StoreClient
-from savoryroute_platform.watchers import follow_configuration, follow_instances
+from savoryroute_platform.watchers import (
+    follow_configuration,
+    follow_instances,
+    prove_configuration,
+)
 
 from savoryroute.coordination.mesh_node import MeshNode
 from savoryroute.state.event_log import EventLog
@@ -205,6 +209,7 @@
         tasks = [
             asyncio.create_task(follow_configuration(client, node.synchronizer)),
             asyncio.create_task(follow_instances(client, node.synchronizer)),
+            asyncio.create_task(prove_configuration(client, node.synchronizer)),
         ]
         await node.start()
         return node, tasks, client
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -98,6 +98,9 @@
             self._respond(exchange, 503, {})
         elif url.path == "/api/kv-range":
             self._range(exchange, query["prefix"], query.get("after", ""))
+        elif url.path == "/api/kv-key" and query["key"] in self.items:
+            item = self.items[query["key"]]
+            self._respond(exchange, 200, item | {"store-revision": self.revision})
         elif url.path == "/api/kv-watch":
             self._watch(exchange, query["prefix"], int(query["after"]))
         else:
