--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -7,6 +7,7 @@
 __all__ = ["MESH_MUTATIONS"]
 
 
+PROOF = "tests.savoryroute.coordination.test_configuration_proof"
 REPEAT_BUDGET = "tests.savoryroute.coordination.test_repeat_budget"
 
 MESH_MUTATIONS = [
@@ -234,4 +235,32 @@
         "if route is None or not route.parts:",
         "tests.savoryroute_platform.test_unreadable_routes",
     ),
+    Mutation(
+        "mesh proof: a read counts from its answer",
+        "coordination/configuration_proof.py",
+        'self._prove(sent_s, "platform")',
+        'self._prove(self._clock(), "platform")',
+        f"{PROOF}.BoundTest",
+    ),
+    Mutation(
+        "mesh proof: the proof of a peer counts from its answer",
+        "coordination/configuration_proof.py",
+        "self._prove(sent_s - update.proof_age_ms / 1000, ip)",
+        "self._prove(self._clock() - update.proof_age_ms / 1000, ip)",
+        f"{PROOF}.BoundTest",
+    ),
+    Mutation(
+        "mesh proof: the proof of a peer counts for other routes",
+        "coordination/configuration_proof.py",
+        "if sent_s is None or update.proof_version != self._version:",
+        "if sent_s is None:",
+        f"{PROOF}.BoundTest",
+    ),
+    Mutation(
+        "mesh proof: routes from a peer without a proof keep the former one",
+        "coordination/configuration_proof.py",
+        "if not is_from_platform:",
+        "if False:",
+        f"{PROOF}.ProofOfPeerTest",
+    ),
 ]
