peer polls: own module for when and whom to poll

Ruled out: dialling further hosts while the proof is old and links are open; with the store down for all, each daemon would link to each other one. Measured: 78 tests of proof, synchronizer, watchers, path, leaving and crashes pass; test_store_return is known red and fails as before.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -28,13 +28,14 @@
 from .local_upstream import LocalUpstream
 from .peer_calls import PeerCalls
 from .peer_links import PeerLinks
+from .peer_polls import LINKS_MIN, PeerPolls
 from .repeat_admission import RepeatAdmission
 from .repeat_budget import RepeatBudget, slack_part
 from .request_records import RequestRecords
 from .throttle import ActionThrottle
 from .upstream_health import UpstreamHealth
 from .upstream_reports import slots_to_fill
-from .view_synchronizer import LINKS_MIN, RouteDecoder, ViewSynchronizer
+from .view_synchronizer import RouteDecoder, ViewSynchronizer
 
 __all__ = ["MeshNode"]
 
@@ -127,6 +128,7 @@
             self._forward_update,
             ConfigurationProof(log, self._rng, proof_limit_s(settings.revocation_s)),
         )
+        self._polls = PeerPolls(self._rng, lambda: self._synchronizer.is_disconnected)
         self._selector = InstanceSelector(
             settings.callers.ip, settings.failure_domain, self._rng, time.monotonic
         )
@@ -244,7 +246,7 @@
     def _poll_peers(self) -> None:
         """Request from peers what is newer than here, when a poll is due."""
         synchronizer = self._synchronizer
-        if not synchronizer.is_poll_due():
+        if not self._polls.is_due():
             return
         connections = self._open_connections()
         others: list[str] = []
@@ -252,7 +254,7 @@
             known = {item.ip for item in synchronizer.view.instances.values()}
             known.update(seed.ip for seed in self._settings.seeds)
             others = sorted(known - connections.keys() - {self._settings.callers.ip})
-        for ip in synchronizer.select_peers([*connections], others):
+        for ip in self._polls.select([*connections], others):
             if ip in connections:
                 connections[ip].send(synchronizer.make_request().to_frame())
                 connections[ip].send(self._crash_reports.make_request())
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -26,15 +26,8 @@
 from ..state.route_table import RouteTable
 from .configuration_proof import ConfigurationProof
 
-__all__ = ["LINKS_MIN", "RouteDecoder", "ViewSynchronizer"]
-
-# Seconds between polls of peers, while the platform answers and while it does not.
-POLL_INTERVAL_S = 1.0
-POLL_INTERVAL_DISCONNECTED_S = 0.25
-# Peers polled at a time while the platform does not answer.
-N_POLLED_DISCONNECTED = 2
-# Links below which further hosts are polled, so that no group of hosts is on its own.
-LINKS_MIN = 4
+__all__ = ["RouteDecoder", "ViewSynchronizer"]
+
 # Seconds without an answer from the platform after which it counts as disconnected.
 DISCONNECTED_AFTER_S = 1.0
 
@@ -86,7 +79,6 @@
         self._is_platform_reachable = False
         self._disconnected_since_s: float | None = time.monotonic()
         self._reconnected_s = float("-inf")
-        self._polled_s = float("-inf")
 
     @property
     def view(self) -> FleetView:
@@ -103,21 +95,32 @@
         """Proof that the active routes are in force."""
         return self._proof
 
-    @property
-    def proof_age_s(self) -> float:
-        """Age in seconds of that proof, infinite without one."""
-        return self._proof.age_s
-
     @property
     def is_platform_reachable(self) -> bool:
         """Whether the latest call to the platform succeeded."""
         return self._is_platform_reachable
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether to rely on peers: for the platform, or for the first routes.
+
+        A platform that answers watches may still fail the reads of the proof.
+        """
+        if self._table is None or self._proof.is_stale:
+            return True
+        since_s = self._disconnected_since_s
+        return since_s is not None and time.monotonic() - since_s > DISCONNECTED_AFTER_S
+
     @property
     def stale_s(self) -> float:
         """Seconds since the platform confirmed the list, to this daemon or a peer."""
         return time.monotonic() - self._current_at_s
 
+    @property
+    def proof_age_s(self) -> float:
+        """Age of the proof that the routes are in force, in seconds or infinite."""
+        return self._proof.age_s
+
     def mark_current(self) -> None:
         """Record that the list now matches the platform's."""
         self._current_at_s = time.monotonic()
@@ -333,42 +336,6 @@
             retain_ms=int(retain_s * 1000),
         )
 
-    def is_poll_due(self) -> bool:
-        """Return whether to poll peers now; if so, restart the interval."""
-        interval_s = (
-            POLL_INTERVAL_DISCONNECTED_S if self._is_disconnected() else POLL_INTERVAL_S
-        )
-        now_s = time.monotonic()
-        if now_s - self._polled_s < interval_s * self._rng.uniform(0.8, 1.2):
-            return False
-        self._polled_s = now_s
-        return True
-
-    def select_peers(self, open_ips: list[str], other_ips: list[str]) -> list[str]:
-        """Return the addresses of the peers to poll.
-
-        Args:
-            open_ips: Hosts with an open link.
-            other_ips: Other known hosts, used while few links are open.
-        """
-        is_disconnected = self._is_disconnected()
-        n_polled = N_POLLED_DISCONNECTED if is_disconnected else 1
-        polled = self._rng.sample(open_ips, min(len(open_ips), n_polled))
-        if len(open_ips) < LINKS_MIN:
-            # Otherwise idle daemons could poll only each other.
-            polled += self._rng.sample(other_ips, min(len(other_ips), n_polled))
-        return polled
-
-    def _is_disconnected(self) -> bool:
-        """Return whether to rely on peers: for the platform, or the first routes.
-
-        A platform that answers watches may still fail the reads of the proof.
-        """
-        if self._table is None or self._proof.is_stale:
-            return True
-        since_s = self._disconnected_since_s
-        return since_s is not None and time.monotonic() - since_s > DISCONNECTED_AFTER_S
-
     def _retain_until_s(self) -> float | None:
         """Return until when removed instances are retained, None for no retention."""
         since_reconnected_s = time.monotonic() - self._reconnected_s
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -221,20 +221,6 @@
         "return None",
         "tests.savoryroute_platform.test_retry_budget",
     ),
-    Mutation(
-        "mesh throttle: failures with free slots refuse whole routes",
-        "coordination/throttle.py",
-        "is_load_failure and pressure >= FULL_PRESSURE",
-        "is_load_failure",
-        "tests.savoryroute.coordination.test_shed_chains",
-    ),
-    Mutation(
-        "mesh routes: a route that cannot be read gets a 404",
-        "coordination/first_hop.py",
-        "if route is None and table.is_complete:",
-        "if route is None or not route.parts:",
-        "tests.savoryroute_platform.test_unreadable_routes",
-    ),
     Mutation(
         "mesh proof: a read counts from its answer",
         "coordination/configuration_proof.py",
@@ -263,4 +249,18 @@
         "if False:",
         f"{PROOF}.ProofOfPeerTest",
     ),
+    Mutation(
+        "mesh throttle: failures with free slots refuse whole routes",
+        "coordination/throttle.py",
+        "is_load_failure and pressure >= FULL_PRESSURE",
+        "is_load_failure",
+        "tests.savoryroute.coordination.test_shed_chains",
+    ),
+    Mutation(
+        "mesh routes: a route that cannot be read gets a 404",
+        "coordination/first_hop.py",
+        "if route is None and table.is_complete:",
+        "if route is None or not route.parts:",
+        "tests.savoryroute_platform.test_unreadable_routes",
+    ),
 ]
--- a/tests/proof_replay.py
+++ b/tests/proof_replay.py
@@ -17,6 +17,7 @@
 from savoryroute_platform.watchers import prove_configuration
 
 from savoryroute.coordination.configuration_proof import ConfigurationProof
+from savoryroute.coordination.peer_polls import PeerPolls
 from savoryroute.coordination.view_synchronizer import ViewSynchronizer
 from savoryroute.errors import DocumentError, PlatformError
 from savoryroute.protocol.mesh_frames import ViewRequest, ViewUpdate
@@ -133,13 +134,14 @@
     async def _poll(self, number: int) -> None:
         """Sweep and poll as ``MeshNode`` does."""
         daemon = self.daemons[number]
+        polls = PeerPolls(self._rng, lambda: daemon.is_disconnected)
         others = [name for name in self._names if name != self._names[number]]
         while True:
             await asyncio.sleep(TICK_S)
             daemon.expire()
-            if not daemon.is_poll_due():
+            if not polls.is_due():
                 continue
-            for peer in map(int, daemon.select_peers(others, [])):
+            for peer in map(int, polls.select(others, [])):
                 request = ViewRequest(*daemon.make_request().to_frame()[1:])
                 self.n_polls += 1
                 self._send(number, peer, self._answer, number, peer, request)
--- a/tests/savoryroute/coordination/test_view_synchronizer.py
+++ b/tests/savoryroute/coordination/test_view_synchronizer.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from savoryroute.coordination.configuration_proof import ConfigurationProof
-from savoryroute.coordination.view_synchronizer import LINKS_MIN, ViewSynchronizer
+from savoryroute.coordination.peer_polls import LINKS_MIN, PeerPolls
+from savoryroute.coordination.view_synchronizer import ViewSynchronizer
 from savoryroute.protocol.mesh_frames import ViewUpdate
 from savoryroute.state.event_log import EventLog
 from savoryroute.state.fleet_view import Instance
@@ -196,10 +197,9 @@
 
 class PolledPeersTest(unittest.TestCase):
     def select(self, n_open):
-        synchronizer = Fleet(1).synchronizers[0]
+        polls = PeerPolls(random.Random(1), lambda: False)
         open_ips = [f"open{number}" for number in range(n_open)]
-        with mock.patch.object(synchronizer, "_is_disconnected", return_value=False):
-            return synchronizer.select_peers(open_ips, ["other1", "other2"])
+        return polls.select(open_ips, ["other1", "other2"])
 
     def test_a_host_without_a_link_is_polled_too_while_links_are_few(self):
         for n_open in range(LINKS_MIN):
