--- a/tests/savoryroute/coordination/test_configuration_proof.py
+++ b/tests/savoryroute/coordination/test_configuration_proof.py
@@ -3,13 +3,19 @@
 import json
 import math
 import random
+import time
 import unittest
+from unittest import mock
 
 import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from savoryroute.coordination.configuration_proof import POLLS_MAX, ConfigurationProof
+from savoryroute.coordination.configuration_proof import (
+    POLLS_MAX,
+    ConfigurationProof,
+    boot_time_s,
+)
 from savoryroute.coordination.view_synchronizer import ViewSynchronizer
 from savoryroute.errors import DocumentError
 from savoryroute.protocol.mesh_frames import ViewRequest, ViewUpdate
@@ -143,6 +149,13 @@
         (self.daemon,) = self.fleet.daemons
         self.proof = self.daemon.proof
 
+    def test_clock_counts_suspensions_of_the_host(self):
+        with mock.patch("time.clock_gettime", return_value=7.0) as read:
+            self.assertEqual(boot_time_s(), 7.0)
+        read.assert_called_once_with(time.CLOCK_BOOTTIME)
+        proof = ConfigurationProof(self.fleet.log, random.Random(1), 4.75)
+        self.assertIs(proof._clock, boot_time_s)
+
     def test_read_counts_from_when_it_was_sent(self):
         self.fleet.read(0, 7, duration_s=1.0)
         self.assertEqual(self.daemon.proof_age_s, 1.0)
