--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -391,11 +391,11 @@
         """Handle a frame that is not about calls."""
         kind = frame[0]
         if kind == FrameKind.VIEW_REQUEST:
-            update = self._synchronizer.update_for(ViewRequest(*frame[1:]))
+            update = self._synchronizer.update_for(ViewRequest.from_frame(frame))
             if update is not None:
                 link.send(update.to_frame())
         elif kind == FrameKind.VIEW_UPDATE:
-            if not self._synchronizer.merge_update(ip, ViewUpdate(*frame[1:])):
+            if not self._synchronizer.merge_update(ip, ViewUpdate.from_frame(frame)):
                 link.send(self._synchronizer.make_request().to_frame())
         elif kind == FrameKind.SUSPECTS:
             self._crash_reports.merge(frame[1], ip)
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -244,6 +244,15 @@
         frame = [FrameKind.VIEW_REQUEST.value, self.version, self.revision]
         return [*frame, self.number] if self.number else frame
 
+    @classmethod
+    def from_frame(cls, frame: list[Any]) -> ViewRequest:
+        """Return the request in a frame.
+
+        Raises:
+            TypeError: The frame has a wrong number of items.
+        """
+        return cls(*frame[1:])
+
 
 @attrs.frozen
 class ViewUpdate:
@@ -283,3 +292,12 @@
         if not self.number:
             row = row[:-N_PROOF_FIELDS]
         return [FrameKind.VIEW_UPDATE.value, *row]
+
+    @classmethod
+    def from_frame(cls, frame: list[Any]) -> ViewUpdate:
+        """Return the update in a frame.
+
+        Raises:
+            TypeError: The frame has a wrong number of items.
+        """
+        return cls(*frame[1:])
--- a/tests/proof_replay.py
+++ b/tests/proof_replay.py
@@ -142,14 +142,14 @@
             if not polls.is_due():
                 continue
             for peer in map(int, polls.select(others, [])):
-                request = ViewRequest(*daemon.make_request().to_frame()[1:])
+                request = ViewRequest.from_frame(daemon.make_request().to_frame())
                 self.n_polls += 1
                 self._send(number, peer, self._answer, number, peer, request)
 
     def _answer(self, number: int, peer: int, request: ViewRequest) -> None:
         update = self.daemons[peer].update_for(request)
         if update is not None:
-            update = ViewUpdate(*update.to_frame()[1:])
+            update = ViewUpdate.from_frame(update.to_frame())
             merge = self.daemons[number].merge_update
             self._send(peer, number, merge, self._names[peer], update)
 
--- a/tests/savoryroute/coordination/test_configuration_proof.py
+++ b/tests/savoryroute/coordination/test_configuration_proof.py
@@ -56,8 +56,10 @@
 
     def answer(self, number, request):
         """Return the answer of a daemon to a request, both as they are on the wire."""
-        update = self.daemons[number].update_for(ViewRequest(*request.to_frame()[1:]))
-        return update and ViewUpdate(*update.to_frame()[1:])
+        update = self.daemons[number].update_for(
+            ViewRequest.from_frame(request.to_frame())
+        )
+        return update and ViewUpdate.from_frame(update.to_frame())
 
     def events(self):
         self.log.flush()
