--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -22,19 +22,21 @@
 from ..transport.http_client import HttpPool
 from ..transport.http_server import CallersListener
 from .call_queue import CallQueue
+from .configuration_proof import ConfigurationProof, proof_limit_s
 from .crash_reports import CrashReports
 from .first_hop import FirstHop
 from .instance_selector import InstanceSelector
 from .local_upstream import LocalUpstream
 from .peer_calls import PeerCalls
 from .peer_links import PeerLinks
+from .peer_polls import LINKS_MIN, PeerPolls
 from .repeat_admission import RepeatAdmission
 from .repeat_budget import RepeatBudget, slack_part
 from .request_records import RequestRecords
 from .throttle import ActionThrottle
 from .upstream_health import UpstreamHealth
 from .upstream_reports import slots_to_fill
-from .view_synchronizer import LINKS_MIN, RouteDecoder, ViewSynchronizer
+from .view_synchronizer import RouteDecoder, ViewSynchronizer
 
 __all__ = ["MeshNode"]
 
@@ -120,8 +122,14 @@
         self._bodies = BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE))
         self._peer_calls = PeerCalls(self._upstream, self._bodies)
         self._synchronizer = ViewSynchronizer(
-            decode_routes, log, self._rng, self._on_view, self._forward_update
+            decode_routes,
+            log,
+            self._rng,
+            self._on_view,
+            self._forward_update,
+            ConfigurationProof(log, self._rng, proof_limit_s(settings.revocation_s)),
         )
+        self._polls = PeerPolls(self._rng, lambda: self._synchronizer.is_disconnected)
         self._selector = InstanceSelector(
             settings.callers.ip, settings.failure_domain, self._rng, time.monotonic
         )
@@ -239,7 +247,7 @@
     def _poll_peers(self) -> None:
         """Request from peers what is newer than here, when a poll is due."""
         synchronizer = self._synchronizer
-        if not synchronizer.is_poll_due():
+        if not self._polls.is_due():
             return
         connections = self._open_connections()
         others: list[str] = []
@@ -247,10 +255,9 @@
             known = {item.ip for item in synchronizer.view.instances.values()}
             known.update(seed.ip for seed in self._settings.seeds)
             others = sorted(known - connections.keys() - {self._settings.callers.ip})
-        request = synchronizer.make_request().to_frame()
-        for ip in synchronizer.select_peers([*connections], others):
+        for ip in self._polls.select([*connections], others):
             if ip in connections:
-                connections[ip].send(request)
+                connections[ip].send(synchronizer.make_request().to_frame())
                 connections[ip].send(self._crash_reports.make_request())
             else:
                 self._links.dial(ip)
@@ -354,6 +361,7 @@
             "platform_era": era_of(synchronizer.view.revision),
             "instances": len(synchronizer.view.instances),
             "platform_heard": int(synchronizer.is_platform_reachable),
+            "configuration_proof_age_seconds": synchronizer.proof.gauge_s,
             "log_lines_left_out": self._log.n_left_out,
         }
         gauges.update(self._first_hop.gauges())
@@ -383,11 +391,11 @@
         """Handle a frame that is not about calls."""
         kind = frame[0]
         if kind == FrameKind.VIEW_REQUEST:
-            update = self._synchronizer.update_for(ViewRequest(*frame[1:]))
+            update = self._synchronizer.update_for(ViewRequest.from_frame(frame))
             if update is not None:
                 link.send(update.to_frame())
         elif kind == FrameKind.VIEW_UPDATE:
-            if not self._synchronizer.merge_update(ip, ViewUpdate(*frame[1:])):
+            if not self._synchronizer.merge_update(ip, ViewUpdate.from_frame(frame)):
                 link.send(self._synchronizer.make_request().to_frame())
         elif kind == FrameKind.SUSPECTS:
             self._crash_reports.merge(frame[1], ip)
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -25,16 +25,10 @@
 from ..state.fleet_view import RELISTING_GRACE_S, FleetView, Instance
 from ..state.revision import era_of, revision_in_era
 from ..state.route_table import RouteTable
+from .configuration_proof import ConfigurationProof
 
-__all__ = ["LINKS_MIN", "RouteDecoder", "ViewSynchronizer"]
+__all__ = ["RouteDecoder", "ViewSynchronizer"]
 
-# Seconds between polls of peers, while the platform answers and while it does not.
-POLL_INTERVAL_S = 1.0
-POLL_INTERVAL_DISCONNECTED_S = 0.25
-# Peers polled at a time while the platform does not answer.
-N_POLLED_DISCONNECTED = 2
-# Links below which further hosts are polled, so that no group of hosts is on its own.
-LINKS_MIN = 4
 # Seconds without an answer from the platform after which it counts as disconnected.
 DISCONNECTED_AFTER_S = 1.0
 
@@ -62,6 +56,7 @@
         on_change: Called after each change.
         forward_update: Sends an update to some peers, except to the peer at the given
             address.
+        proof: Proof that the active routes are in force.
     """
 
     def __init__(
@@ -71,21 +66,23 @@
         rng: random.Random,
         on_change: Callable[[], None],
         forward_update: Callable[[ViewUpdate, str], None],
+        proof: ConfigurationProof,
     ) -> None:
         self._decode_routes = decode_routes
         self._log = log
         self._rng = rng
         self._on_change = on_change
         self._forward_update = forward_update
+        self._proof = proof
         self._changes = ChangeLog()
         self._current_at_s = float("-inf")
         self._view = FleetView()
         self._table: RouteTable | None = None
         self._routes_source = b""
+        self._refused_source = b""
         self._is_platform_reachable = False
         self._disconnected_since_s: float | None = time.monotonic()
         self._reconnected_s = float("-inf")
-        self._polled_s = float("-inf")
 
     @property
     def view(self) -> FleetView:
@@ -97,16 +94,37 @@
         """Active routes, or None before the first."""
         return self._table
 
+    @property
+    def proof(self) -> ConfigurationProof:
+        """Proof that the active routes are in force."""
+        return self._proof
+
     @property
     def is_platform_reachable(self) -> bool:
         """Whether the latest call to the platform succeeded."""
         return self._is_platform_reachable
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether to rely on peers: for the platform, or for the first routes.
+
+        A platform that answers watches may still fail the reads of the proof.
+        """
+        if self._table is None or self._proof.is_stale:
+            return True
+        since_s = self._disconnected_since_s
+        return since_s is not None and time.monotonic() - since_s > DISCONNECTED_AFTER_S
+
     @property
     def stale_s(self) -> float:
         """Seconds since the platform confirmed the list, to this daemon or a peer."""
         return time.monotonic() - self._current_at_s
 
+    @property
+    def proof_age_s(self) -> float:
+        """Age of the proof that the routes are in force, in seconds or infinite."""
+        return self._proof.age_s
+
     def mark_current(self) -> None:
         """Record that the list now matches the platform's."""
         self._current_at_s = time.monotonic()
@@ -129,23 +147,33 @@
             self._disconnected_since_s = time.monotonic()
             self._log.change("platform_lost", error=detail)
 
-    def merge_routes(self, source: bytes, origin: str) -> None:
+    def merge_routes(self, source: bytes, origin: str) -> int | None:
         """Activate published routes if they are newer than the active ones.
 
         Args:
             source: Published text of the routes.
             origin: ``platform``, or the address of the peer that sent them.
+
+        Returns:
+            The version of the published routes, None if they are invalid.
         """
+        if self._table is not None and source == self._routes_source:
+            return self._table.version
         try:
             table = self._decode_routes(source)
         except DocumentError as error:
-            self._log.change("routes_refused", origin=origin, error=str(error)[:300])
-            return
+            if source != self._refused_source:
+                self._refused_source = source
+                detail = str(error)[:300]
+                self._log.change("routes_refused", origin=origin, error=detail)
+            return None
         if self._table is not None and table.version <= self._table.version:
-            return
+            return table.version
         old = None if self._table is None else self._table.version
         self._table = table
         self._routes_source = source
+        has_organisations = table.organisations is not None
+        self._proof.activate(table.version, has_organisations, origin == "platform")
         self._log.change(
             "routes_in_force",
             version=table.version,
@@ -156,6 +184,20 @@
         for defect in table.defects[:N_DEFECTS_LOGGED_MAX]:
             self._log.change("route_defect", version=table.version, detail=defect)
         self._on_change()
+        return table.version
+
+    def merge_read(self, source: bytes, sent_s: float) -> bool:
+        """Merge the routes that a read returned; return whether it is a proof.
+
+        Args:
+            source: Published text of the routes.
+            sent_s: Time from ``ConfigurationProof.start_read``.
+        """
+        version = self.merge_routes(source, "platform")
+        if version is None:
+            self._proof.record_failure("the platform's routes cannot be read")
+            return False
+        return self._proof.record_read(sent_s, version)
 
     def merge_list(self, revision: int, instances: dict[str, Instance]) -> None:
         """Replace the instances by the full list read from the platform."""
@@ -224,14 +266,18 @@
     def expire(self) -> None:
         """Drop the retained instances that were not listed again in time."""
         self._view.expire_retained(time.monotonic())
+        self._proof.check()
 
     def make_request(self) -> ViewRequest:
-        """Return a request for everything newer than what this daemon has."""
+        """Return a request to one peer, sent now, for all that is newer than here."""
         version = -1 if self._table is None else self._table.version
-        return ViewRequest(version, self._view.revision)
+        return ViewRequest(version, self._view.revision, self._proof.start_poll())
 
     def update_for(self, request: ViewRequest) -> ViewUpdate | None:
         """Return what the requesting peer lacks, or None if it lacks nothing."""
+        return self._proof.add_to(self._newer_than(request), request.number)
+
+    def _newer_than(self, request: ViewRequest) -> ViewUpdate | None:
         version, source = -1, b""
         if self._table is not None and self._table.version > request.version:
             version, source = self._table.version, self._routes_source
@@ -260,6 +306,7 @@
         """
         if update.version >= 0:
             self.merge_routes(update.source, ip)
+        self._proof.adopt(update, ip)
         if update.revision > self._view.revision:
             if update.base > self._view.revision:
                 return False
@@ -304,39 +351,6 @@
             retain_ms=int(retain_s * 1000),
         )
 
-    def is_poll_due(self) -> bool:
-        """Return whether to poll peers now; if so, restart the interval."""
-        interval_s = (
-            POLL_INTERVAL_DISCONNECTED_S if self._is_disconnected() else POLL_INTERVAL_S
-        )
-        now_s = time.monotonic()
-        if now_s - self._polled_s < interval_s * self._rng.uniform(0.8, 1.2):
-            return False
-        self._polled_s = now_s
-        return True
-
-    def select_peers(self, open_ips: list[str], other_ips: list[str]) -> list[str]:
-        """Return the addresses of the peers to poll.
-
-        Args:
-            open_ips: Hosts with an open link.
-            other_ips: Other known hosts, used while few links are open.
-        """
-        is_disconnected = self._is_disconnected()
-        n_polled = N_POLLED_DISCONNECTED if is_disconnected else 1
-        polled = self._rng.sample(open_ips, min(len(open_ips), n_polled))
-        if len(open_ips) < LINKS_MIN:
-            # Otherwise idle daemons could poll only each other.
-            polled += self._rng.sample(other_ips, min(len(other_ips), n_polled))
-        return polled
-
-    def _is_disconnected(self) -> bool:
-        """Return whether the platform is disconnected, or no routes are known yet."""
-        if self._table is None:
-            return True
-        since_s = self._disconnected_since_s
-        return since_s is not None and time.monotonic() - since_s > DISCONNECTED_AFTER_S
-
     def _retain_until_s(self) -> float | None:
         """Return until when removed instances are retained, None for no retention."""
         since_reconnected_s = time.monotonic() - self._reconnected_s
