--- a/packages/savoryroute/savoryroute/state/organisations.py
+++ b/packages/savoryroute/savoryroute/state/organisations.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 import attrs
 
@@ -66,6 +66,11 @@
         """Whether all published organisations and their keys could be read."""
         return self._is_complete
 
+    @property
+    def names(self) -> Set[str]:
+        """Names of the organisations that hold a key."""
+        return self._by_name.keys()
+
     @property
     def n_ranks(self) -> int:
         """Number of different priorities of organisations."""
--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -136,9 +136,9 @@
 
 
 def configuration(
-    version: int, routes: dict[str, list[dict]], services: list[str]
+    version: int, routes: dict[str, list[dict]], services: list[str], **members
 ) -> bytes:
-    """Return a configuration as an operator publishes it."""
+    """Return a configuration as an operator publishes it, with further members."""
     return json.dumps(
         {
             "version": f"{version:08x}",
@@ -155,6 +155,7 @@
             "virtual-hosts": [
                 {"hostname": host, "paths": paths} for host, paths in routes.items()
             ],
+            **members,
         }
     ).encode()
 
@@ -174,6 +175,11 @@
     }
 
 
+def tenant(name: str, *keys: str, **changes) -> dict:
+    """Return the configuration of an organisation."""
+    return {"name": name, "api-keys": [*keys], "priority": 1, **changes}
+
+
 def entry(service: str, ip: str, port: int, **changes) -> bytes:
     """Return the entry with which an upstream registers itself in the store."""
     return json.dumps(
--- a/tests/savoryroute_platform/test_configuration.py
+++ b/tests/savoryroute_platform/test_configuration.py
@@ -15,7 +15,7 @@
 from savoryroute.errors import DocumentError
 from savoryroute.state.route_table import CallerLimits
 
-from .stand_ins import JSON_VALUES, configuration, path
+from .stand_ins import JSON_VALUES, configuration, path, tenant
 
 HOST = "shop.example"
 
@@ -167,7 +167,7 @@
 class AnyValueTest(unittest.TestCase):
     """A valid configuration in which any one value is replaced by any other."""
 
-    @given(st.integers(1, 60), JSON_VALUES)
+    @given(st.integers(1, 75), JSON_VALUES)
     @example(4, float("inf"))
     @example(8, 10**400)
     def test_routes_come_out_or_an_error_that_names_the_field(self, position, value):
@@ -177,7 +177,11 @@
             path("/s/", "", **{"traffic-split": split}),
         ]
         del paths[1]["service"]
-        plain = json.loads(configuration(9, {HOST: paths, "b": paths}, ["planner"]))
+        tenants = [tenant("first", "secret-1", "secret-2"), tenant("last", "secret-3")]
+        source = configuration(
+            9, {HOST: paths, "b": paths}, ["planner"], tenants=tenants
+        )
+        plain = json.loads(source)
         changed, _ = _replace(plain, position, value)
         try:
             table = decode_routes(json.dumps(changed).encode())
@@ -194,3 +198,9 @@
             for part in route.parts:
                 self.assertIs(type(part.service), str)
                 self.assertGreaterEqual(part.weight, 0.0)
+        self.assertNotIn("secret", "".join(table.defects))
+        organisations = table.organisations
+        if changed["tenants"] == tenants:
+            self.assertEqual(organisations.names, {"first", "last"})
+        elif not organisations.is_complete:
+            self.assertTrue(any("tenants" in defect for defect in table.defects))
