--- a/packages/savoryroute/savoryroute/protocol/header_names.py
+++ b/packages/savoryroute/savoryroute/protocol/header_names.py
@@ -52,3 +52,8 @@
     def set_by_fleet(self) -> tuple[bytes, ...]:
         """Headers that are removed from callers' requests and set by the fleet."""
         return (self.time_left_ms, self.caller_service, self.expected_instance)
+
+    @property
+    def of_identity(self) -> tuple[bytes, ...]:
+        """Headers that are removed besides where callers belong to organisations."""
+        return (self.credentials, self.organisation)
--- a/packages/savoryroute/savoryroute/state/metrics.py
+++ b/packages/savoryroute/savoryroute/state/metrics.py
@@ -66,6 +66,8 @@
             if not isinstance(value, Mapping):
                 self._gauge(name).set({}, value)
                 continue
+            # Labels that are gone must not stay in the scrape.
+            self._gauge(name).values.clear()
             for label, figure in value.items():
                 self._gauge(name).set({"of": label}, figure)
         for (class_name, verdict, reason), n_requests in self._counts.items():
--- a/packages/savoryroute/savoryroute/transport/caller_exchange.py
+++ b/packages/savoryroute/savoryroute/transport/caller_exchange.py
@@ -12,6 +12,7 @@
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/packages/savoryroute/savoryroute/verdict.py
+++ b/packages/savoryroute/savoryroute/verdict.py
@@ -48,6 +48,7 @@
     UNREADABLE_ROUTE = "unreadable_route"
     QUOTA = "quota"
     STALE_CONFIGURATION = "stale_configuration"
+    UNREADABLE_ORGANISATION = "unreadable_organisation"
 
 
 @attrs.frozen
