first hop: callers are identified before the body and the throttle

Change: the first hop refuses with 401 or 503, or sets rank, organisation and the header for the upstream; calls of upstreams take them from their parent. When a configuration drops an organisation, its requests that wait at the first hop or in a call queue are refused as not run and not placed again. Ruled out: a check of the organisation when a call gets its slot, as it would refuse calls from a first hop with a newer configuration.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -6,20 +6,24 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Set
+
+from result import Ok
 
 from ..protocol.header_names import HeaderNames
 from ..protocol.mesh_frames import AttemptKind, MeshAnswer, MeshCall
-from ..protocol.request_head import RequestHead, read_request_head
+from ..protocol.request_head import RequestHead, read_request_head, with_organisation
 from ..state.fleet_view import FleetView
 from ..state.quarantine import Quarantine, fingerprint
 from ..state.route_table import RouteTable, TableRoute, WeightedRoundRobin
-from ..transport.caller_exchange import Exchange
+from ..transport.caller_exchange import CallerRequest, Exchange
 from ..verdict import Reason, Verdict
 from .attempt_choice import choose_instance
+from .caller_check import CallerCheck
+from .caller_identity import CallerIdentity
 from .forwarded_request import ForwardedRequest
 from .instance_selector import InstanceSelector, SentCall
-from .local_upstream import LocalUpstream
+from .local_upstream import ORGANISATION_GONE, LocalCall, LocalUpstream
 from .mesh_retry_after import mesh_retry_after_s
 from .peer_links import PeerLinks
 from .repeat_admission import reserved_share
@@ -58,6 +62,10 @@
         quarantine: Requests that crashed upstreams, as reported by peers.
         records: Log lines and metrics of requests.
         rng: Source of jitter.
+        proof_age_s: Returns the age in seconds of the newest proof that the active
+            routes are in force, infinite without any.
+        revocation_s: Seconds after which a revoked key must not be used, None if
+            revocation has no such bound.
     """
 
     def __init__(
@@ -74,6 +82,8 @@
         quarantine: Quarantine,
         records: RequestRecords,
         rng: random.Random,
+        proof_age_s: Callable[[], float],
+        revocation_s: float | None,
     ) -> None:
         self._service = service
         self._ip = ip
@@ -87,6 +97,9 @@
         self._quarantine = quarantine
         self._records = records
         self._rng = rng
+        self._caller_check = CallerCheck(names, records, proof_age_s, revocation_s)
+        # Requests that need the key of an organisation and were not answered yet.
+        self._of_organisations: set[ForwardedRequest] = set()
         self._split = WeightedRoundRobin()
         self._n_retries: Counter[str] = Counter()
         self._n_retries_refused: Counter[str] = Counter()
@@ -109,7 +122,12 @@
                 exchange, 503, Reason.NOT_READY, NO_ROUTES_RETRY_AFTER_S
             )
             return
-        fields = read_request_head(request, self._names, self._caller_header)
+        fields = read_request_head(
+            request,
+            self._names,
+            self._caller_header,
+            table.organisations is not None,
+        )
         route = table.find(fields.host, request.target.decode("latin-1"))
         if route is None and table.is_complete:
             self._answer_problem(exchange, 404, Reason.UNKNOWN_ROUTE, None)
@@ -120,13 +138,17 @@
                 exchange, 503, Reason.UNREADABLE_ROUTE, NO_ROUTES_RETRY_AFTER_S
             )
             return
-        forwarded = self._open(exchange, route, fields)
+        parent = self._upstream.parent_of(fields.request_id)
+        identity = self._identify(exchange, table, route, fields, parent)
+        if identity is None:
+            return
+        forwarded = self._open(exchange, table, route, fields, parent, identity)
         if request.is_body_skipped:
             detail = "no memory for the body: other bodies take up too much"
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
         if forwarded.parent is None and not self._throttle.admits(
-            route.name, route.rank
+            route.name, forwarded.call.rank
         ):
             detail = (
                 "too many requests of this route fail for lack of downstream capacity"
@@ -139,24 +161,89 @@
             self._on_deadline,
             forwarded,
         )
+        if parent is None and identity.name and not route.is_public:
+            self._of_organisations.add(forwarded)
         self._place(forwarded)
 
-    def _open(
-        self, exchange: Exchange, route: TableRoute, fields: RequestHead
-    ) -> ForwardedRequest:
-        """Return a request with its service, deadline and rank."""
+    def refuse_waiting(self, organisations: Set[str]) -> None:
+        """Refuse requests of organisations whose current attempt has not run.
+
+        Requests in the call queue of the local upstream are refused there.
+
+        Args:
+            organisations: Names that the active configuration no longer has.
+        """
+        for forwarded in list(self._of_organisations):
+            if forwarded.call.organisation in organisations and self._waits(forwarded):
+                self._cancel_attempt(forwarded)
+                self._give_up(forwarded, Reason.KEY_INVALID, ORGANISATION_GONE)
+
+    def _waits(self, forwarded: ForwardedRequest) -> bool:
+        """Return whether no part of the current attempt can have run elsewhere."""
+        sent = forwarded.sent
+        if sent is None:
+            return True
+        if forwarded.local is not None:
+            return False
+        return self._links.is_unsent(sent.instance.ip, forwarded.call)
+
+    def _identify(
+        self,
+        exchange: Exchange,
+        table: RouteTable,
+        route: TableRoute,
+        fields: RequestHead,
+        parent: LocalCall | None,
+    ) -> CallerIdentity | None:
+        """Return whose request it is, or None after refusing it."""
         request = exchange.request
+        identified = self._caller_check.identify(
+            table, route, fields, parent, request.read_s
+        )
+        if isinstance(identified, Ok):
+            return identified.ok_value
+        refusal = identified.err_value
+        retry_after_s = None
+        if refusal.status == 503:
+            time_left_s = self._deadline_s(request, route, fields) - time.monotonic()
+            retry_after_s = mesh_retry_after_s(0.0, time_left_s, self._rng)
+        headers = self._caller_check.headers_of(refusal)
+        self._answer_problem(
+            exchange, refusal.status, refusal.reason, retry_after_s, headers
+        )
+        return None
+
+    def _deadline_s(
+        self, request: CallerRequest, route: TableRoute, fields: RequestHead
+    ) -> float:
+        """Return the monotonic time until which a request may take."""
         time_left_s = route.timeout_s
         if fields.time_left_s is not None:
             time_left_s = min(time_left_s, fields.time_left_s)
+        return request.begun_s + time_left_s
+
+    def _open(
+        self,
+        exchange: Exchange,
+        table: RouteTable,
+        route: TableRoute,
+        fields: RequestHead,
+        parent: LocalCall | None,
+        identity: CallerIdentity,
+    ) -> ForwardedRequest:
+        """Return a request with its service, deadline and rank."""
+        request = exchange.request
+        head = fields.head
+        if identity.name:
+            head = with_organisation(head, self._names, identity.name)
         forwarded = ForwardedRequest(
             exchange,
             route,
             self._split.next_service(route.parts),
             fields.request_id,
-            request.begun_s + time_left_s,
+            self._deadline_s(request, route, fields),
         )
-        parent = forwarded.parent = self._upstream.parent_of(fields.request_id)
+        forwarded.parent = parent
         queue_timeout_share = (
             QUEUE_TIMEOUT_SHARE if parent is None else DOWNSTREAM_QUEUE_TIMEOUT_SHARE
         )
@@ -165,7 +252,9 @@
             service=forwarded.service,
             instance="",
             route=route.name,
-            rank=route.rank if parent is None else parent.call.rank,
+            rank=table.rank_of(route, identity.organisation)
+            if parent is None
+            else parent.call.rank,
             queue_timeout_ms=int(route.target_latency_s * queue_timeout_share * 1000),
             time_left_ms=0,
             is_idempotent=route.is_idempotent,
@@ -180,13 +269,17 @@
                 request.target.decode("latin-1"),
                 request.body,
             ),
-            head=fields.head,
+            head=head,
             body_bytes=len(request.body),
+            organisation=identity.name if parent is None else parent.call.organisation,
         )
         return forwarded
 
     def _place(self, forwarded: ForwardedRequest) -> None:
         """Send the next attempt of a request."""
+        if self._is_organisation_gone(forwarded):
+            self._give_up(forwarded, Reason.KEY_INVALID, ORGANISATION_GONE)
+            return
         time_left_s = forwarded.deadline_s - time.monotonic()
         if time_left_s < MIN_TIME_LEFT_S:
             self._give_up(
@@ -233,6 +326,15 @@
         else:
             self._links.call(instance.ip, call, body, on_answer)
 
+    def _is_organisation_gone(self, forwarded: ForwardedRequest) -> bool:
+        """Return whether the organisation of a caller's request was removed since."""
+        if forwarded not in self._of_organisations:
+            return False
+        organisations = self._table().organisations
+        if organisations is None:
+            return False
+        return organisations.by_name(forwarded.call.organisation) is None
+
     def _on_answer(
         self, forwarded: ForwardedRequest, sent: SentCall, answer: MeshAnswer
     ) -> None:
@@ -342,6 +444,7 @@
     ) -> None:
         """Report the end of an admitted request to its parent call or the throttle."""
         answer = forwarded.answer
+        self._of_organisations.discard(forwarded)
         if forwarded.parent is not None:
             forwarded.parent.note_downstream_call(
                 forwarded.service, answer, is_load_failure, is_served
@@ -356,9 +459,10 @@
         status: int,
         reason: Reason | None,
         retry_after_s: float | None,
+        headers: bytes = b"",
     ) -> None:
-        """Send a refusal with its reason and ``Retry-After``."""
-        head = _JSON_HEADER
+        """Send a refusal with its reason, ``Retry-After`` and further headers."""
+        head = _JSON_HEADER + headers
         if retry_after_s is not None:
             head += b"Retry-After: %.3f\r\n" % retry_after_s
         body = b'{"reason":"%b"}' % str(reason).encode()
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -19,10 +19,11 @@
 from .upstream_health import UpstreamHealth
 from .upstream_reports import UpstreamReports
 
-__all__ = ["LocalCall", "LocalUpstream"]
+__all__ = ["ORGANISATION_GONE", "LocalCall", "LocalUpstream"]
 
 # Seconds after the deadline of a call for which the upstream's answer is awaited.
 ANSWER_GRACE_S = 0.1
+ORGANISATION_GONE = "the organisation of the request is gone from the configuration"
 _NO_REPEAT_LEFT = "the retry budget of the upstream or of one that it calls is spent"
 
 AnswerHandler = Callable[[MeshAnswer], None]
@@ -135,6 +136,7 @@
         self._quarantine = quarantine
         self._repeats = repeats
         self._log = log
+        self._waiting: set[LocalCall] = set()
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
         self._reports = UpstreamReports(queue, log)
         self.is_leaving = False
@@ -186,6 +188,8 @@
                 f" held for {self._queue.mean_s * 1000:.0f} ms each on average"
             )
             self._refuse(local, reason, detail)
+        elif local.pending is None and not local.is_over:
+            self._waiting.add(local)
         return local
 
     def sweep(self) -> None:
@@ -199,6 +203,17 @@
         self.is_leaving = True
         self._queue.clear(Reason.LEAVING)
 
+    def refuse_waiting(self, is_dropped: Callable[[MeshCall], bool]) -> None:
+        """Refuse the waiting calls of callers whose organisation was dropped.
+
+        Calls of upstreams go on, as the runs that made them do.
+        """
+        for local in list(self._waiting):
+            is_of_caller = self._names.id_separator not in local.call.request_id
+            if is_of_caller and is_dropped(local.call):
+                self._queue.withdraw(local.queued_call)
+                self._refuse(local, Reason.KEY_INVALID, ORGANISATION_GONE)
+
     def note_start(self) -> None:
         """Forget what an earlier upstream at the address said of itself."""
         self._reports.note_start()
@@ -231,6 +246,7 @@
 
     def _start(self, local: LocalCall) -> None:
         """Send a call that got a slot."""
+        self._waiting.discard(local)
         call = local.call
         now_s = time.monotonic()
         local.started_s = now_s
@@ -452,6 +468,7 @@
 
     def _close(self, local: LocalCall) -> None:
         local.is_over = True
+        self._waiting.discard(local)
         self.n_open -= 1
         if local.timer is not None:
             local.timer.cancel()
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -8,12 +8,13 @@
 from typing import Any
 
 from ..protocol.header_names import HeaderNames
-from ..protocol.mesh_frames import FrameKind, ViewRequest, ViewUpdate
+from ..protocol.mesh_frames import FrameKind, MeshCall, ViewRequest, ViewUpdate
 from ..state.body_budget import BodyBudget
 from ..state.event_log import EventLog
 from ..state.fleet_view import FleetView, Instance
 from ..state.mesh_settings import MeshSettings
 from ..state.metrics import Metrics
+from ..state.organisations import Organisations
 from ..state.quarantine import Quarantine
 from ..state.route_table import CallerLimits, RouteTable
 from ..transport.caller_exchange import Exchange
@@ -25,6 +26,7 @@
 from .first_hop import FirstHop
 from .instance_selector import InstanceSelector
 from .local_upstream import LocalUpstream
+from .organisation_counters import OrganisationCounters
 from .peer_calls import PeerCalls
 from .peer_links import PeerLinks
 from .repeat_admission import RepeatAdmission
@@ -126,10 +128,15 @@
         )
         self._links = PeerLinks(settings.links.port, log, self._on_control_frame)
         self._metrics = Metrics(self._gauges)
+        self._organisations: Organisations | None = None
+        self._organisation_counters = OrganisationCounters()
 
         def table() -> RouteTable | None:
             return self._synchronizer.table
 
+        def proof_age_s() -> float:
+            return self._synchronizer.proof_age_s
+
         self._first_hop = FirstHop(
             settings.service,
             settings.callers.ip,
@@ -141,8 +148,17 @@
             self._upstream,
             ActionThrottle(time.monotonic, self._rng),
             self._quarantine,
-            RequestRecords(log, self._metrics, table, self._synchronizer.view),
+            RequestRecords(
+                log,
+                self._metrics,
+                table,
+                self._synchronizer.view,
+                self._organisation_counters,
+                proof_age_s,
+            ),
             self._rng,
+            proof_age_s,
+            settings.revocation_s,
         )
         self._callers = CallersListener(
             self._first_hop.handle, self._limits, self._on_bad_request, self._bodies
@@ -284,6 +300,7 @@
         settings = self._settings
         view: FleetView = self._synchronizer.view
         ips = {instance.ip for instance in view.instances.values()}
+        self._refuse_dropped_organisations()
         self._links.keep_only(ips)
         self._selector.keep_only(view.instances)
         local = view.instance_at(settings.callers.ip)
@@ -306,6 +323,27 @@
             self._upstream.leave()
         self._log.change("own_upstream", is_taking_calls=is_taking)
 
+    def _refuse_dropped_organisations(self) -> None:
+        """Refuse waiting requests of organisations that the configuration dropped."""
+        table = self._synchronizer.table
+        former = self._organisations
+        current = self._organisations = None if table is None else table.organisations
+        if former is None or current is None or current is former:
+            return
+        self._organisation_counters.keep_only(current.names)
+        dropped = former.names - current.names
+        if not dropped:
+            return
+        self._log.change("organisations_dropped", n_organisations=len(dropped))
+        routes = [route for routes in table.routes.values() for route in routes]
+        public = {route.name for route in routes if route.is_public}
+
+        def is_dropped(call: MeshCall) -> bool:
+            return call.organisation in dropped and call.route not in public
+
+        self._first_hop.refuse_waiting(dropped)
+        self._upstream.refuse_waiting(is_dropped)
+
     def _slack_part(self, local: Instance | None) -> int:
         """Return the part of the retry budget's slack for the local upstream."""
         if local is None:
@@ -355,6 +393,7 @@
             "log_lines_left_out": self._log.n_left_out,
         }
         gauges.update(self._first_hop.gauges())
+        gauges.update(self._organisation_counters.gauges())
         return gauges
 
     # Links that peers opened.
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -151,6 +151,15 @@
         link.connection.send([FrameKind.CANCEL.value, call.id])
         return not is_incomplete
 
+    def is_unsent(self, ip: str, call: MeshCall) -> bool:
+        """Return whether a part of a call in progress has not been sent."""
+        if any(item.call is call for item in self._queued.get(ip, [])):
+            return True
+        link = self._links.get(ip)
+        if link is None or call.id not in link.pending:
+            return False
+        return link.bodies.is_unsent(call.id)
+
     def dial(self, ip: str) -> None:
         """Start to open a link to a host unless that is already under way."""
         if ip in self._dialling:
--- a/packages/savoryroute/savoryroute/coordination/request_records.py
+++ b/packages/savoryroute/savoryroute/coordination/request_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 
@@ -9,9 +10,11 @@
 from ..state.event_log import EventLog
 from ..state.fleet_view import FleetView
 from ..state.metrics import Metrics
-from ..state.route_table import RouteTable
+from ..state.route_table import RouteTable, TableRoute
 from ..verdict import Reason, Verdict
+from .caller_identity import IdentityRefusal
 from .forwarded_request import ForwardedRequest
+from .organisation_counters import OrganisationCounters
 
 __all__ = ["RequestRecords"]
 
@@ -24,6 +27,8 @@
         metrics: Request counters and latency histograms.
         table: Returns the active routes, or None before the first are known.
         view: Instances of upstreams.
+        organisations: Counts by organisation.
+        proof_age_s: Returns the age of the proof of the configuration in seconds.
     """
 
     def __init__(
@@ -32,11 +37,44 @@
         metrics: Metrics,
         table: Callable[[], RouteTable | None],
         view: FleetView,
+        organisations: OrganisationCounters,
+        proof_age_s: Callable[[], float],
     ) -> None:
         self._log = log
         self._metrics = metrics
         self._table = table
         self._view = view
+        self._organisations = organisations
+        self._proof_age_s = proof_age_s
+
+    def identified(self, organisation: str) -> None:
+        """Record a request of a caller whose organisation is known."""
+        if organisation:
+            self._organisations.note_request(organisation)
+
+    def turned_away(
+        self,
+        request_id: bytes,
+        route: TableRoute,
+        refusal: IdentityRefusal,
+        read_s: float,
+    ) -> None:
+        """Record a request that is refused for the identity of its caller."""
+        seconds = time.monotonic() - read_s
+        self._metrics.count(route.name, Verdict.NOT_RUN, refusal.reason, seconds)
+        self._organisations.note_refusal(refusal.organisation, refusal.status)
+        self._log.request(
+            "refused",
+            request_id.decode("latin-1"),
+            route=route.name,
+            reason=refusal.reason,
+            verdict=Verdict.NOT_RUN,
+            status=refusal.status,
+            detail=refusal.detail,
+            routes_version=self._version(),
+            seconds=round(seconds, 4),
+            **self._of_organisation(refusal.organisation),
+        )
 
     def placed_again(self, forwarded: ForwardedRequest, answer: MeshAnswer) -> None:
         """Record an attempt that is followed by another one."""
@@ -68,6 +106,7 @@
             routes_version=self._version(),
             list_revision=self._view.revision,
             seconds=seconds,
+            **self._of_organisation(forwarded.call.organisation),
         )
 
     def given_up(
@@ -80,6 +119,9 @@
     ) -> None:
         """Record a request that is refused or given up without an upstream's answer."""
         seconds = self._count(forwarded, verdict, str(reason))
+        organisation = forwarded.call.organisation
+        if organisation and forwarded.parent is None:
+            self._organisations.note_refusal(organisation, status)
         self._log.request(
             "refused" if verdict is Verdict.NOT_RUN else "gave_up",
             forwarded.request_id.decode("latin-1"),
@@ -95,6 +137,7 @@
             routes_version=self._version(),
             list_revision=self._view.revision,
             seconds=seconds,
+            **self._of_organisation(organisation),
         )
 
     def caller_gone(self, forwarded: ForwardedRequest) -> None:
@@ -114,6 +157,15 @@
         self._metrics.count(forwarded.route.name, verdict, reason, seconds)
         return round(seconds, 4)
 
+    def _of_organisation(self, organisation: str) -> dict[str, object]:
+        """Return the fields about the caller's organisation, none without any."""
+        table = self._table()
+        if table is None or table.organisations is None:
+            return {}
+        proof_age_s = self._proof_age_s()
+        age_s = round(proof_age_s, 3) if math.isfinite(proof_age_s) else None
+        return {"organisation": organisation, "proof_age_s": age_s}
+
     def _version(self) -> int:
         table = self._table()
         return -1 if table is None else table.version
--- a/packages/savoryroute/savoryroute/coordination/retry_rule.py
+++ b/packages/savoryroute/savoryroute/coordination/retry_rule.py
@@ -58,7 +58,7 @@
             and n_arrivals < attempts_max
         )
         return NextStep.RETRY if is_retryable else NextStep.RETURN_ANSWER
-    if answer.reason in (Reason.DEADLINE, Reason.QUARANTINED):
+    if answer.reason in (Reason.DEADLINE, Reason.QUARANTINED, Reason.KEY_INVALID):
         return NextStep.GIVE_UP
     if not answer.was_sent:
         if n_placements < PLACEMENTS_MAX:
--- a/packages/savoryroute/savoryroute/protocol/body_transfer.py
+++ b/packages/savoryroute/savoryroute/protocol/body_transfer.py
@@ -68,6 +68,10 @@
         """Stop sending a body; return whether a part of it was still unsent."""
         return self._outgoing.pop(call_id, None) is not None
 
+    def is_unsent(self, call_id: int) -> bool:
+        """Return whether a part of the body of a call is still unsent."""
+        return call_id in self._outgoing
+
     def _schedule(self) -> None:
         """Write one piece in the next iteration of the loop, if the link takes it."""
         if self._turns and not self._is_scheduled and self._link.is_writable:
--- a/tests/savoryroute/coordination/test_retry_rule.py
+++ b/tests/savoryroute/coordination/test_retry_rule.py
@@ -54,8 +54,8 @@
             self.assertIs(next_step(full, False, n, 0, 1), NextStep.PLACE_ELSEWHERE)
         self.assertIs(next_step(full, False, PLACEMENTS_MAX, 0, 1), NextStep.GIVE_UP)
 
-    def test_quarantine_and_deadline_are_final(self):
-        for reason in (Reason.QUARANTINED, Reason.DEADLINE):
+    def test_quarantine_deadline_and_dropped_organisation_are_final(self):
+        for reason in (Reason.QUARANTINED, Reason.DEADLINE, Reason.KEY_INVALID):
             refused = answer(Verdict.NOT_RUN, reason)
             self.assertIs(next_step(refused, True, 1, 0, 5), NextStep.GIVE_UP)
 
--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -90,7 +90,12 @@
         services: list[str],
         kinds: dict[str, str] | None = None,
         retry_slack: float = 1000.0,
+        members: dict | None = None,
+        **settings,
     ):
+        # Members of each configuration beside the routes, such as organisations.
+        self.members = members or {}
+        self.settings = settings
         self.services = services
         self.kinds = kinds or {}
         self.retry_slack = retry_slack
@@ -152,7 +157,7 @@
         if "traffic-split" in changes:
             for route in routes:
                 del route["service"]
-        source = configuration(version, {"shop.example": routes}, names)
+        source = configuration(version, {"shop.example": routes}, names, **self.members)
         self.store.put("op/config", source)
 
     def list_instance(self, index: int, **changes) -> None:
@@ -196,6 +201,7 @@
                 "retry_slack": self.retry_slack,
                 "grace_s": "6s",
                 "memory_mb": 300,
+                **self.settings,
             }
         )
         settings = parse_mesh_settings(text, "test").unwrap()
