--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -234,4 +234,32 @@
         "if route is None or not route.parts:",
         "tests.savoryroute_platform.test_unreadable_routes",
     ),
+    Mutation(
+        "mesh identity: a key counts whatever the age of the proof",
+        "coordination/caller_identity.py",
+        "if holder is not None and has_recent_proof:",
+        "if holder is not None:",
+        "tests.savoryroute.coordination.test_caller_identity",
+    ),
+    Mutation(
+        "mesh identity: the first of two keys counts",
+        "coordination/caller_identity.py",
+        "if len(credentials) != 1:",
+        "if not credentials:",
+        "tests.savoryroute.coordination.test_caller_identity",
+    ),
+    Mutation(
+        "mesh identity: an unknown key gets a 401 while an entry is unreadable",
+        "coordination/caller_identity.py",
+        "    if not organisations.is_complete:\n",
+        "    if False:\n",
+        "tests.savoryroute.coordination.test_caller_identity",
+    ),
+    Mutation(
+        "mesh identity: waiting calls of a dropped organisation start",
+        "coordination/mesh_node.py",
+        "        self._upstream.refuse_waiting(is_dropped)\n",
+        "",
+        "tests.savoryroute_platform.test_callers_of_organisations.FailureTableTest",
+    ),
 ]
