frames: items are checked before they are used; one failing check ends nothing else

Cause: a peer's frame with wrong types was kept: a row with a wrong item replaced the list of instances of all daemons, a call with one raised in the queue while another call ended, and an exception in the periodic checks ended them all for good. An answer that could not be read left its caller waiting until the deadline. Ruled out: checks of single fields where they are used, as new fields would be missed.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 from ..protocol.header_names import HeaderNames
@@ -240,16 +241,26 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             n_ticks += 1
-            self._upstream.sweep()
-            self._peer_calls.sweep()
-            self._links.sweep()
-            self._log.flush()
+            steps: list[Callable[[], object]] = [
+                self._upstream.sweep,
+                self._peer_calls.sweep,
+                self._links.sweep,
+                self._log.flush,
+                self._poll_peers,
+            ]
             if n_ticks % 5 == 0:
-                self._callers.sweep()
-                self._readiness.sweep()
-                self._metrics_listener.sweep()
-                self._synchronizer.expire()
-            self._poll_peers()
+                steps += [
+                    self._callers.sweep,
+                    self._readiness.sweep,
+                    self._metrics_listener.sweep,
+                    self._synchronizer.expire,
+                ]
+            for step in steps:
+                try:
+                    step()
+                except Exception as error:
+                    # One failing check must not end the others, for good.
+                    self._log.request("check_failed", "", error=repr(error)[:200])
 
     def _poll_peers(self) -> None:
         """Request from peers what is newer than here, when a poll is due."""
@@ -420,11 +431,11 @@
         """Handle a frame that is not about calls."""
         kind = frame[0]
         if kind == FrameKind.VIEW_REQUEST:
-            update = self._synchronizer.update_for(ViewRequest(*frame[1:]))
+            update = self._synchronizer.update_for(ViewRequest.from_frame(frame))
             if update is not None:
                 link.send(update.to_frame())
         elif kind == FrameKind.VIEW_UPDATE:
-            if not self._synchronizer.merge_update(ip, ViewUpdate(*frame[1:])):
+            if not self._synchronizer.merge_update(ip, ViewUpdate.from_frame(frame)):
                 link.send(self._synchronizer.make_request().to_frame())
         elif kind == FrameKind.SUSPECTS:
             self._crash_reports.merge(frame[1], ip)
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -250,10 +250,12 @@
             link = self._links.get(connection.peer_ip)
             if link is None or link.connection is not connection:
                 return
-            on_answer = link.pending.pop(frame[1], None)
-            link.bodies.stop(frame[1])
+            # Read first: a call whose answer cannot be read ends with its link.
+            answer = MeshAnswer.from_frame(frame)
+            on_answer = link.pending.pop(answer.id, None)
+            link.bodies.stop(answer.id)
             if on_answer is not None:
-                on_answer(MeshAnswer.from_frame(frame))
+                on_answer(answer)
         elif frame[0] == FrameKind.PING:
             connection.send([FrameKind.PONG.value])
         elif frame[0] != FrameKind.PONG:
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -12,7 +12,9 @@
 
 import attrs
 
+from ..state.fleet_view import Instance
 from ..verdict import Reason, Verdict
+from .frame_fields import check_fields
 
 __all__ = [
     "AttemptKind",
@@ -136,9 +138,12 @@
         """Return the call in a frame, and the body that is in the frame.
 
         Raises:
-            TypeError: The frame has a wrong number of items.
-            ValueError: The kind of the attempt is not known.
+            TypeError: An item has a wrong type.
+            ValueError: The number of items is wrong, or an item is out of range.
         """
+        check_fields(cls, frame[1:-1])
+        if type(frame[-1]) is not bytes:
+            raise TypeError("the body of a call is not a byte string")
         call = cls(*frame[1:-1])
         call.kind = AttemptKind(call.kind)
         return call, frame[-1]
@@ -211,10 +216,11 @@
         """Return the answer in a frame.
 
         Raises:
-            TypeError: The frame has a wrong number of items.
-            ValueError: The reason is not known.
+            TypeError: An item has a wrong type.
+            ValueError: The number of items is wrong, or an item is out of range.
             IndexError: The number of the verdict is not known.
         """
+        check_fields(cls, frame[1:])
         answer = cls(*frame[1:])
         answer.verdict = _VERDICTS[frame[2]]
         answer.reason = None if frame[3] is None else Reason(frame[3])
@@ -237,6 +243,17 @@
         """Return the frame."""
         return [FrameKind.VIEW_REQUEST.value, self.version, self.revision]
 
+    @classmethod
+    def from_frame(cls, frame: list[Any]) -> ViewRequest:
+        """Return the request in a frame.
+
+        Raises:
+            TypeError: An item has a wrong type.
+            ValueError: The number of items is wrong, or an item is out of range.
+        """
+        check_fields(cls, frame[1:])
+        return cls(*frame[1:])
+
 
 @attrs.frozen
 class ViewUpdate:
@@ -266,3 +283,19 @@
     def to_frame(self) -> list[Any]:
         """Return the frame."""
         return [FrameKind.VIEW_UPDATE.value, *attrs.astuple(self, recurse=False)]
+
+    @classmethod
+    def from_frame(cls, frame: list[Any]) -> ViewUpdate:
+        """Return the update in a frame.
+
+        Raises:
+            TypeError: An item has a wrong type.
+            ValueError: The number of items is wrong, or an item is out of range.
+        """
+        check_fields(cls, frame[1:])
+        update = cls(*frame[1:])
+        for row in update.instances:
+            check_fields(Instance, row)
+        if any(type(id_) is not str for id_ in update.removed):
+            raise TypeError("the identity of a removed instance is not a text")
+        return update
--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -125,7 +125,8 @@
                 if not isinstance(frame, list) or not frame:
                     raise ValueError("frame is not a non-empty array")
                 self._on_frame(self, frame)
-        except (ValueError, TypeError, IndexError, cbor2.CBORError) as error:
+        except Exception as error:
+            # Whatever a frame causes must not reach the event loop or other links.
             self._on_bad_frame(f"{self.peer_ip}: {error!r:.200}")
             self.abort()
             return
--- /dev/null
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -0,0 +1,141 @@
+"""Tests of failures that operators of similar systems have reported."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import cbor2
+from savoryroute_platform.program import keep_following
+
+from savoryroute.protocol.mesh_frames import FrameKind, MeshAnswer
+from savoryroute.state.event_log import EventLog
+
+from .test_path import PathTest
+
+ROW = ["i-9", "planner", "127.0.0.9", "zone-a", 4, True, 0.0, 1]
+# Frames that decode, with items of wrong types, in wrong numbers or out of range.
+MALFORMED = [
+    [],
+    7,
+    {"a": 1},
+    [None],
+    ["call"],
+    [[]],
+    [FrameKind.CALL.value],
+    [FrameKind.CALL.value, *[0] * 17],
+    [FrameKind.CALL.value, 1, "planner", "i-1", "r", None, 9, 9, *[0] * 10],
+    [FrameKind.CANCEL.value],
+    [FrameKind.CANCEL.value, []],
+    [FrameKind.BODY.value, 1],
+    [FrameKind.BODY.value, {}, b""],
+    [FrameKind.VIEW_REQUEST.value],
+    [FrameKind.VIEW_REQUEST.value, "1", None],
+    [FrameKind.VIEW_UPDATE.value, 1],
+    [FrameKind.VIEW_UPDATE.value, 9, {}, 0, 0, [], [], 0, 0],
+    [FrameKind.VIEW_UPDATE.value, -1, b"", 0, 10**30, [ROW], [], 0, 0],
+    [FrameKind.VIEW_UPDATE.value, -1, b"", 0, 900, [ROW[:3]], [], 0, 0],
+    [FrameKind.VIEW_UPDATE.value, -1, b"", 0, 900, [[*ROW[:2], 5, *ROW[3:]]], [], 0, 0],
+    [FrameKind.VIEW_UPDATE.value, -1, b"", 0, 900, [[[], *ROW[1:]]], [], 0, 0],
+    [FrameKind.VIEW_UPDATE.value, -1, b"", 1, 900, [], [[]], 0, 0],
+    [FrameKind.SUSPECTS.value],
+    [FrameKind.SUSPECTS.value, 5],
+    [FrameKind.SUSPECTS.value, [[b"f" * 16, 1, 10**400, True, False]]],
+    [FrameKind.SUSPECTS_REQUEST.value],
+]
+
+
+class MalformedMessageTest(PathTest):
+    """One malformed message or unexpected error took a whole process down."""
+
+    async def send_frame(self, frame):
+        data = cbor2.dumps(frame)
+        _, writer = await asyncio.open_connection(
+            self.fleet.ip(1), self.fleet.link_port
+        )
+        writer.write(len(data).to_bytes(4, "big") + data)
+        await writer.drain()
+        await asyncio.sleep(0.005)
+        writer.close()
+
+    async def assert_all_well(self):
+        for node in self.fleet.nodes:
+            self.assertFalse(node._sweeper.done())
+            self.assertEqual(node._upstream.n_open, 0)
+            self.assertEqual(len(node.synchronizer.view.instances), 3)
+        for _ in range(6):
+            self.assertEqual((await self.request()).status, 200)
+
+    async def test_malformed_frames(self):
+        for frame in MALFORMED:
+            await self.send_frame(frame)
+        await asyncio.sleep(0.3)
+        await self.assert_all_well()
+        names = {line["event"] for line in self.fleet.log_lines}
+        self.assertIn("peer_sent_bad_frame", names)
+        self.assertNotIn("check_failed", names)
+
+    async def test_frames_with_any_items(self):
+        rng = random.Random(9)
+        values = [
+            None,
+            -1,
+            0,
+            1,
+            10**30,
+            0.5,
+            float("nan"),
+            "",
+            "i-1",
+            b"",
+            b"x",
+            [],
+            {},
+        ]
+        for _ in range(200):
+            kind = rng.randrange(15)
+            rest = rng.choices(values, k=rng.randrange(19))
+            await self.send_frame([kind, *rest])
+        await self.assert_all_well()
+
+    async def test_call_whose_answer_cannot_be_read_ends_with_its_link(self):
+        """Guards against a caller that waits although its call was lost."""
+        send = MeshAnswer.to_frame
+        bad = mock.patch.object(
+            MeshAnswer, "to_frame", lambda s: [*send(s)[:-2], "", 1]
+        )
+        with bad:
+            answer = await asyncio.wait_for(self.request(method="GET"), 1.0)
+        self.assertIn(answer.status, (502, 503))
+        # Hosts whose link was lost get no calls for a short time.
+        await asyncio.sleep(0.8)
+        await self.assert_all_well()
+
+    async def test_error_in_one_check_does_not_end_the_others(self):
+        node = self.fleet.nodes[0]
+        for part in (node._upstream, node._links):
+            part.sweep = mock.Mock(side_effect=RuntimeError("unexpected"))
+        await asyncio.sleep(0.2)
+        self.assertGreater(node._upstream.sweep.call_count, 1)
+        self.assertFalse(node._sweeper.done())
+        node._log.flush()
+        names = [line["event"] for line in self.fleet.log_lines]
+        self.assertIn("check_failed", names)
+
+    async def test_watch_task_goes_on_after_an_unexpected_error(self):
+        n_runs = 0
+
+        async def follow(store, synchronizer):
+            nonlocal n_runs
+            n_runs += 1
+            raise KeyError("unexpected")
+
+        log = EventLog(1, {}, write=lambda _, data: len(data))
+        with mock.patch("savoryroute_platform.program.RESTART_DELAY_S", 0.01):
+            task = asyncio.create_task(keep_following(follow, None, None, log))
+            await self.fleet.wait_until(lambda: n_runs > 2, 1.0)
+            task.cancel()
+
+
+if __name__ == "__main__":
+    unittest.main()
