planned stop: wait for requests that are being read and answers not yet written

Cause: the stop ended when no request was being served. An upload still arriving, or the rest of a long answer in a write buffer to a caller or a peer, was cut off when the process ended; the peer's caller then got a 502 although its request had run. Change: the stop also waits for connections of callers that read a request or have unwritten bytes, and for links with unwritten frames, at most until the grace period ends. Ruled out: closing with a flush after the loop, which has no bound by the grace period.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -213,15 +213,20 @@
             # A request accepted later could be aborted at the end of the grace period.
             self._callers.stop_listening()
             self._callers.sweep(LEAVE_IDLE_S)
-            if not self._callers.n_open and not self._upstream.n_open:
+            if not self._n_unfinished():
                 break
         self._log.change(
             "stopped",
             seconds=round(time.monotonic() - started_s, 3),
-            n_cut=self._callers.n_open + self._upstream.n_open,
+            n_cut=self._n_unfinished(),
         )
         await self.close()
 
+    def _n_unfinished(self) -> int:
+        """Return how many requests and answers the end of the process would cut off."""
+        n_links = sum(link.has_unwritten for link in self._accepted_links)
+        return self._callers.n_busy + self._upstream.n_open + n_links
+
     async def close(self) -> None:
         """Stop at once; requests in flight are aborted."""
         if self._sweeper is not None:
--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -67,6 +67,13 @@
         """Whether little enough data waits to be written that more should be added."""
         return self.is_open and not self._is_write_paused
 
+    @property
+    def has_unwritten(self) -> bool:
+        """Whether a part of what was sent waits to be written."""
+        return (
+            self._transport is not None and self._transport.get_write_buffer_size() > 0
+        )
+
     def send(self, frame: list[Any]) -> None:
         """Send one frame; it is dropped if the connection is closed."""
         if self._transport is None or self._transport.is_closing():
--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -141,6 +141,18 @@
         if self._is_reading_body:
             self._accept(b"".join(self._body))
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or served, or an answer being written."""
+        return (
+            self._exchange is not None
+            or (self._is_message_open and not self._is_closing)
+            or (
+                self._transport is not None
+                and self._transport.get_write_buffer_size() > 0
+            )
+        )
+
     @property
     def _is_reading_body(self) -> bool:
         """Whether the open message is to be served."""
@@ -324,6 +336,11 @@
         self.is_leaving = False
         self._server: asyncio.Server | None = None
 
+    @property
+    def n_busy(self) -> int:
+        """Number of connections with a request, or an answer that is not written."""
+        return sum(connection.is_busy for connection in self.connections)
+
     async def start(self, ip: str, port: int) -> None:
         """Listen on an address."""
         loop = asyncio.get_running_loop()
--- a/tests/savoryroute_platform/test_operator_reports.py
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -11,6 +11,7 @@
 from savoryroute.protocol.mesh_frames import FrameKind, MeshAnswer
 from savoryroute.state.event_log import EventLog
 
+from .stand_ins import complete_answer
 from .test_path import PathTest
 
 ROW = ["i-9", "planner", "127.0.0.9", "zone-a", 4, True, 0.0, 1]
@@ -137,5 +138,52 @@
             task.cancel()
 
 
+class PlannedStopTest(PathTest):
+    """During a planned stop requests just accepted were cut off without an answer."""
+
+    async def test_upload_that_is_being_read_is_served(self):
+        stop = asyncio.create_task(self.fleet.nodes[0].stop())
+        await asyncio.sleep(2.4)
+        caller = await self.fleet.caller(0)
+        head = "POST /planner/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: q-up\r\n"
+        caller.writer.write(head.encode() + b"Content-Length: 2000\r\n\r\n")
+        for piece in (b"b" * 1000, b"b" * 999):
+            caller.writer.write(piece)
+            await asyncio.sleep(0.5)
+            # Once it is done the process ends.
+            self.assertFalse(stop.done())
+        caller.writer.write(b"b")
+        self.assertEqual((await caller.read()).status, 200)
+        await asyncio.wait_for(stop, 1.0)
+
+    async def test_answer_that_is_being_written_is_not_cut_off(self):
+        n_bytes = 16 << 20
+
+        async def answer_long(fields, writer, _):
+            body = b"b" * n_bytes
+            writer.write(complete_answer(fields["request-id"].encode(), body))
+            return True
+
+        for planner in self.planners:
+            planner.script.append(answer_long)
+        self.caller.write("/planner/x")
+        stop = asyncio.create_task(self.fleet.nodes[0].stop())
+        await asyncio.sleep(3.2)
+        self.assertFalse(stop.done())
+        answer = await self.caller.read()
+        self.assertEqual((answer.is_complete, len(answer.body)), (True, n_bytes))
+        await asyncio.wait_for(stop, 1.0)
+
+    async def test_answer_to_a_peer_that_is_being_written_is_not_cut_off(self):
+        node = self.fleet.nodes[1]
+        stop = asyncio.create_task(node.stop())
+        link = mock.Mock(has_unwritten=True, is_open=False, peer_ip="")
+        node._accepted_links.add(link)
+        await asyncio.sleep(3.0)
+        self.assertFalse(stop.done())
+        link.has_unwritten = False
+        await asyncio.wait_for(stop, 1.0)
+
+
 if __name__ == "__main__":
     unittest.main()
