upstream connections: not used again after an answer without the request's id

Cause: a late copy of an answer without an id is taken for the answer to the next request on its connection. A copy of a rejection said that an unsafe request had not run while it ran, and it was sent again; a copy of a signed answer reached another caller. Change: a connection whose answer does not echo the id is closed after it. Ruled out: answers without an id as bad ones; rejections and 421 of the stand-ins have none.

--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -243,10 +243,15 @@
             # A second answer to one request: further bytes can't be trusted either.
             self._can_reuse = False
             return
-        if pending.expected_id is not None and self._has_other_id(pending.expected_id):
-            # A late extra answer to an earlier request; the expected one follows.
-            self._can_reuse = False
-            return
+        if pending.expected_id is not None:
+            echoed_id = self._echoed_id()
+            if echoed_id != pending.expected_id:
+                # A late copy of an answer without an id could not be told from the
+                # answer to the next request on this connection.
+                self._can_reuse = False
+                if echoed_id is not None:
+                    # A late copy of an earlier answer; the expected one follows.
+                    return
         self._is_message_open = False
         status = self._parser.get_status_code()
         self._answer = HttpAnswer(status, self._headers, b"".join(self._body))
@@ -267,12 +272,13 @@
         if pending is not None:
             pending.finish(answer)
 
-    def _has_other_id(self, expected_id: bytes) -> bool:
+    def _echoed_id(self) -> bytes | None:
+        """Return the identity in the answer, None if it has none."""
         id_header = self._pool.id_header
         for name, value in self._headers:
             if name == id_header:
-                return value != expected_id
-        return False
+                return value
+        return None
 
     def _fail(self, detail: str) -> None:
         pending = self._pending
--- a/tests/savoryroute_platform/test_operator_reports.py
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -138,6 +138,49 @@
             task.cancel()
 
 
+class LateCopyTest(PathTest):
+    """A second copy of an answer, late, became the answer of the next request."""
+
+    services = ("front", "planner")
+    kinds = {"planner": "unsafe"}
+
+    async def exchange_with_copy(self, first):
+        """Answer a request, send a copy of the answer while the next one runs."""
+        planner = self.planners[0]
+
+        async def answer_twice(fields, writer, _):
+            copy = first.replace(b"ID", fields["request-id"].encode())
+            writer.write(copy)
+            asyncio.get_running_loop().call_later(0.05, writer.write, copy)
+            return True
+
+        async def answer_slowly(fields, writer, full_answer):
+            await asyncio.sleep(0.2)
+            writer.write(full_answer)
+            return True
+
+        planner.script += [answer_twice, answer_slowly]
+        return await self.request(method="POST", body=b"b")
+
+    async def test_copy_of_a_rejection_without_an_id(self):
+        """The copy says that the next request has not run, although it runs."""
+        shed = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        answer = await self.exchange_with_copy(shed)
+        self.assertEqual(answer.status, 200)
+        # The rejected attempt and one more.
+        self.assertEqual(len(self.planners[0].arrivals), 2)
+
+    async def test_copy_of_an_answer(self):
+        for first in (
+            complete_answer(b"ID", b"first"),
+            complete_answer(b"ID", b"first").replace(b"Request-Id: ID\r\n", b""),
+        ):
+            answer = await self.exchange_with_copy(first)
+            self.assertEqual(answer.body, b"first")
+            answer = await self.request(method="POST", body=b"b")
+            self.assertTrue(answer.body.startswith(b"answer to q"))
+
+
 class PlannedStopTest(PathTest):
     """During a planned stop requests just accepted were cut off without an answer."""
 
