tests: silence of a host, restarts, answers that break off

Cause: failures that operators of similar systems reported; none was found here. Change: a run at a host that is silent for a second and leaves the list is neither started elsewhere nor given up; a restarted daemon uses neither a server that left nor a withdrawn key, with the store silent too; answers cut at each byte give a 502.

--- a/tests/savoryroute_platform/test_operator_reports.py
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -8,10 +8,10 @@
 import cbor2
 from savoryroute_platform.program import keep_following
 
-from savoryroute.protocol.mesh_frames import FrameKind, MeshAnswer
+from savoryroute.protocol.mesh_frames import FrameKind, MeshAnswer, ViewRequest
 from savoryroute.state.event_log import EventLog
 
-from .stand_ins import complete_answer
+from .stand_ins import complete_answer, tenant
 from .test_path import PathTest
 
 ROW = ["i-9", "planner", "127.0.0.9", "zone-a", 4, True, 0.0, 1]
@@ -138,6 +138,131 @@
             task.cancel()
 
 
+class SilentHostTest(PathTest):
+    """Work that ran at a silent or slowly reporting machine was started again."""
+
+    services = ("front", "planner", "planner")
+
+    async def test_host_that_is_silent_for_a_second(self):
+        """Neither silence nor a vanished entry ends a run or starts it elsewhere."""
+        for kind in ("safe", "unsafe"):
+            with self.subTest(kind):
+                await self.play(kind)
+
+    async def play(self, kind):
+        fleet = self.fleet
+        version = fleet.nodes[0].synchronizer.table.version + 1
+        fleet.publish(version, kind=kind)
+        await fleet.wait_until(
+            lambda: fleet.nodes[0].synchronizer.table.version == version
+        )
+        for planner in self.planners:
+            planner.delay_s = 0.2
+            planner.runs.clear()
+        self.caller.write("/planner/x", method="POST", body=b"b")
+        await fleet.wait_until(lambda: self.n_runs == 1)
+        index = 1 if self.planners[0].runs else 2
+        link = fleet.nodes[0]._links._links[fleet.ip(index)]
+        link.connection._transport.pause_reading()
+        fleet.store.remove(f"servers/i-{index}")
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.n_runs, 1)
+        link.connection._transport.resume_reading()
+        answer = await self.caller.read()
+        self.assertEqual((answer.status, self.n_runs), (200, 1))
+        fleet.list_instance(index)
+        await fleet.wait_until(lambda: all(map(fleet.is_synchronized, fleet.nodes)))
+
+
+class RestartTest(PathTest):
+    """After a restart a server that had left, or a withdrawn key, was in use again."""
+
+    async def test_server_that_left_and_withdrawn_key(self):
+        fleet = self.fleet
+        headers = {"Authorization": "Token old"}
+        fleet.members = {"tenants": [tenant("first", "old", "new")]}
+        fleet.publish(2)
+        await fleet.wait_until(
+            lambda: all(n.synchronizer.table.version == 2 for n in fleet.nodes)
+        )
+        self.assertEqual((await self.request(headers=headers)).status, 200)
+        fleet.members = {"tenants": [tenant("first", "new")]}
+        fleet.publish(3)
+        fleet.store.remove("servers/i-1")
+        await fleet.wait_until(lambda: all(map(fleet.is_synchronized, fleet.nodes)))
+        n_before = len(self.planners[0].runs)
+        for is_store_silent in (False, True):
+            with self.subTest(is_store_silent):
+                # With a silent store routes and list come from peers.
+                fleet.store.is_silent = is_store_silent
+                await fleet.restart_node(0)
+                caller = await fleet.caller(0)
+                answer = await caller.request("/planner/x", headers=headers)
+                self.assertEqual(answer.status, 401)
+                for _ in range(8):
+                    answer = await caller.request(
+                        "/planner/x", headers={"Authorization": "Token new"}
+                    )
+                    self.assertEqual(answer.status, 200)
+                self.assertEqual(len(self.planners[0].runs), n_before)
+
+    async def test_peer_with_older_routes_and_list(self):
+        """A peer that lags does not bring back what this daemon saw removed."""
+        node, peer = (n.synchronizer for n in self.fleet.nodes[:2])
+        lagging = peer.update_for(ViewRequest(-1, 0))
+        self.fleet.publish(5)
+        self.fleet.store.remove("servers/i-2")
+        await self.fleet.wait_until(
+            lambda: node.table.version == 5 and len(node.view.instances) == 2
+        )
+        node.merge_update(self.fleet.ip(1), lagging)
+        self.assertEqual((node.table.version, len(node.view.instances)), (5, 2))
+
+
+class BrokenOffAnswerTest(PathTest):
+    """An answer that broke off halfway reached the caller as a complete success."""
+
+    services = ("front", "planner")
+    kinds = {"planner": "unsafe"}
+
+    async def test_answers_that_end_early_at_each_byte(self):
+        full = complete_answer(b"ID", b"x" * 20)
+        chunked = full.replace(b"Content-Length: 20", b"Transfer-Encoding: chunked")
+        chunked = chunked.replace(b"x" * 20, b"a\r\n" + b"x" * 10 + b"\r\n")
+        for whole in (full, chunked + b"a\r\n" + b"y" * 10 + b"\r\n0\r\n\r\n"):
+            # In the head a step of five bytes, to keep the number of cases low.
+            ends = {*range(0, len(whole) - 45, 5), *range(len(whole) - 45, len(whole))}
+            for end in sorted(ends):
+
+                async def break_off(fields, writer, _, end=end, whole=whole):
+                    request_id = fields["request-id"].encode()
+                    writer.write(whole.replace(b"ID", request_id)[: -len(whole) + end])
+                    return False
+
+                self.planners[0].script.append(break_off)
+                answer = await self.request(method="POST", body=b"b")
+                self.assertEqual(answer.status, 502, whole[:end])
+
+    async def test_daemon_that_ends_while_it_answers(self):
+        """The caller can tell that the answer is not complete."""
+
+        async def answer_long(fields, writer, _):
+            body = b"b" * (16 << 20)
+            writer.write(complete_answer(fields["request-id"].encode(), body))
+            return True
+
+        self.planners[0].script.append(answer_long)
+        self.caller.write("/planner/x")
+        callers = self.fleet.nodes[0]._callers
+        await self.fleet.wait_until(lambda: not callers.n_open and callers.n_busy)
+        callers.abort()
+        try:
+            answer = await self.caller.read()
+        except ConnectionError:
+            return
+        self.assertFalse(answer.is_complete)
+
+
 class LateCopyTest(PathTest):
     """A second copy of an answer, late, became the answer of the next request."""
 
