--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -118,8 +118,8 @@
     Mutation(
         "mesh uploads: the deadline counts from the last byte",
         "coordination/first_hop.py",
-        "request.begun_s + time_left_s,",
-        "request.read_s + time_left_s,",
+        "return request.begun_s + time_left_s",
+        "return request.read_s + time_left_s",
         "tests.savoryroute_platform.test_uploads.SlowCallerTest",
     ),
     Mutation(
@@ -262,4 +262,34 @@
         "",
         "tests.savoryroute_platform.test_callers_of_organisations.FailureTableTest",
     ),
+    Mutation(
+        "mesh frames: items of any type are kept",
+        "protocol/frame_fields.py",
+        "        if found not in allowed:",
+        "        if False:",
+        "tests.savoryroute_platform.test_operator_reports.MalformedMessageTest",
+    ),
+    Mutation(
+        "mesh frames: one failing check ends the others",
+        "coordination/mesh_node.py",
+        "                except Exception as error:",
+        "                except OSError as error:",
+        "tests.savoryroute_platform.test_operator_reports.MalformedMessageTest",
+    ),
+    Mutation(
+        "mesh stop: a request that is being read is cut off",
+        "transport/http_server.py",
+        "or (self._is_message_open and not self._is_closing)",
+        "or False",
+        "tests.savoryroute_platform.test_operator_reports.PlannedStopTest",
+    ),
+    Mutation(
+        "mesh answers: a connection is used again after an answer without an id",
+        "transport/http_client.py",
+        "                self._can_reuse = False\n"
+        "                if echoed_id is not None:",
+        "                if echoed_id is not None:\n"
+        "                    self._can_reuse = False",
+        "tests.savoryroute_platform.test_operator_reports.LateCopyTest",
+    ),
 ]
