--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -5,15 +5,17 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 from ..protocol.header_names import HeaderNames
-from ..protocol.mesh_frames import FrameKind, ViewRequest, ViewUpdate
+from ..protocol.mesh_frames import FrameKind, MeshCall, ViewRequest, ViewUpdate
 from ..state.body_budget import BodyBudget
 from ..state.event_log import EventLog
 from ..state.fleet_view import FleetView, Instance
 from ..state.mesh_settings import MeshSettings
 from ..state.metrics import Metrics
+from ..state.organisations import Organisations
 from ..state.quarantine import Quarantine
 from ..state.revision import era_of, revision_in_era
 from ..state.route_table import CallerLimits, RouteTable
@@ -27,6 +29,7 @@
 from .first_hop import FirstHop
 from .instance_selector import InstanceSelector
 from .local_upstream import LocalUpstream
+from .organisation_counters import OrganisationCounters
 from .peer_calls import PeerCalls
 from .peer_links import PeerLinks
 from .peer_polls import LINKS_MIN, PeerPolls
@@ -135,10 +138,15 @@
         )
         self._links = PeerLinks(settings.links.port, log, self._on_control_frame)
         self._metrics = Metrics(self._gauges)
+        self._organisations: Organisations | None = None
+        self._organisation_counters = OrganisationCounters()
 
         def table() -> RouteTable | None:
             return self._synchronizer.table
 
+        def proof_age_s() -> float:
+            return self._synchronizer.proof_age_s
+
         self._first_hop = FirstHop(
             settings.service,
             settings.callers.ip,
@@ -150,8 +158,17 @@
             self._upstream,
             ActionThrottle(time.monotonic, self._rng),
             self._quarantine,
-            RequestRecords(log, self._metrics, table, self._synchronizer.view),
+            RequestRecords(
+                log,
+                self._metrics,
+                table,
+                self._synchronizer.view,
+                self._organisation_counters,
+                proof_age_s,
+            ),
             self._rng,
+            proof_age_s,
+            settings.revocation_s,
         )
         self._callers = CallersListener(
             self._first_hop.handle, self._limits, self._on_bad_request, self._bodies
@@ -205,15 +222,20 @@
             # A request accepted later could be aborted at the end of the grace period.
             self._callers.stop_listening()
             self._callers.sweep(LEAVE_IDLE_S)
-            if not self._callers.n_open and not self._upstream.n_open:
+            if not self._n_unfinished():
                 break
         self._log.change(
             "stopped",
             seconds=round(time.monotonic() - started_s, 3),
-            n_cut=self._callers.n_open + self._upstream.n_open,
+            n_cut=self._n_unfinished(),
         )
         await self.close()
 
+    def _n_unfinished(self) -> int:
+        """Return how many requests and answers the end of the process would cut off."""
+        n_links = sum(link.has_unwritten for link in self._accepted_links)
+        return self._callers.n_busy + self._upstream.n_open + n_links
+
     async def close(self) -> None:
         """Stop at once; requests in flight are aborted."""
         if self._sweeper is not None:
@@ -233,16 +255,26 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             n_ticks += 1
-            self._upstream.sweep()
-            self._peer_calls.sweep()
-            self._links.sweep()
-            self._log.flush()
+            steps: list[Callable[[], object]] = [
+                self._upstream.sweep,
+                self._peer_calls.sweep,
+                self._links.sweep,
+                self._log.flush,
+                self._poll_peers,
+            ]
             if n_ticks % 5 == 0:
-                self._callers.sweep()
-                self._readiness.sweep()
-                self._metrics_listener.sweep()
-                self._synchronizer.expire()
-            self._poll_peers()
+                steps += [
+                    self._callers.sweep,
+                    self._readiness.sweep,
+                    self._metrics_listener.sweep,
+                    self._synchronizer.expire,
+                ]
+            for step in steps:
+                try:
+                    step()
+                except Exception as error:
+                    # One failing check must not end the others, for good.
+                    self._log.request("check_failed", "", error=repr(error)[:200])
 
     def _poll_peers(self) -> None:
         """Request from peers what is newer than here, when a poll is due."""
@@ -292,6 +324,7 @@
         settings = self._settings
         view: FleetView = self._synchronizer.view
         ips = {instance.ip for instance in view.instances.values()}
+        self._refuse_dropped_organisations()
         self._links.keep_only(ips)
         self._selector.keep_only(view.instances)
         local = view.instance_at(settings.callers.ip)
@@ -314,6 +347,27 @@
             self._upstream.leave()
         self._log.change("own_upstream", is_taking_calls=is_taking)
 
+    def _refuse_dropped_organisations(self) -> None:
+        """Refuse waiting requests of organisations that the configuration dropped."""
+        table = self._synchronizer.table
+        former = self._organisations
+        current = self._organisations = None if table is None else table.organisations
+        if former is None or current is None or current is former:
+            return
+        self._organisation_counters.keep_only(current.names)
+        dropped = former.names - current.names
+        if not dropped:
+            return
+        self._log.change("organisations_dropped", n_organisations=len(dropped))
+        routes = [route for routes in table.routes.values() for route in routes]
+        public = {route.name for route in routes if route.is_public}
+
+        def is_dropped(call: MeshCall) -> bool:
+            return call.organisation in dropped and call.route not in public
+
+        self._first_hop.refuse_waiting(dropped)
+        self._upstream.refuse_waiting(is_dropped)
+
     def _slack_part(self, local: Instance | None) -> int:
         """Return the part of the retry budget's slack for the local upstream."""
         if local is None:
@@ -365,6 +419,7 @@
             "log_lines_left_out": self._log.n_left_out,
         }
         gauges.update(self._first_hop.gauges())
+        gauges.update(self._organisation_counters.gauges())
         return gauges
 
     # Links that peers opened.
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -151,6 +151,15 @@
         link.connection.send([FrameKind.CANCEL.value, call.id])
         return not is_incomplete
 
+    def is_unsent(self, ip: str, call: MeshCall) -> bool:
+        """Return whether a part of a call in progress has not been sent."""
+        if any(item.call is call for item in self._queued.get(ip, [])):
+            return True
+        link = self._links.get(ip)
+        if link is None or call.id not in link.pending:
+            return False
+        return link.bodies.is_unsent(call.id)
+
     def dial(self, ip: str) -> None:
         """Start to open a link to a host unless that is already under way."""
         if ip in self._dialling:
@@ -241,10 +250,12 @@
             link = self._links.get(connection.peer_ip)
             if link is None or link.connection is not connection:
                 return
-            on_answer = link.pending.pop(frame[1], None)
-            link.bodies.stop(frame[1])
+            # Read first: a call whose answer cannot be read ends with its link.
+            answer = MeshAnswer.from_frame(frame)
+            on_answer = link.pending.pop(answer.id, None)
+            link.bodies.stop(answer.id)
             if on_answer is not None:
-                on_answer(MeshAnswer.from_frame(frame))
+                on_answer(answer)
         elif frame[0] == FrameKind.PING:
             connection.send([FrameKind.PONG.value])
         elif frame[0] != FrameKind.PONG:
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -193,11 +193,11 @@
             source: Published text of the routes.
             sent_s: Time from ``ConfigurationProof.start_read``.
         """
-        version = self.merge_routes(source, "platform")
-        if version is None:
+        if self.merge_routes(source, "platform") is None:
             self._proof.record_failure("the platform's routes cannot be read")
             return False
-        return self._proof.record_read(sent_s, version)
+        self._proof.record_read(sent_s)
+        return True
 
     def merge_list(self, revision: int, instances: dict[str, Instance]) -> None:
         """Replace the instances by the full list read from the platform."""
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -12,7 +12,9 @@
 
 import attrs
 
+from ..state.fleet_view import Instance
 from ..verdict import Reason, Verdict
+from .frame_fields import check_fields
 
 __all__ = [
     "AttemptKind",
@@ -139,9 +141,12 @@
         """Return the call in a frame, and the body that is in the frame.
 
         Raises:
-            TypeError: The frame has a wrong number of items.
-            ValueError: The kind of the attempt is not known.
+            TypeError: An item has a wrong type.
+            ValueError: The number of items is wrong, or an item is out of range.
         """
+        check_fields(cls, frame[1:-1])
+        if type(frame[-1]) is not bytes:
+            raise TypeError("the body of a call is not a byte string")
         call = cls(*frame[1:-1])
         call.kind = AttemptKind(call.kind)
         return call, frame[-1]
@@ -214,10 +219,11 @@
         """Return the answer in a frame.
 
         Raises:
-            TypeError: The frame has a wrong number of items.
-            ValueError: The reason is not known.
+            TypeError: An item has a wrong type.
+            ValueError: The number of items is wrong, or an item is out of range.
             IndexError: The number of the verdict is not known.
         """
+        check_fields(cls, frame[1:])
         answer = cls(*frame[1:])
         answer.verdict = _VERDICTS[frame[2]]
         answer.reason = None if frame[3] is None else Reason(frame[3])
@@ -249,9 +255,14 @@
         """Return the request in a frame.
 
         Raises:
-            TypeError: The frame has a wrong number of items.
+            TypeError: An item has a wrong type.
+            ValueError: The number of items is wrong, or an item is out of range.
         """
-        return cls(*frame[1:])
+        check_fields(cls, frame[1:], n_optional=1)
+        request = cls(*frame[1:])
+        if len(frame) > 3 and request.number < 1:
+            raise ValueError("the number of a poll is below 1")
+        return request
 
 
 @attrs.frozen
@@ -298,6 +309,13 @@
         """Return the update in a frame.
 
         Raises:
-            TypeError: The frame has a wrong number of items.
+            TypeError: An item has a wrong type.
+            ValueError: The number of items is wrong, or an item is out of range.
         """
-        return cls(*frame[1:])
+        check_fields(cls, frame[1:], n_optional=N_PROOF_FIELDS)
+        update = cls(*frame[1:])
+        for row in update.instances:
+            check_fields(Instance, row)
+        if any(type(id_) is not str for id_ in update.removed):
+            raise TypeError("the identity of a removed instance is not a text")
+        return update
--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -67,6 +67,13 @@
         """Whether little enough data waits to be written that more should be added."""
         return self.is_open and not self._is_write_paused
 
+    @property
+    def has_unwritten(self) -> bool:
+        """Whether a part of what was sent waits to be written."""
+        return (
+            self._transport is not None and self._transport.get_write_buffer_size() > 0
+        )
+
     def send(self, frame: list[Any]) -> None:
         """Send one frame; it is dropped if the connection is closed."""
         if self._transport is None or self._transport.is_closing():
@@ -125,7 +132,8 @@
                 if not isinstance(frame, list) or not frame:
                     raise ValueError("frame is not a non-empty array")
                 self._on_frame(self, frame)
-        except (ValueError, TypeError, IndexError, cbor2.CBORError) as error:
+        except Exception as error:
+            # Whatever a frame causes must not reach the event loop or other links.
             self._on_bad_frame(f"{self.peer_ip}: {error!r:.200}")
             self.abort()
             return
