throttle: refuse requests of the organisations that send most

Cause: a first hop refused the same part of every organisation's requests. Change: with an organisation, a request is admitted with the probability of a common level over the organisation's requests of the last second at this hop. The level is the one at which the last 32 requests would have been admitted in the route's share, so coarse counts do not change the total. No probability is below a quarter of the share. The refusal's detail names the organisation, its share and the share of all. Ruled out: the level by max-min over the counts themselves, as each request counts itself and the counts at arrival are larger than on average, so too few would be admitted.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -126,10 +126,10 @@
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
         if forwarded.parent is None and not self._throttle.admits(
-            route.name, route.rank
+            route.name, route.rank, forwarded.call.organisation
         ):
-            detail = (
-                "too many requests of this route fail for lack of downstream capacity"
+            detail = self._throttle.refusal_detail(
+                route.name, forwarded.call.organisation
             )
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
--- a/packages/savoryroute/savoryroute/coordination/throttle.py
+++ b/packages/savoryroute/savoryroute/coordination/throttle.py
@@ -7,6 +7,9 @@
 the number of slots. Routes with a lower priority are throttled at a lower load,
 so that those with a higher priority find capacity.
 
+The refused requests of organisations are those of the ones that send most
+(``fair_share``).
+
 Sources: overload control of DAGOR (Zhou and others, Overload Control for Scaling
 WeChat Microservices, 2018) for refusing at the first hop by downstream load;
 additive increase, multiplicative decrease after Chiu and Jain (1989).
@@ -19,6 +22,7 @@
 
 import attrs
 
+from .fair_share import MaxMinShares
 from .rank_table import value_for_rank
 
 __all__ = ["ActionThrottle"]
@@ -55,6 +59,7 @@
     n_ended: int = 0
     n_load_failures: int = 0
     pressure_sum: float = 0.0
+    organisations: MaxMinShares | None = None
 
     def adjust(self, now_s: float, rank: float) -> None:
         """Set the admitted share by the window's outcomes and begin the next window."""
@@ -103,12 +108,14 @@
         """Admitted share by route."""
         return {route: state.share for route, state in self._states.items()}
 
-    def admits(self, route: str, rank: float) -> bool:
+    def admits(self, route: str, rank: float, organisation: str = "") -> bool:
         """Return whether a request is admitted.
 
         Args:
             route: Name of its route.
-            rank: Rank of the route, 0 the highest priority.
+            rank: Rank of the request, 0 the highest priority.
+            organisation: Name of the organisation that sent it, or an empty string.
+                Requests without one are admitted by the share of the route alone.
         """
         now_s = self._clock()
         state = self._states.get(route)
@@ -116,7 +123,27 @@
             state = self._states[route] = _RouteState(now_s)
         if now_s - state.since_s >= WINDOW_S:
             state.adjust(now_s, rank)
-        return state.share >= 1.0 or self._rng.random() < state.share
+        share = state.share
+        if organisation:
+            if state.organisations is None:
+                state.organisations = MaxMinShares(self._clock)
+            # Counted even if nothing is refused, so that the first refusals are right.
+            n_requests = state.organisations.note_request(organisation)
+            if share < 1.0:
+                share = state.organisations.share_for(n_requests, share)
+        return share >= 1.0 or self._rng.random() < share
+
+    def refusal_detail(self, route: str, organisation: str) -> str:
+        """Return why a request was refused, as one sentence for a person."""
+        detail = "too many requests of this route fail for lack of downstream capacity"
+        state = self._states.get(route)
+        if not organisation or state is None or state.organisations is None:
+            return detail
+        share = state.organisations.share_of(organisation, state.share)
+        return (
+            f"{detail}: admitted are {state.share:.2f} of all requests here"
+            f" and {share:.2f} of those of {organisation}"
+        )
 
     def note_end(self, route: str, pressure: float, is_load_failure: bool) -> None:
         """Record how an admitted request ended.
