--- a/tests/load_replay.py
+++ b/tests/load_replay.py
@@ -10,6 +10,9 @@
 
 from .virtual_time import VirtualTime
 
+# Time in seconds from a refusal to the repeat of a caller that repeats at once.
+REPEAT_DELAY_S = 0.001
+
 
 @attrs.define
 class ReplayedCall:
@@ -21,8 +24,10 @@
         rank: Priority, 0 is the highest.
         target_s: Target latency in seconds.
         timeout_s: Timeout in seconds; a later answer has no value.
+        organisation: Name of the organisation, or an empty string.
+        n_repeats: Times that its caller repeats it at once after a refusal.
         ended_s: Time of the answer, None if the call was refused.
-        refused_s: Time of the refusal, None if the call was not refused.
+        refused_s: Time of the last refusal, None if the call was not refused.
     """
 
     at_s: float
@@ -30,6 +35,8 @@
     rank: int
     target_s: float
     timeout_s: float
+    organisation: str = ""
+    n_repeats: int = 0
     ended_s: float | None = None
     refused_s: float | None = None
 
@@ -67,6 +74,7 @@
             call.target_s * self._queue_timeout_share,
             lambda: self._time.after(call.work_s, lambda: self._end(call)),
             lambda reason: self._refuse(call),
+            organisation=call.organisation,
         )
         if self.queue.offer(queued_call) is not None:
             self._refuse(call)
@@ -81,6 +89,9 @@
         call.refused_s = self._time.now_s()
         if self.queue.n_running < self.queue.slots and not self.queue.n_waiting:
             self.n_refused_while_free += 1
+        if call.n_repeats:
+            call.n_repeats -= 1
+            self._time.after(REPEAT_DELAY_S, lambda: self._arrive(call))
 
 
 def draw_calls(
