throttle: each rank of a route has its own share

Cause: with organisations, requests of one route have different ranks, and the load that upstreams report counts calls of the same rank or a better one. One share for the route would refuse organisations of a better rank for the load of a lower one. Change: with an organisation, shares are kept by route and rank; admits and note_end get the rank of the request. The metric shows the least share of a route. Four mutations. Ruled out: the share of the worst rank for all, as rank 0 then pays for rank 2.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -125,11 +125,12 @@
             detail = "no memory for the body: other bodies take up too much"
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
+        call = forwarded.call
         if forwarded.parent is None and not self._throttle.admits(
-            route.name, route.rank, forwarded.call.organisation
+            route.name, call.rank, call.organisation
         ):
             detail = self._throttle.refusal_detail(
-                route.name, forwarded.call.organisation
+                route.name, call.rank, call.organisation
             )
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
@@ -348,7 +349,10 @@
             )
         else:
             pressure = 0.0 if answer is None else answer.pressure
-            self._throttle.note_end(forwarded.route.name, pressure, is_load_failure)
+            call = forwarded.call
+            self._throttle.note_end(
+                call.route, pressure, is_load_failure, call.rank, call.organisation
+            )
 
     def _answer_problem(
         self,
--- a/packages/savoryroute/savoryroute/coordination/throttle.py
+++ b/packages/savoryroute/savoryroute/coordination/throttle.py
@@ -49,6 +49,9 @@
 # Share that is always admitted, to detect when the overload has ended.
 ADMITTED_SHARE_MIN = 0.05
 
+# Route, and rank of the requests with an organisation.
+_Key = tuple[str, float | None]
+
 
 @attrs.define(slots=True)
 class _RouteState:
@@ -93,6 +96,9 @@
 class ActionThrottle:
     """Throttles the requests of one first hop by route.
 
+    With organisations, requests of one route have several ranks. Each rank has its own
+    share, as the load that counts for it differs.
+
     Args:
         clock: Monotonic clock in seconds.
         rng: Source of randomness for the choice of refused requests.
@@ -101,12 +107,15 @@
     def __init__(self, clock: Callable[[], float], rng: random.Random) -> None:
         self._clock = clock
         self._rng = rng
-        self._states: dict[str, _RouteState] = {}
+        self._states: dict[_Key, _RouteState] = {}
 
     @property
     def shares(self) -> dict[str, float]:
-        """Admitted share by route."""
-        return {route: state.share for route, state in self._states.items()}
+        """Admitted share by route, the least of its ranks."""
+        shares: dict[str, float] = {}
+        for (route, _), state in self._states.items():
+            shares[route] = min(state.share, shares.get(route, 1.0))
+        return shares
 
     def admits(self, route: str, rank: float, organisation: str = "") -> bool:
         """Return whether a request is admitted.
@@ -118,9 +127,10 @@
                 Requests without one are admitted by the share of the route alone.
         """
         now_s = self._clock()
-        state = self._states.get(route)
+        key = _key(route, rank, organisation)
+        state = self._states.get(key)
         if state is None:
-            state = self._states[route] = _RouteState(now_s)
+            state = self._states[key] = _RouteState(now_s)
         if now_s - state.since_s >= WINDOW_S:
             state.adjust(now_s, rank)
         share = state.share
@@ -133,19 +143,26 @@
                 share = state.organisations.share_for(n_requests, share)
         return share >= 1.0 or self._rng.random() < share
 
-    def refusal_detail(self, route: str, organisation: str) -> str:
+    def refusal_detail(self, route: str, rank: float, organisation: str) -> str:
         """Return why a request was refused, as one sentence for a person."""
         detail = "too many requests of this route fail for lack of downstream capacity"
-        state = self._states.get(route)
+        state = self._states.get(_key(route, rank, organisation))
         if not organisation or state is None or state.organisations is None:
             return detail
         share = state.organisations.share_of(organisation, state.share)
         return (
-            f"{detail}: admitted are {state.share:.2f} of all requests here"
-            f" and {share:.2f} of those of {organisation}"
+            f"{detail}: admitted are {state.share:.2f} of all requests"
+            f" of this rank here and {share:.2f} of those of {organisation}"
         )
 
-    def note_end(self, route: str, pressure: float, is_load_failure: bool) -> None:
+    def note_end(
+        self,
+        route: str,
+        pressure: float,
+        is_load_failure: bool,
+        rank: float = 0.0,
+        organisation: str = "",
+    ) -> None:
         """Record how an admitted request ended.
 
         Args:
@@ -153,9 +170,15 @@
             pressure: Load of the fullest call queue on its path, calls over slots.
             is_load_failure: Whether an upstream or a daemon refused it or one of its
                 calls for load. It counts against the route if a queue was full.
+            rank: Rank of the request.
+            organisation: Name of its organisation, or an empty string.
         """
-        state = self._states.get(route)
+        state = self._states.get(_key(route, rank, organisation))
         if state is not None:
             state.n_ended += 1
             state.n_load_failures += is_load_failure and pressure >= FULL_PRESSURE
             state.pressure_sum += pressure
+
+
+def _key(route: str, rank: float, organisation: str) -> _Key:
+    return route, rank if organisation else None
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -7,6 +7,7 @@
 __all__ = ["MESH_MUTATIONS"]
 
 
+FAIR_SHARE = "tests.savoryroute.coordination.test_fair_share"
 REPEAT_BUDGET = "tests.savoryroute.coordination.test_repeat_budget"
 
 MESH_MUTATIONS = [
@@ -227,6 +228,34 @@
         "is_load_failure",
         "tests.savoryroute.coordination.test_shed_chains",
     ),
+    Mutation(
+        "mesh shares: calls of one rank start in order of arrival",
+        "coordination/call_queue.py",
+        "call.order = (call.rank, call.tag.start_s, self._n_arrivals)",
+        "call.order = (call.rank, 0.0, self._n_arrivals)",
+        f"{FAIR_SHARE}.StartOrderTest",
+    ),
+    Mutation(
+        "mesh shares: an organisation is charged for calls that were refused",
+        "coordination/fair_share.py",
+        "flow.finish_s = flow.started_finish_s",
+        "pass",
+        f"{FAIR_SHARE}.StartOrderTest",
+    ),
+    Mutation(
+        "mesh shares: the throttle refuses all organisations alike",
+        "coordination/throttle.py",
+        "share = state.organisations.share_for(n_requests, share)",
+        "pass",
+        f"{FAIR_SHARE}.ThrottleReplayTest",
+    ),
+    Mutation(
+        "mesh shares: the largest organisation gets no more than an equal share",
+        "coordination/fair_share.py",
+        "work_s *= FLOOR_CHARGE",
+        "pass",
+        f"{FAIR_SHARE}.QueueReplayTest",
+    ),
     Mutation(
         "mesh routes: a route that cannot be read gets a 404",
         "coordination/first_hop.py",
