--- a/packages/savoryroute/savoryroute/coordination/call_queue.py
+++ b/packages/savoryroute/savoryroute/coordination/call_queue.py
@@ -130,6 +130,10 @@
         n_ahead = bisect.bisect(self._waiting, (rank, math.inf), key=_order)
         return (self._n_running + n_ahead) / self.usable_slots
 
+    def n_waiting_of(self, rank: float, organisation: str) -> int:
+        """Return the waiting calls of an organisation in a rank."""
+        return self._tags.n_waiting(rank, organisation)
+
     def usual_s(self, group: str) -> float:
         """Return the usual service time of a group in seconds, 0 if unknown."""
         return self._group_s.get(group, 0.0)
--- a/packages/savoryroute/savoryroute/coordination/fair_share.py
+++ b/packages/savoryroute/savoryroute/coordination/fair_share.py
@@ -123,6 +123,12 @@
         """Whether calls were removed and ``retag`` is due."""
         return bool(self._gaps)
 
+    def n_waiting(self, rank: float, organisation: str) -> int:
+        """Return the waiting calls of an organisation in a rank."""
+        tags = self._ranks.get(rank)
+        flow = None if tags is None else tags.flows.get(organisation)
+        return 0 if flow is None else flow.n_waiting
+
     def next_tag(self, rank: float, organisation: str, work_s: float) -> Tag:
         """Return the tag of a call that is offered now and may have to wait.
 
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -185,6 +185,7 @@
                 f"{self._queue.n_running} calls run and {self._queue.n_waiting} wait"
                 f" for {self._queue.slots} slots,"
                 f" held for {self._queue.mean_s * 1000:.0f} ms each on average"
+                f"{self._waiting_text(call)}"
             )
             self._refuse(local, reason, detail)
         return local
@@ -225,11 +226,21 @@
 
     def _refuse_waiting(self, local: LocalCall, reason: Reason) -> None:
         """Refuse a call whose wait has ended without a slot."""
-        detail = "waited too long for a slot"
+        detail = f"waited too long for a slot{self._waiting_text(local.call)}"
         if reason is Reason.RETRY_BUDGET:
             detail = _NO_REPEAT_LEFT
         self._refuse(local, reason, detail)
 
+    def _waiting_text(self, call: MeshCall) -> str:
+        """Return how many calls of the organisation wait, empty without one."""
+        if not call.organisation:
+            return ""
+        n_waiting = self._queue.n_waiting_of(call.rank, call.organisation)
+        return (
+            f"; {n_waiting} of {self._queue.n_waiting} waiting calls are of"
+            f" {call.organisation} in this rank"
+        )
+
     def _start(self, local: LocalCall) -> None:
         """Send a call that got a slot."""
         call = local.call
--- a/tests/savoryroute/coordination/test_fair_share.py
+++ b/tests/savoryroute/coordination/test_fair_share.py
@@ -113,6 +113,7 @@
         while not self.queue.offer(self.hot_call()):
             pass
         n_hot = self.queue.n_waiting
+        self.assertEqual(self.queue.n_waiting_of(1, "hot"), n_hot)
         self.offer("a", queue_timeout_s=0.5)
         self.assertEqual(self.queue.n_waiting, n_hot + 1)
         self.finish(2)
