--- a/tests/savoryroute/coordination/test_fair_share.py
+++ b/tests/savoryroute/coordination/test_fair_share.py
@@ -11,7 +11,19 @@
 from savoryroute.coordination.fair_share import MaxMinShares
 from savoryroute.coordination.throttle import ActionThrottle
 from savoryroute.verdict import Reason
-from tests.share_replay import HOP_PER_S, Outcome, play_hops, play_queue
+from tests.share_replay import (
+    HOP_PER_S,
+    SLOTS,
+    WORK_S,
+    Outcome,
+    draw_organisations,
+    max_min,
+    play_hops,
+    play_queue,
+    rates,
+    replay_at_queue,
+    served_share,
+)
 
 
 class QueueCase(unittest.TestCase):
@@ -259,6 +271,25 @@
                         self.assertGreater(after.others, before.others + 0.1)
                         self.assertGreater(after.n_served, 0.99 * before.n_served)
 
+    def test_hot_organisation_is_served_again_once_it_sends_its_usual(self):
+        """Guards against a debt after 3 s at 7.5 times the usual."""
+        rng = random.Random(3)
+        usual = rates(0.9 * SLOTS / WORK_S, 2, 1.0)
+        extra = {"o2": 6.5 * usual["o2"]}
+        calls = draw_organisations(rng, usual, 8.0, WORK_S)
+        calls += draw_organisations(rng, extra, 3.0, WORK_S, start_s=2.0)
+        calls.sort(key=lambda call: call.at_s)
+        replay_at_queue(calls, True)
+        for name, least in (("o2", 0.99), ("o5", 0.99), ("o40", 0.99)):
+            after = [c for c in calls if c.organisation == name and c.at_s > 5.2]
+            self.assertGreater(served_share(after), least, name)
+        during = [c for c in calls if 2.0 <= c.at_s < 5.0 and c.organisation != "o2"]
+        demands = {**usual, "o2": 7.5 * usual["o2"]}
+        served = max_min(demands, SLOTS / WORK_S)
+        del demands["o2"], served["o2"]
+        oracle = sum(served.values()) / sum(demands.values())
+        self.assertGreater(served_share(during), oracle - 0.01)
+
     def test_no_organisation_is_served_less_than_a_quarter_as_often_as_all(self):
         """Guards the largest organisation, whose usual load is many equal shares."""
         for n_repeats in (0, 3):
--- a/tests/share_replay.py
+++ b/tests/share_replay.py
@@ -26,6 +26,7 @@
     "play_hops",
     "play_queue",
     "rates",
+    "replay_at_queue",
     "served_share",
 ]
 
@@ -159,6 +160,12 @@
     calls = draw_organisations(
         random.Random(seed), per_s, SECONDS, WORK_S, n_repeats=n_repeats
     )
+    replay_at_queue(calls, is_shared)
+    return Outcome.of(calls, hot)
+
+
+def replay_at_queue(calls: list[ReplayedCall], is_shared: bool) -> None:
+    """Replay calls at one queue, which knows their organisations or not."""
     names = [call.organisation for call in calls]
     if not is_shared:
         for call in calls:
@@ -166,7 +173,6 @@
     QueueReplay(SLOTS, QUEUE_TIMEOUT_S).play(calls)
     for call, name in zip(calls, names, strict=True):
         call.organisation = name
-    return Outcome.of(calls, hot)
 
 
 class HopsReplay:
