shares: pass the organisation by keyword

Cause: the uneven upstreams add an argument of QueuedCall in the same place. Change: the organisation is passed by keyword, the mean service time by its property. Measured: test_fair_share, test_local_upstream and test_call_queue 36 passed.

--- a/packages/savoryroute/savoryroute/coordination/call_queue.py
+++ b/packages/savoryroute/savoryroute/coordination/call_queue.py
@@ -156,7 +156,7 @@
         slack_s = call.deadline_s - now_s - self.usual_s(call.group)
         max_wait_s = min(call.queue_timeout_s, slack_s)
         self._n_arrivals += 1
-        work_s = self.usual_s(call.group) or self._mean_s
+        work_s = self.usual_s(call.group) or self.mean_s
         call.tag = self._tags.next_tag(call.rank, call.organisation, work_s)
         call.order = (call.rank, call.tag.start_s, self._n_arrivals)
         n_ahead = bisect.bisect(self._waiting, call.order, key=_order)
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -175,7 +175,7 @@
             lambda: self._start(local),
             lambda reason: self._refuse_waiting(local, reason),
             lambda: self._admit(call),
-            call.organisation,
+            organisation=call.organisation,
         )
         reason = self._queue.offer(local.queued_call)
         if reason is Reason.RETRY_BUDGET:
--- a/tests/savoryroute/coordination/test_fair_share.py
+++ b/tests/savoryroute/coordination/test_fair_share.py
@@ -178,8 +178,7 @@
                 1e9,
                 start,
                 lambda _: None,
-                lambda: None,
-                str(number),
+                organisation=str(number),
             )
             waiting[number].append(call)
             self.assertIsNone(queue.offer(call))
@@ -386,7 +385,7 @@
         for number in range(1001):
             self.offer(f"o{number % 300}", queue_timeout_s=1e6)
         calls = [
-            QueuedCall(1, "r", 1e9, 1e6, int, int, lambda: None, f"o{number % 300}")
+            QueuedCall(1, "r", 1e9, 1e6, int, int, organisation=f"o{number % 300}")
             for number in range(500)
         ]
         self.assert_cheap(lambda number: self.queue.offer(calls[number]), 100)
