--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -147,11 +147,12 @@
             detail = "no memory for the body: other bodies take up too much"
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
+        call = forwarded.call
         if forwarded.parent is None and not self._throttle.admits(
-            route.name, forwarded.call.rank
+            route.name, call.rank, call.organisation
         ):
-            detail = (
-                "too many requests of this route fail for lack of downstream capacity"
+            detail = self._throttle.refusal_detail(
+                route.name, call.rank, call.organisation
             )
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
@@ -451,7 +452,10 @@
             )
         else:
             pressure = 0.0 if answer is None else answer.pressure
-            self._throttle.note_end(forwarded.route.name, pressure, is_load_failure)
+            call = forwarded.call
+            self._throttle.note_end(
+                call.route, pressure, is_load_failure, call.rank, call.organisation
+            )
 
     def _answer_problem(
         self,
--- a/tests/savoryroute/protocol/test_frame_fields.py
+++ b/tests/savoryroute/protocol/test_frame_fields.py
@@ -15,7 +15,7 @@
 )
 from savoryroute.verdict import Reason, Verdict
 
-ROW = ["i-1", "planner", "127.0.0.1", "zone", 4, True, 0.0, 7]
+ROW = ["i-1", "planner", "127.0.0.1", "zone", 4, True, 0.0, 7, 2]
 KIND = AttemptKind.OF_CALLER
 CALL = MeshCall(
     1, "s", "i", "r", 0.5, 100, 90, True, False, KIND, 0, b"q", b"", b"h", 0, "o"
@@ -73,7 +73,7 @@
         if type(item) in (int, float):
             self.assertLessEqual(abs(item), 2**53)
 
-    @given(st.integers(0, 7), ITEMS)
+    @given(st.integers(0, 8), ITEMS)
     def test_row_of_an_instance(self, position, item):
         row = list(ROW)
         row[position] = item
