call queue: waits follow the work time that the upstream states

Cause: an upstream that other work slows keeps its waiting calls, although they would end sooner elsewhere: expected waits followed only after slow calls had ended.

Change: service times are kept divided by the factor of their time (the mean of that at the start and at the end of the call) and multiplied by the factor of now. The factor counts as far as service times confirm it, by the slope of a regression over its changes; a constant figure gives no evidence and has no effect. When the factor rises, calls are returned from the end of the queue, until one can wait or cannot be placed again; so none is returned while a call with a later turn stays. A call states how often it can still be placed. Ruled out: skipping calls that cannot be placed again, since these would then run before the returned ones; trusting the figure at once, since a false one would return calls for nothing.

--- a/packages/savoryroute/savoryroute/coordination/call_queue.py
+++ b/packages/savoryroute/savoryroute/coordination/call_queue.py
@@ -3,7 +3,8 @@
 Load pattern: a burst or a slow period that asks one upstream for more than its
 slots, or than the rate that it named. Excess calls wait in order of rank, but only if
 the wait is short enough to end in time; the others are refused at once, while their
-callers still have time to try another upstream.
+callers still have time to try another upstream. If the upstream turns slow, calls at
+the end of the queue whose wait became too long are returned, for the same reason.
 
 Sources: bounded queues with a delay target as in CoDel (Nichols and Jacobson, 2012);
 admission by class as in DAGOR (Zhou and others, Overload Control for Scaling WeChat
@@ -20,14 +21,10 @@
 
 from ..verdict import Reason
 from .rate_limit import RateLimit
+from .service_times import ServiceTimes
 
 __all__ = ["CallQueue", "QueuedCall"]
 
-# Weight of one answer in the moving averages of service times.
-LATENCY_WEIGHT = 0.1
-# Service time in seconds that is assumed before the first answer.
-LATENCY_DEFAULT_S = 0.05
-
 
 @attrs.define(eq=False, slots=True)
 class QueuedCall:
@@ -41,8 +38,11 @@
         start: Called to run the call once a slot is free.
         refuse: Called with the reason if the wait ends without a slot.
         admit: Called before ``start``; returns why the call may not start, or None.
+        is_returnable: Whether its first hop can place it elsewhere if it is refused.
         order: Rank and arrival number, the sort key; set by the queue.
         expires_s: Monotonic time at which the wait ends; set by the queue.
+        work_time: Factor that the upstream stated at the start; set by the queue.
+        is_returned: Whether it was returned while it waited; set by the queue.
     """
 
     rank: float
@@ -52,8 +52,11 @@
     start: Callable[[], None]
     refuse: Callable[[Reason], None]
     admit: Callable[[], Reason | None] = lambda: None
+    is_returnable: bool = False
     order: tuple[float, int] = (0, 0)
     expires_s: float = 0.0
+    work_time: float = 1.0
+    is_returned: bool = False
 
 
 class CallQueue:
@@ -70,9 +73,11 @@
         self._n_running = 0
         self._waiting: list[QueuedCall] = []
         self._n_arrivals = 0
-        self._mean_s = LATENCY_DEFAULT_S
+        self._times = ServiceTimes()
         self._rate_limit = RateLimit(clock)
-        self._group_s: dict[str, float] = {}
+        # Factor for which the waits of the waiting calls were checked last.
+        self._checked_factor = 1.0
+        self._n_returned = 0
 
     @property
     def slots(self) -> int:
@@ -94,7 +99,17 @@
         per_s = self._rate_limit.per_s
         if per_s is None:
             return self._slots
-        return min(self._slots, max(1.0, per_s * self._mean_s))
+        return min(self._slots, max(1.0, per_s * self.mean_s))
+
+    @property
+    def times(self) -> ServiceTimes:
+        """Service times, and the factor by which work is slower now."""
+        return self._times
+
+    @property
+    def n_returned(self) -> int:
+        """Waiting calls returned to their first hops since the start."""
+        return self._n_returned
 
     @property
     def n_running(self) -> int:
@@ -109,7 +124,7 @@
     @property
     def mean_s(self) -> float:
         """Moving average of the seconds for which a call holds its slot."""
-        return self._mean_s
+        return self._times.mean_s
 
     def load_for(self, rank: float) -> float:
         """Return the load by running calls and waiting ones of this rank or better.
@@ -121,11 +136,11 @@
 
     def usual_s(self, group: str) -> float:
         """Return the usual service time of a group in seconds, 0 if unknown."""
-        return self._group_s.get(group, 0.0)
+        return self._times.usual_s(group)
 
     def expected_wait_s(self, n_ahead: int) -> float:
         """Return the seconds until a call behind ``n_ahead`` others starts."""
-        slot_wait_s = (n_ahead + 1) * self._mean_s / self._slots
+        slot_wait_s = (n_ahead + 1) * self.mean_s / self._slots
         return max(slot_wait_s, self._rate_limit.wait_s(n_ahead))
 
     def offer(self, call: QueuedCall) -> Reason | None:
@@ -149,20 +164,42 @@
         self._waiting.insert(n_ahead, call)
         return None
 
-    def finish(self, group: str, latency_s: float | None) -> None:
+    def finish(
+        self, group: str, latency_s: float | None, work_time: float = 1.0
+    ) -> None:
         """Free the slot of a call and start the next.
 
         Args:
             group: Group of the call.
             latency_s: Seconds for which the call held the slot, or None if they say
                 nothing about the service time, as after a cancellation.
+            work_time: Factor that the upstream stated when the call started.
         """
         self._n_running -= 1
         if latency_s is not None:
-            self._mean_s += (latency_s - self._mean_s) * LATENCY_WEIGHT
-            usual_s = self._group_s.get(group, latency_s)
-            self._group_s[group] = usual_s + (latency_s - usual_s) * LATENCY_WEIGHT
+            self._times.note(group, latency_s, work_time)
         self.start_waiting()
+        factor = self._times.factor
+        if factor > self._checked_factor:
+            self._return_late()
+        self._checked_factor = factor
+
+    def _return_late(self) -> None:
+        """Return calls whose expected wait has become too long, the last first.
+
+        It ends at the first call that can wait, or that its first hop cannot place
+        elsewhere: no call is returned while one with a later turn stays.
+        """
+        now_s = self._clock()
+        while self._waiting:
+            call = self._waiting[-1]
+            wait_s = self.expected_wait_s(len(self._waiting) - 1)
+            if not call.is_returnable or wait_s <= call.expires_s - now_s:
+                return
+            self._waiting.pop()
+            self._n_returned += 1
+            call.is_returned = True
+            call.refuse(Reason.OVERLOAD)
 
     def start_waiting(self) -> None:
         """Start as many waiting calls as slots and rate limit allow."""
@@ -183,6 +220,7 @@
 
     def _start(self, call: QueuedCall) -> None:
         self._n_running += 1
+        call.work_time = self._times.work_time
         self._rate_limit.take()
         call.start()
 
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -175,6 +175,7 @@
             lambda: self._start(local),
             lambda reason: self._refuse_waiting(local, reason),
             lambda: self._admit(call),
+            call.n_placements_left > 0,
         )
         reason = self._queue.offer(local.queued_call)
         if reason is Reason.RETRY_BUDGET:
@@ -225,7 +226,10 @@
     def _refuse_waiting(self, local: LocalCall, reason: Reason) -> None:
         """Refuse a call whose wait has ended without a slot."""
         detail = "waited too long for a slot"
-        if reason is Reason.RETRY_BUDGET:
+        if reason is Reason.OVERLOAD and local.queued_call.is_returned:
+            factor = self._queue.times.factor
+            detail = f"would wait too long: work takes {factor:.2f} times as long now"
+        elif reason is Reason.RETRY_BUDGET:
             detail = _NO_REPEAT_LEFT
         self._refuse(local, reason, detail)
 
@@ -416,7 +420,8 @@
             latency_s: Seconds at the upstream, None to leave the averages as they are.
         """
         self._running.end(local.call.request_id, local)
-        self._queue.finish(local.call.route, latency_s)
+        work_time = local.queued_call.work_time
+        self._queue.finish(local.call.route, latency_s, work_time)
 
     def _note_arrival(self, local: LocalCall, has_arrived: bool) -> None:
         """Count a call whose exchange has ended if the upstream got it."""
@@ -445,7 +450,7 @@
         )
         answer.limit = round(queue.usable_slots)
         answer.is_leaving = self._reports.is_leaving(local.call.instance)
-        answer.work_time = self._reports.work_time
+        answer.work_time = queue.times.factor
         answer.repeat_share = self._repeats.share_left(local.call.route)
         answer.wait_ms = int(queue.expected_wait_s(queue.n_waiting) * 1000)
         local.on_answer(answer)
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -333,7 +333,9 @@
         gauges: dict[str, float | dict[str, float]] = {
             "calls_running": self._queue.n_running,
             "calls_waiting": self._queue.n_waiting,
+            "calls_returned": self._queue.n_returned,
             "slots": self._queue.slots,
+            "upstream_work_time": self._queue.times.factor,
             "upstream_runs": self._upstream.n_runs,
             "upstream_rate_limit": self._queue.rate_limit.per_s or 0.0,
             "upstream_connections_opened": self._pool.n_opened,
--- a/packages/savoryroute/savoryroute/coordination/retry_rule.py
+++ b/packages/savoryroute/savoryroute/coordination/retry_rule.py
@@ -10,7 +10,7 @@
 from ..protocol.mesh_frames import MeshAnswer
 from ..verdict import Reason, Verdict
 
-__all__ = ["NextStep", "next_step", "status_of"]
+__all__ = ["NextStep", "n_placements_left", "next_step", "status_of"]
 
 # After this many refusals by daemons a request is refused: all instances are then
 # taken to be full.
@@ -75,6 +75,16 @@
     return NextStep.GIVE_UP
 
 
+def n_placements_left(n_placements: int, n_untried: int) -> int:
+    """Return how often a call can still be placed elsewhere if it is not sent.
+
+    Args:
+        n_placements: Attempts made so far, including the current one.
+        n_untried: Instances of its service that have not been tried.
+    """
+    return max(0, min(PLACEMENTS_MAX - n_placements, n_untried))
+
+
 def status_of(verdict: Verdict, reason: Reason | None) -> int:
     """Return the HTTP status of a refusal; 503 guarantees that nothing ran."""
     if verdict is Verdict.NOT_RUN:
--- a/packages/savoryroute/savoryroute/coordination/upstream_reports.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_reports.py
@@ -37,7 +37,6 @@
         # Last value of the header, so that only changes are parsed and logged.
         self._rate_limit_text: bytes | None = None
         self._leaving_instance = ""
-        self._work_time = 1.0
         # Figures of the load header that could not be read in the last answer.
         self._unreadable: tuple[str, ...] = ()
 
@@ -47,13 +46,13 @@
 
         1.0 if its last answer does not state it.
         """
-        return self._work_time
+        return self._queue.times.work_time
 
     def note_start(self) -> None:
         """Forget what an earlier upstream at the address said of itself."""
         self._leaving_instance = ""
         self._rate_limit_text = None
-        self._work_time = 1.0
+        self._queue.times.report(1.0)
         self._queue.rate_limit.set(None)
 
     def is_leaving(self, instance: str) -> bool:
@@ -80,7 +79,7 @@
             )
         if load.n_slots is not None:
             self._queue.slots = slots_to_fill(load.n_slots)
-        self._work_time = 1.0 if load.work_time is None else load.work_time
+        self._queue.times.report(1.0 if load.work_time is None else load.work_time)
 
     def note_rate_limit(self, request_id: bytes, text: bytes | None) -> None:
         """Set the rate limit from the header of an answer.
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -79,6 +79,8 @@
         body_bytes: Length of the body. A short body follows in the frame, a long one
             in further frames (``body_transfer``).
         organisation: Name of the organisation of the action, or an empty string.
+        n_placements_left: How often its first hop can place it elsewhere if no
+            upstream got it.
     """
 
     id: int
@@ -97,6 +99,7 @@
     head: bytes
     body_bytes: int
     organisation: str = ""
+    n_placements_left: int = 0
 
     @property
     def is_repeat(self) -> bool:
@@ -128,6 +131,7 @@
             self.head,
             self.body_bytes,
             self.organisation,
+            self.n_placements_left,
             inline_body,
         ]
 
@@ -164,7 +168,8 @@
         pressure: Highest load of a queue along the call chain, as calls per slot.
         is_leaving: Whether the upstream said that it is leaving.
         repeat_share: Share of the repeats left to the upstream and further downstream.
-        work_time: Factor by which work takes longer at the upstream now than usual.
+        work_time: Factor by which work takes longer at the upstream now than usual,
+            as far as the daemon beside it sees that confirmed by service times.
     """
 
     id: int
