selector: reported work time, expected wait of other failure domains

Cause: a first hop learns of an upstream's slowness only from the latencies of its own calls, a hundred milliseconds after the upstream has stated it.

Change: the cost counts the reported factor over its recent mean, as far as latencies confirm it, with a weight that halves every 0.5 s. The mean is left out because the learned slowness contains it; with the factor itself an upstream that always states 10 would look fast as soon as its report ages. Failure domains are compared with the expected wait of the last answer, and at most half of the calls of 0.1 s goes to one remote instance; both only for services whose instances stated a factor other than 1 in the last 10 s. Log lines have the compared figures, metrics the age of the reports. What was observed of an instance is a module of its own.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -18,13 +18,14 @@
 from ..verdict import Reason, Verdict
 from .attempt_choice import choose_instance
 from .forwarded_request import ForwardedRequest
-from .instance_selector import InstanceSelector, SentCall
+from .instance_record import SentCall
+from .instance_selector import InstanceSelector
 from .local_upstream import LocalUpstream
 from .mesh_retry_after import mesh_retry_after_s
 from .peer_links import PeerLinks
 from .repeat_admission import reserved_share
 from .request_records import RequestRecords
-from .retry_rule import NextStep, next_step, status_of
+from .retry_rule import NextStep, n_placements_left, next_step, status_of
 from .throttle import ActionThrottle
 
 __all__ = ["FirstHop"]
@@ -219,7 +220,11 @@
         call = forwarded.call
         call.instance = instance.id
         call.time_left_ms = int(time_left_s * 1000)
+        call.n_placements_left = n_placements_left(
+            forwarded.n_placements, len(instances) - len(forwarded.tried)
+        )
         sent = forwarded.sent = self._selector.note_sent(instance, forwarded.route.name)
+        self._records.placed(sent)
         forwarded.local = None
         body = forwarded.exchange.request.body
 
--- a/packages/savoryroute/savoryroute/coordination/forwarded_request.py
+++ b/packages/savoryroute/savoryroute/coordination/forwarded_request.py
@@ -8,7 +8,7 @@
 from ..state.fleet_view import Instance
 from ..state.route_table import TableRoute
 from ..transport.caller_exchange import Exchange
-from .instance_selector import SentCall
+from .instance_record import SentCall
 from .local_upstream import LocalCall
 
 __all__ = ["ForwardedRequest"]
--- a/packages/savoryroute/savoryroute/coordination/instance_selector.py
+++ b/packages/savoryroute/savoryroute/coordination/instance_selector.py
@@ -7,6 +7,10 @@
 Failures and another failure domain add to the cost. Calls in flight count as slow once
 they last longer than usual, because the first answers of a slow instance come late.
 
+For services whose instances report a factor other than 1, in addition: other work on
+the machine slows some instances, and demand differs by failure domain. Calls go to
+another failure domain by expected wait, but not all of them to the same instance.
+
 Source: Mitzenmacher, The Power of Two Choices in Randomized Load Balancing (2001).
 """
 
@@ -15,40 +19,22 @@
 import random
 from collections.abc import Callable, Collection, Iterable
 
-import attrs
-
 from ..protocol.mesh_frames import MeshAnswer
 from ..state.fleet_view import Instance, ServiceInstances
 from ..verdict import Reason, Verdict
+from .instance_record import InstanceRecord, SentCall
+from .spill_rule import SpillRule
 
-__all__ = ["InstanceRecord", "InstanceSelector", "SentCall"]
+__all__ = ["InstanceSelector"]
 
 # Cost of another failure domain: traffic to it is charged and adds to the latency.
 OTHER_DOMAIN_COST = 0.35
-# Load added to every instance, so that slowness counts among idle ones too.
-BASE_LOAD = 0.25
-# Weights of one answer in the moving averages of a route's latency and of an
-# instance's slowness.
+# Weight of one answer in the moving average of a route's latency.
 ROUTE_LATENCY_WEIGHT = 0.02
-SLOWNESS_WEIGHT = 0.08
-# Upper bound of the slowness and of the overdue factor.
-SLOWNESS_MAX = 8.0
-# Number of calls in flight that have to be overdue. A single call may last long for
-# reasons of its own.
-MIN_CALLS_OVERDUE = 2
-# The observed slowness decays, so that a slow instance is tried again.
-SLOWNESS_HALF_LIFE_S = 3.0
 # Cost deducted for the instance on the local host, which saves a network hop.
 LOCAL_BONUS = 0.1
-# Load added to an instance whose calls all fail, and in proportion below that. An
-# instance that sheds half of its calls immediately looks idle; it is used only while
-# the healthy ones have long queues.
-FAILURE_LOAD = 4.0
+# Weight of one outcome in the moving average of the failure rate.
 FAILURE_WEIGHT = 0.1
-# The failure rate decays, so that an instance that failed is tried again.
-FAILURE_HALF_LIFE_S = 1.0
-# The reported load decays, so that an instance that was full is tried again.
-REPORT_HALF_LIFE_S = 0.5
 # Seconds for which an unreachable instance gets no calls.
 UNAVAILABLE_S = 0.5
 # A host that leaves for a restart is back after about this time in seconds.
@@ -58,112 +44,6 @@
 # Instances compared in the local failure domain, and as many in the others. Comparing
 # all would take too long in a large fleet.
 SAMPLE_SIZE = 4
-# Factor of the load of an instance that is still in its slow start.
-COLD_LOAD_FACTOR = 2.0
-
-
-@attrs.frozen(slots=True, eq=False)
-class SentCall:
-    """One call in flight.
-
-    Attributes:
-        instance: Instance that it was sent to.
-        route: Name of the route.
-        sent_s: Monotonic time of sending.
-    """
-
-    instance: Instance
-    route: str
-    sent_s: float
-
-
-@attrs.define(slots=True)
-class InstanceRecord:
-    """What this daemon has observed of one instance.
-
-    Attributes:
-        sent: Calls of this daemon in flight there, the oldest first.
-        n_own_at_report: Number of calls in ``sent`` at the last answer.
-        n_reported: Calls running and queued there according to the last answer.
-        limit: Slots according to the last answer, 0 if unknown.
-        reported_s: Monotonic time of the last answer.
-        failure_rate: Moving average of failed calls, 0 to 1, at the last outcome.
-        failure_s: Monotonic time of the last outcome.
-        slowness: Latency over the usual latency of the same route, at the last answer.
-        slowness_s: Monotonic time of that answer.
-        unavailable_until_s: Monotonic time until which it is sent no calls.
-        cold_until_s: Monotonic time until which it counts as slow after its start.
-    """
-
-    sent: dict[SentCall, None] = attrs.field(factory=dict)
-    n_own_at_report: int = 0
-    n_reported: int = 0
-    limit: int = 0
-    reported_s: float = float("-inf")
-    failure_rate: float = 0.0
-    failure_s: float = 0.0
-    slowness: float = 1.0
-    slowness_s: float = 0.0
-    unavailable_until_s: float = 0.0
-    cold_until_s: float = 0.0
-
-    @property
-    def n_own_in_flight(self) -> int:
-        """Number of calls of this daemon in flight."""
-        return len(self.sent)
-
-    def load(self, now_s: float, slots: int) -> float:
-        """Return running and queued calls over slots."""
-        weight = 0.5 ** ((now_s - self.reported_s) / REPORT_HALF_LIFE_S)
-        n_new = max(0, self.n_own_in_flight - self.n_own_at_report)
-        n_calls = max(self.n_own_in_flight, self.n_reported * weight + n_new)
-        load = n_calls / (self.limit or slots or 1)
-        if now_s < self.cold_until_s:
-            load *= COLD_LOAD_FACTOR
-        return load
-
-    def cost(
-        self, now_s: float, slots: int, route_latency_s: dict[str, float]
-    ) -> float:
-        """Return the cost by which instances are compared.
-
-        Args:
-            now_s: Monotonic time.
-            slots: Slots according to the platform's entry of the instance.
-            route_latency_s: Usual latency in seconds by route.
-        """
-        load = self.load(now_s, slots) + BASE_LOAD
-        slow = max(
-            self.current_slowness(now_s), self.overdue_factor(now_s, route_latency_s)
-        )
-        return load * slow + self.current_failure_rate(now_s) * FAILURE_LOAD
-
-    def overdue_factor(self, now_s: float, route_latency_s: dict[str, float]) -> float:
-        """Return the age of calls in flight over the usual latency, 0 if unknown.
-
-        The second oldest call counts, since a single call may last long for reasons
-        of its own.
-        """
-        if len(self.sent) < MIN_CALLS_OVERDUE:
-            return 0.0
-        oldest = iter(self.sent)
-        next(oldest)
-        call = next(oldest)
-        usual = route_latency_s.get(call.route)
-        if usual is None:
-            return 0.0
-        return min(SLOWNESS_MAX, (now_s - call.sent_s) / max(usual, 1e-6))
-
-    def current_slowness(self, now_s: float) -> float:
-        """Return the slowness, which decays towards 1 after the last answer."""
-        kept = 0.5 ** ((now_s - self.slowness_s) / SLOWNESS_HALF_LIFE_S)
-        return 1.0 + (self.slowness - 1.0) * kept
-
-    def current_failure_rate(self, now_s: float) -> float:
-        """Return the failure rate, which decays after the last outcome."""
-        return self.failure_rate * 0.5 ** (
-            (now_s - self.failure_s) / FAILURE_HALF_LIFE_S
-        )
 
 
 class InstanceSelector:
@@ -189,6 +69,8 @@
         self._clock = clock
         self._records: dict[str, InstanceRecord] = {}
         self._route_latency_s: dict[str, float] = {}
+        # By service, only while its instances report a factor other than 1.
+        self._spill_rules: dict[str, SpillRule] = {}
         # By identity and start, as an upstream may start again under its identity. They
         # outlive the records, which are dropped while an instance is not listed.
         self._leaving: dict[tuple[str, int], None] = {}
@@ -233,7 +115,17 @@
         near, far = instances.split(self._failure_domain)
         best, cost = self._cheapest(near, is_usable, now_s)
         best_far, cost_far = self._cheapest(far, is_usable, now_s)
-        return best_far if cost_far + OTHER_DOMAIN_COST < cost else best
+        cost_far += OTHER_DOMAIN_COST
+        if self._spill_rules and best is not None and best_far is not None:
+            rule = self._spill_rules.get(best.service)
+            if rule is not None:
+                cost += rule.wait_cost(self.record(best), now_s)
+                cost_far += rule.wait_cost(self.record(best_far), now_s)
+                spills = cost_far < cost and rule.allows(best_far.id, now_s)
+                chosen = best_far if spills else best
+                rule.note_choice(best_far.id if spills else None)
+                return chosen
+        return best_far if cost_far < cost else best
 
     def note_sent(self, instance: Instance, route: str) -> SentCall:
         """Count a call as in flight, until ``note_answer`` or ``note_cancelled``.
@@ -242,8 +134,18 @@
             instance: Instance that it is sent to.
             route: Name of the route.
         """
-        sent = SentCall(instance, route, self._clock())
-        self.record(instance).sent[sent] = None
+        now_s = self._clock()
+        record = self.record(instance)
+        sent = SentCall(
+            instance,
+            route,
+            now_s,
+            record.load(now_s, instance.slots),
+            record.wait_ms,
+            record.factor(now_s),
+            now_s - record.reported_s,
+        )
+        record.sent[sent] = None
         return sent
 
     def note_answer(self, sent: SentCall, answer: MeshAnswer) -> None:
@@ -255,7 +157,13 @@
             if len(self._leaving) > LEAVING_MAX:
                 del self._leaving[next(iter(self._leaving))]
         if answer.limit:
-            self.note_report(instance, answer.n_reported, answer.limit)
+            self.note_report(
+                instance,
+                answer.n_reported,
+                answer.limit,
+                answer.wait_ms,
+                answer.work_time,
+            )
         if answer.was_sent and not _is_downstream_failure(answer):
             latency_s = self._clock() - sent.sent_s
             self.note_outcome(instance, _is_own_failure(answer), sent.route, latency_s)
@@ -280,13 +188,29 @@
         """Send no calls to an instance whose host is leaving, for ``LEAVING_S``."""
         self.record(instance).unavailable_until_s = self._clock() + LEAVING_S
 
-    def note_report(self, instance: Instance, n_reported: int, limit: int) -> None:
-        """Record the load that an answer reported."""
+    def note_report(
+        self,
+        instance: Instance,
+        n_reported: int,
+        limit: int,
+        wait_ms: int = 0,
+        work_time: float = 1.0,
+    ) -> None:
+        """Record what an answer reported.
+
+        Args:
+            instance: Instance that reported it.
+            n_reported: Calls running and waiting there.
+            limit: Its slots.
+            wait_ms: Milliseconds that a new call would wait for a slot.
+            work_time: Factor by which work takes longer there now than usual.
+        """
+        now_s = self._clock()
         record = self.record(instance)
-        record.n_reported = n_reported
-        record.limit = limit
-        record.reported_s = self._clock()
-        record.n_own_at_report = record.n_own_in_flight
+        record.report(n_reported, limit, wait_ms, work_time, now_s)
+        if work_time != 1.0:
+            rule = self._spill_rules.setdefault(instance.service, SpillRule())
+            rule.note_factor(now_s)
 
     def note_outcome(
         self, instance: Instance, is_failure: bool, route: str, latency_s: float
@@ -311,10 +235,17 @@
         self._route_latency_s[route] = (
             route_latency_s + (latency_s - route_latency_s) * ROUTE_LATENCY_WEIGHT
         )
-        ratio = min(SLOWNESS_MAX, latency_s / max(route_latency_s, 1e-6))
-        slow = record.current_slowness(now_s)
-        record.slowness = slow + (ratio - slow) * SLOWNESS_WEIGHT
-        record.slowness_s = now_s
+        record.note_latency(latency_s / max(route_latency_s, 1e-6), now_s)
+        if self._spill_rules:
+            self._note_spill_latency(instance.service, route_latency_s, now_s)
+
+    def _note_spill_latency(self, service: str, latency_s: float, now_s: float) -> None:
+        rule = self._spill_rules.get(service)
+        if rule is None:
+            return
+        rule.note_latency(latency_s)
+        if rule.is_over(now_s):
+            del self._spill_rules[service]
 
     def keep_only(self, known: Iterable[str]) -> None:
         """Drop the observations of unknown instances that have no calls in flight."""
--- a/packages/savoryroute/savoryroute/coordination/request_records.py
+++ b/packages/savoryroute/savoryroute/coordination/request_records.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
+from typing import Any
 
 from ..protocol.mesh_frames import MeshAnswer
 from ..state.event_log import EventLog
@@ -12,6 +14,7 @@
 from ..state.route_table import RouteTable
 from ..verdict import Reason, Verdict
 from .forwarded_request import ForwardedRequest
+from .instance_record import SentCall
 
 __all__ = ["RequestRecords"]
 
@@ -38,16 +41,21 @@
         self._table = table
         self._view = view
 
+    def placed(self, sent: SentCall) -> None:
+        """Count the age of the report by which an instance was chosen."""
+        self._metrics.observe_report_age(sent.report_age_s)
+
     def placed_again(self, forwarded: ForwardedRequest, answer: MeshAnswer) -> None:
         """Record an attempt that is followed by another one."""
         self._log.request(
             "placed_again",
             forwarded.request_id.decode("latin-1"),
             route=forwarded.route.name,
-            instance=forwarded.instance.id,
             reason=answer.reason,
             verdict=answer.verdict,
             was_sent=answer.was_sent,
+            detail=answer.detail,
+            **_placement_fields(forwarded.sent),
         )
 
     def answered(self, forwarded: ForwardedRequest, answer: MeshAnswer) -> None:
@@ -92,6 +100,7 @@
             detail=detail,
             tried=forwarded.tried,
             arrivals=forwarded.n_arrivals,
+            **_placement_fields(forwarded.sent),
             routes_version=self._version(),
             list_revision=self._view.revision,
             seconds=seconds,
@@ -117,3 +126,17 @@
     def _version(self) -> int:
         table = self._table()
         return -1 if table is None else table.version
+
+
+def _placement_fields(sent: SentCall | None) -> dict[str, Any]:
+    """Return the figures by which the instance of the last attempt was compared."""
+    if sent is None:
+        return {}
+    age_s = sent.report_age_s
+    return {
+        "instance": sent.instance.id,
+        "load": round(sent.load, 2),
+        "wait_ms": sent.wait_ms,
+        "factor": round(sent.factor, 2),
+        "report_age": round(age_s, 3) if math.isfinite(age_s) else None,
+    }
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/spill_rule.py
@@ -0,0 +1,81 @@
+"""Which calls of a service go to another failure domain.
+
+Load pattern: demand rises and falls with a different phase in each failure domain, in
+clumps, and upstreams are slowed for less than a second at a time. Calls go where they
+end sooner, by the wait that the daemon beside the upstream expects. Reports are older
+than a clump, so without a limit all calls of a clump would go to the one remote
+instance that reported the shortest wait.
+
+Source: herd behaviour under stale load information: Mitzenmacher, How Useful Is Old
+Information? (2000).
+"""
+
+from __future__ import annotations
+
+from .instance_record import REPORT_HALF_LIFE_S, InstanceRecord
+
+__all__ = ["SpillRule"]
+
+# Decision interval in seconds, about the age of reports at 74 first hops.
+INTERVAL_S = 0.1
+# Largest share of the calls of an interval that goes to the same remote instance.
+SHARE_MAX = 0.5
+# Weight of one answer in the usual latency of the service.
+LATENCY_WEIGHT = 0.02
+# Seconds after the last factor other than 1 at which the service counts as even again.
+EVEN_AFTER_S = 10.0
+
+
+class SpillRule:
+    """Choices of one first hop between failure domains, for one service."""
+
+    __slots__ = (
+        "_factor_s",
+        "_interval_s",
+        "_latency_s",
+        "_n_calls",
+        "_n_spilled",
+    )
+
+    def __init__(self) -> None:
+        self._latency_s = 0.0
+        self._factor_s = 0.0
+        self._interval_s = 0.0
+        self._n_calls = 0
+        self._n_spilled: dict[str, int] = {}
+
+    def note_factor(self, now_s: float) -> None:
+        """Record that an instance reported a factor other than 1."""
+        self._factor_s = now_s
+
+    def is_over(self, now_s: float) -> bool:
+        """Return whether no instance has reported such a factor recently."""
+        return now_s - self._factor_s > EVEN_AFTER_S
+
+    def note_latency(self, latency_s: float) -> None:
+        """Record the usual latency of the route of an answered call."""
+        if not self._latency_s:
+            self._latency_s = latency_s
+        self._latency_s += (latency_s - self._latency_s) * LATENCY_WEIGHT
+
+    def wait_cost(self, record: InstanceRecord, now_s: float) -> float:
+        """Return the expected wait at an instance, in usual latencies."""
+        if not record.wait_ms or not self._latency_s:
+            return 0.0
+        weight = 0.5 ** ((now_s - record.reported_s) / REPORT_HALF_LIFE_S)
+        return record.wait_ms * weight / (1000.0 * self._latency_s)
+
+    def allows(self, instance: str, now_s: float) -> bool:
+        """Return whether a remote instance may get the next call."""
+        if now_s - self._interval_s > INTERVAL_S:
+            self._interval_s = now_s
+            self._n_calls = 0
+            self._n_spilled.clear()
+        n_after = self._n_spilled.get(instance, 0) + 1
+        return n_after <= max(1.0, SHARE_MAX * (self._n_calls + 1))
+
+    def note_choice(self, spilled_to: str | None) -> None:
+        """Count a call, and the remote instance it goes to, None for a near one."""
+        self._n_calls += 1
+        if spilled_to is not None:
+            self._n_spilled[spilled_to] = self._n_spilled.get(spilled_to, 0) + 1
--- a/packages/savoryroute/savoryroute/state/metrics.py
+++ b/packages/savoryroute/savoryroute/state/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Callable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -10,6 +11,8 @@
 
 __all__ = ["Metrics"]
 
+# Reports count half after 0.5 s, and for a quarter or less after 1 s.
+REPORT_AGE_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0)
 LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0)
 
 
@@ -37,6 +40,14 @@
             registry=self._registry,
             buckets=(*LATENCY_BUCKETS_S, float("inf")),
         )
+        ages = Histogram(
+            "savoryroute_report_age_seconds",
+            "Age of the report by which an instance was chosen.",
+            registry=self._registry,
+            buckets=(*REPORT_AGE_BUCKETS_S, float("inf")),
+        )
+        self._report_ages = Buckets(*ages.upper_bounds)
+        ages.set_value({}, self._report_ages)
         self._gauges: dict[str, Gauge] = {}
         # Kept outside the collectors, which encode the labels on each call.
         self._counts: collections.Counter[tuple[str, str, str]] = collections.Counter()
@@ -56,6 +67,12 @@
         self._counts[class_name, verdict, reason] += 1
         self._buckets_of(class_name).observe(latency_s)
 
+    def observe_report_age(self, age_s: float) -> None:
+        """Count a placement by the age in seconds of the report that it used."""
+        # An infinite age, of an instance that was never heard, would spoil the sum.
+        if age_s != math.inf:
+            self._report_ages.observe(age_s)
+
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Return the body and the headers of a scrape.
 
--- a/tests/savoryroute/coordination/test_load_patterns.py
+++ b/tests/savoryroute/coordination/test_load_patterns.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from savoryroute.coordination.instance_selector import BASE_LOAD, InstanceRecord
+from savoryroute.coordination.instance_record import BASE_LOAD, InstanceRecord
 from tests.fleet_replay import FleetReplay
 from tests.load_patterns import PATTERNS
 
