--- a/tests/fleet_replay.py
+++ b/tests/fleet_replay.py
@@ -8,13 +8,16 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
+from collections.abc import Callable
 
 import attrs
 
 from savoryroute.coordination.call_queue import CallQueue, QueuedCall
-from savoryroute.coordination.instance_selector import InstanceSelector, SentCall
-from savoryroute.coordination.retry_rule import NextStep, next_step
+from savoryroute.coordination.instance_record import SentCall
+from savoryroute.coordination.instance_selector import InstanceSelector
+from savoryroute.coordination.retry_rule import NextStep, n_placements_left, next_step
 from savoryroute.protocol.mesh_frames import MeshAnswer
 from savoryroute.state.fleet_view import Instance, ServiceInstances
 from savoryroute.verdict import Reason, Verdict
@@ -29,6 +32,9 @@
 # Queue timeout as a share of the target latency, as in coordination/first_hop.py.
 QUEUE_TIMEOUT_SHARE = 0.15
 ATTEMPTS_MAX = 2
+WAVE_S = 15.0
+# Interval in seconds at which the waiting work is compared.
+SAMPLE_S = 0.1
 
 
 @attrs.frozen
@@ -42,6 +48,7 @@
         slowness: Factor on the work of calls that start during the fault.
         shed_share: Share of the calls that the upstream sheds.
         is_draining: Whether the instances take no new calls.
+        is_stated: Whether the upstreams state the slowness.
     """
 
     instances: tuple[int, ...]
@@ -50,6 +57,7 @@
     slowness: float = 1.0
     shed_share: float = 0.0
     is_draining: bool = False
+    is_stated: bool = False
 
 
 @attrs.frozen
@@ -62,6 +70,8 @@
         n_domains: Failure domains; instances and first hops are assigned in turn.
         n_hops: Number of first hops.
         faults: Faults of the instances.
+        stated: Returns the work time that an instance states, from its index, the time
+            and the true factor; None if instances state nothing.
     """
 
     speeds: tuple[float, ...]
@@ -69,6 +79,7 @@
     n_domains: int
     n_hops: int
     faults: tuple[Fault, ...] = ()
+    stated: Callable[[int, float, float], float] | None = None
 
     def active_faults(self, index: int, now_s: float) -> list[Fault]:
         """Return the faults of an instance that are active at a time."""
@@ -85,6 +96,15 @@
             factor *= fault.slowness
         return work_s * factor / self.speeds[index]
 
+    def stated_factor(self, index: int, now_s: float) -> float:
+        """Return the work time that an instance states, which may be false."""
+        true = math.prod(
+            fault.slowness
+            for fault in self.active_faults(index, now_s)
+            if fault.is_stated
+        )
+        return self.stated(index, now_s, true)
+
     def is_draining(self, index: int, now_s: float) -> bool:
         """Return whether an instance takes no new calls."""
         return any(fault.is_draining for fault in self.active_faults(index, now_s))
@@ -102,6 +122,10 @@
         seconds: Length of the load in seconds.
         burst: Start and end of a burst in seconds, and the factor on the rate.
         hop_weights: Weight of each first hop in the load; None for equal weights.
+        queue_timeout_share: Longest wait for a slot as a share of the target latency.
+        wave: Part by which the rate of a failure domain rises and falls, with another
+            phase in each.
+        clump: Mean number of calls that arrive together at one first hop.
     """
 
     per_s: float
@@ -111,9 +135,16 @@
     seconds: float
     burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
     hop_weights: tuple[float, ...] | None = None
+    queue_timeout_share: float = QUEUE_TIMEOUT_SHARE
+    wave: float = 0.0
+    clump: float = 1.0
 
-    def draw(self, rng: random.Random, n_hops: int) -> list[tuple[float, float, int]]:
+    def draw(
+        self, rng: random.Random, n_hops: int, n_domains: int
+    ) -> list[tuple[float, float, int]]:
         """Return arrival time, work and first hop of each call."""
+        if self.wave:
+            return self._draw_wave(rng, n_hops, n_domains)
         calls = []
         at_s = 0.0
         hops = range(n_hops)
@@ -127,10 +158,36 @@
             (hop,) = rng.choices(hops, self.hop_weights)
             calls.append((at_s, work_s, hop))
 
+    def _draw_wave(
+        self, rng: random.Random, n_hops: int, n_domains: int
+    ) -> list[tuple[float, float, int]]:
+        calls = []
+        at_s = 0.0
+        while True:
+            at_s += rng.expovariate(self.per_s * (1.0 + self.wave) / self.clump)
+            if at_s >= self.seconds:
+                return calls
+            hop = rng.randrange(n_hops)
+            turns = at_s / WAVE_S + hop % n_domains / n_domains
+            rate = 1.0 + self.wave * math.sin(2 * math.pi * turns)
+            if rng.random() * (1.0 + self.wave) >= rate:
+                continue
+            n_calls = 1
+            while rng.random() >= 1.0 / self.clump:
+                n_calls += 1
+            for _ in range(n_calls):
+                work_s = self.work_s * rng.lognormvariate(-0.125, 0.5)
+                calls.append((at_s, work_s, hop))
+
 
 @attrs.define
 class Outcome:
-    """Counts and latencies of a replay."""
+    """Counts and latencies of a replay.
+
+    ``waits_s`` are the seconds from the arrival of a call to its start at an upstream,
+    ``spreads_s`` the differences over time between the longest and the shortest time
+    in which an upstream's slots can do its waiting work.
+    """
 
     n_calls: int = 0
     n_in_target: int = 0
@@ -138,6 +195,8 @@
     n_timeouts: int = 0
     n_arrivals: int = 0
     latencies_s: list[float] = attrs.field(factory=list)
+    waits_s: list[float] = attrs.field(factory=list)
+    spreads_s: list[float] = attrs.field(factory=list)
 
     @property
     def in_target(self) -> float:
@@ -172,7 +231,11 @@
             for index in range(len(spec.speeds))
         ]
         clock = self._time.now_s
+        self._index = {item.id: i for i, item in enumerate(self._instances)}
+        self._has_draining = any(fault.is_draining for fault in spec.faults)
+        self._all = ServiceInstances(self._instances)
         self._queues = [CallQueue(spec.slots, clock) for _ in spec.speeds]
+        self._waiting_s = [0.0] * len(spec.speeds)
         self.selectors = [
             InstanceSelector(
                 f"hop{hop}", self._domain(hop), random.Random(seed + hop), clock
@@ -183,7 +246,7 @@
     def play(self) -> Outcome:
         """Replay all calls until each is answered, refused or timed out."""
         outcome = Outcome()
-        for at_s, work_s, hop in self._load.draw(self._rng, self._spec.n_hops):
+        for at_s, work_s, hop in self._draw():
             call = _Call(at_s, work_s, hop)
             outcome.n_calls += 1
             self._time.at(at_s, lambda call=call: self._place(call, outcome))
@@ -191,16 +254,31 @@
                 at_s + self._load.timeout_s,
                 lambda call=call: self._on_timeout(call, outcome),
             )
+        for number in range(int(self._load.seconds / SAMPLE_S)):
+            self._time.at(number * SAMPLE_S, lambda: self._sample(outcome))
         self._time.run()
         return outcome
 
+    @property
+    def n_returned(self) -> int:
+        """Waiting calls that were returned to their first hops."""
+        return sum(queue.n_returned for queue in self._queues)
+
+    def _draw(self) -> list[tuple[float, float, int]]:
+        spec = self._spec
+        return self._load.draw(self._rng, spec.n_hops, spec.n_domains)
+
+    def _sample(self, outcome: Outcome) -> None:
+        waiting_s = [work / self._spec.slots for work in self._waiting_s]
+        outcome.spreads_s.append(max(waiting_s) - min(waiting_s))
+
     def play_oracle(self) -> Outcome:
         """Place each call where it ends first, knowing all speeds, work and faults."""
         spec, outcome = self._spec, Outcome()
         free_s = [[0.0] * spec.slots for _ in spec.speeds]
-        for at_s, work_s, hop in self._load.draw(self._rng, spec.n_hops):
+        for at_s, work_s, hop in self._draw():
             outcome.n_calls += 1
-            best: tuple[float, int] | None = None
+            best: tuple[float, int, float] | None = None
             for index, free in enumerate(free_s):
                 latency_s = self._latency_s(hop, index)
                 start_s = max(at_s + latency_s, free[0])
@@ -212,13 +290,14 @@
                     continue
                 end_s = start_s + spec.work_s(index, work_s, start_s) + latency_s
                 if best is None or end_s < best[0]:
-                    best = end_s, index
+                    best = end_s, index, start_s
             if best is None or best[0] - at_s > self._load.target_s:
                 outcome.n_refused += 1
                 continue
-            end_s, index = best
+            end_s, index, start_s = best
             heapq.heapreplace(free_s[index], end_s - self._latency_s(hop, index))
             outcome.n_in_target += 1
+            outcome.waits_s.append(start_s - at_s)
             outcome.latencies_s.append(end_s - at_s)
         return outcome
 
@@ -232,19 +311,21 @@
     def _place(self, call: _Call, outcome: Outcome) -> None:
         if call.is_over:
             return
-        listed = [
-            instance
-            for index, instance in enumerate(self._instances)
-            if not self._spec.is_draining(index, self._time.now_s())
-        ]
+        listed = self._all
+        if self._has_draining:
+            listed = ServiceInstances(
+                [
+                    instance
+                    for index, instance in enumerate(self._instances)
+                    if not self._spec.is_draining(index, self._time.now_s())
+                ]
+            )
         selector = self.selectors[call.hop]
-        instance = selector.choose(
-            ServiceInstances(listed), call.tried, lambda ip: False
-        )
+        instance = selector.choose(listed, call.tried, lambda ip: False)
         if instance is None:
             self._refuse(call, outcome)
             return
-        call.index = self._instances.index(instance)
+        call.index = self._index[instance.id]
         call.tried.append(instance.id)
         call.sent = selector.note_sent(instance, "r")
         latency_s = self._latency_s(call.hop, call.index)
@@ -254,9 +335,16 @@
         spec, index = self._spec, call.index
         queue = self._queues[index]
         sent = call.sent
+        is_queued = False
+
+        def leave_queue() -> None:
+            if is_queued:
+                self._waiting_s[index] -= call.work_s / spec.speeds[index]
 
         def start() -> None:
+            leave_queue()
             now_s = self._time.now_s()
+            outcome.waits_s.append(now_s - call.at_s)
             shed_share = sum(
                 fault.shed_share for fault in spec.active_faults(index, now_s)
             )
@@ -268,22 +356,33 @@
             self._time.after(work_s, lambda: finish(work_s))
 
         def finish(work_s: float | None, was_sent: bool = False) -> None:
-            queue.finish("r", work_s)
+            if spec.stated is not None:
+                queue.times.report(spec.stated_factor(index, self._time.now_s()))
+                queue.finish("r", work_s, queued_call.work_time)
+            else:
+                queue.finish("r", work_s)
             if work_s is None:
                 self._answer(call, sent, index, outcome, Reason.OVERLOAD, was_sent)
             else:
                 self._answer(call, sent, index, outcome, None, True)
 
         def refuse(reason: Reason) -> None:
+            leave_queue()
             self._answer(call, sent, index, outcome, reason, False)
 
         timeout_s = call.at_s + self._load.timeout_s
-        queue_timeout_s = self._load.target_s * QUEUE_TIMEOUT_SHARE
+        queue_timeout_s = self._load.target_s * self._load.queue_timeout_share
         queued_call = QueuedCall(1, "r", timeout_s, queue_timeout_s, start, refuse)
+        if spec.stated is not None:
+            n_untried = len(spec.speeds) - len(call.tried)
+            n_left = n_placements_left(len(call.tried), n_untried)
+            queued_call.is_returnable = n_left > 0
         reason = queue.offer(queued_call)
         if reason is not None:
             refuse(reason)
         elif queued_call.expires_s:
+            is_queued = True
+            self._waiting_s[index] += call.work_s / spec.speeds[index]
             self._time.at(queued_call.expires_s, queue.expire)
 
     def _answer(
@@ -297,6 +396,7 @@
     ) -> None:
         """Send an answer to the first hop."""
         queue = self._queues[index]
+        factor = 1.0 if self._spec.stated is None else queue.times.factor
         verdict = Verdict.RAN if reason is None else Verdict.NOT_RUN
         answer = MeshAnswer(
             0,
@@ -306,6 +406,8 @@
             status=200 if reason is None else 0,
             n_reported=queue.n_running + queue.n_waiting,
             limit=queue.slots,
+            wait_ms=int(queue.expected_wait_s(queue.n_waiting) * 1000),
+            work_time=round(factor, 2),
             is_load=reason is not None,
         )
         self._time.after(
--- a/tests/load_patterns.py
+++ b/tests/load_patterns.py
@@ -6,11 +6,16 @@
 
 from __future__ import annotations
 
+import math
+import random
+
 import attrs
 
+from savoryroute.coordination.upstream_reports import slots_to_fill
+
 from .fleet_replay import Fault, Load, Spec
 
-__all__ = ["PATTERNS", "Pattern"]
+__all__ = ["PATTERNS", "Pattern", "uneven_patterns"]
 
 # A service of eight instances, like planner in a deployment of 75 hosts.
 SPEEDS = (0.5, 1.0, 1.0, 1.5, 0.5, 1.0, 1.0, 1.5)
@@ -62,3 +67,59 @@
         NORMAL_LOAD,
     ),
 }
+
+
+def _stated(index: int, now_s: float, factor: float) -> float:
+    return factor
+
+
+def _uneven(
+    speeds: tuple[float, ...], slots: int, n_hops: int, load: Load, load_share: float
+) -> Pattern:
+    """Return a load on upstreams slowed in turn by other work on their machines.
+
+    15% of the upstreams are 2.5 times slower, other ones every 0.6 s.
+    """
+    n_slow = max(1, round(0.15 * len(speeds)))
+    n_periods = math.ceil(load.seconds / 0.6) + 1
+    rng = random.Random(len(speeds))
+    faults = tuple(
+        Fault(
+            tuple(rng.sample(range(len(speeds)), n_slow)),
+            number * 0.6,
+            (number + 1) * 0.6,
+            slowness=2.5,
+            is_stated=True,
+        )
+        for number in range(n_periods)
+    )
+    slots = slots_to_fill(slots)
+    usable = 1.0 - n_slow / len(speeds) * (1.0 - 1.0 / 2.5)
+    per_s = load_share * usable * slots * sum(speeds) / load.work_s
+    spec = Spec(speeds, slots, N_DOMAINS, n_hops, faults, _stated)
+    return Pattern(spec, attrs.evolve(load, per_s=per_s))
+
+
+def uneven_patterns(n_hops: int) -> dict[str, Pattern]:
+    """Return the patterns of upstreams of uneven speed for a number of first hops.
+
+    The call queue fills 95% of the slots, so that the deep service, which turns 1.3
+    times slower for each call above that, stays at its usual speed.
+    """
+    upper = Load(0.0, WORK_S, TARGET_S, TIMEOUT_S, 6.0)
+    deep = Load(0.0, 0.04, 0.3, 0.8, 6.0, queue_timeout_share=0.5)
+    wave = {"seconds": 15.0, "wave": 0.55, "clump": 4.0}
+    speeds_33 = ((0.55, 1.2, 1.2, 1.2) * 9)[:33]
+    speeds_28 = (0.5, 1.0, 1.0, 1.5) * 7
+    speeds_5 = (0.7, 0.7, 1.6, 0.7, 0.7)
+    return {
+        "neighbours, 33 x 25": _uneven(speeds_33, 25, n_hops, upper, 0.85),
+        "neighbours, 28 x 30": _uneven(speeds_28, 30, n_hops, upper, 0.85),
+        "neighbours, deep 5 x 37": _uneven(speeds_5, 37, n_hops, deep, 0.7),
+        "wave, 33 x 25": _uneven(
+            speeds_33, 25, n_hops, attrs.evolve(upper, **wave), 0.72
+        ),
+        "wave, deep 5 x 37": _uneven(
+            speeds_5, 37, n_hops, attrs.evolve(deep, **wave), 0.72
+        ),
+    }
--- /dev/null
+++ b/tests/uneven_study.py
@@ -0,0 +1,78 @@
+"""Waits and shares in time of upstreams of uneven speed, for docs/RESULTS.md.
+
+Usage:
+  uneven_study.py [--seeds=<n>] [--hops=<list>] [--pattern=<text>]
+
+Options:
+  --seeds=<n>       Number of seeds [default: 5].
+  --hops=<list>     Numbers of first hops [default: 13,74,195].
+  --pattern=<text>  Only patterns that contain this text.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import statistics
+
+import attrs
+from docopt import docopt
+
+from .fleet_replay import FleetReplay, Outcome
+from .load_patterns import uneven_patterns
+
+N_PROCESSES = 3
+
+
+def play(name: str, n_hops: int, variant: str, seed: int) -> tuple[float, ...]:
+    """Return share in time in %, mean and p99 of the wait and spread in ms."""
+    pattern = uneven_patterns(n_hops)[name]
+    spec = pattern.spec
+    if variant == "before":
+        # As upstreams that state nothing are served as before.
+        spec = attrs.evolve(spec, stated=None)
+    replay = FleetReplay(spec, pattern.load, seed)
+    outcome = replay.play_oracle() if variant == "oracle" else replay.play()
+    return (*_figures(outcome), float(replay.n_returned))
+
+
+def _figures(outcome: Outcome) -> tuple[float, ...]:
+    waits_s = sorted(outcome.waits_s)
+    spreads_s = outcome.spreads_s or [0.0]
+    return (
+        100 * outcome.in_target,
+        1000 * statistics.fmean(waits_s),
+        1000 * waits_s[int(0.99 * len(waits_s))],
+        1000 * statistics.fmean(spreads_s),
+    )
+
+
+def main() -> None:
+    """Print one row for each pattern, number of first hops and variant."""
+    options = docopt(__doc__)
+    seeds = range(int(options["--seeds"]))
+    hops = [int(text) for text in options["--hops"].split(",")]
+    names = [n for n in uneven_patterns(1) if (options["--pattern"] or "") in n]
+    jobs = [(n, h, v) for n in names for h in hops for v in _VARIANTS]
+    print("| pattern | hops | | in time % | mean wait ms | p99 | spread | returned |")
+    print("|---|---|---|---|---|---|---|---|")
+    with concurrent.futures.ProcessPoolExecutor(N_PROCESSES) as pool:
+        results = {
+            job: [pool.submit(play, *job, seed) for seed in seeds] for job in jobs
+        }
+        for job, futures in results.items():
+            columns = zip(*(future.result() for future in futures), strict=True)
+            cells = [f"{statistics.fmean(c):.2f} ± {_noise(c):.2f}" for c in columns]
+            print(
+                "|", " | ".join([job[0], str(job[1]), job[2], *cells]), "|", flush=True
+            )
+
+
+_VARIANTS = ("before", "after", "oracle")
+
+
+def _noise(column: tuple[float, ...]) -> float:
+    return statistics.stdev(column) if len(column) > 1 else 0.0
+
+
+if __name__ == "__main__":
+    main()
