--- a/packages/savoryroute/savoryroute/coordination/spill_rule.py
+++ b/packages/savoryroute/savoryroute/coordination/spill_rule.py
@@ -63,7 +63,7 @@
         if work_time != 1.0:
             self._factor_s = record.reported_s
         loads, waits_ms = self._usual_loads, self._usual_waits_ms
-        load = record.n_reported / record.limit
+        load = record.n_reported / (record.limit or 1)
         loads[is_far] += (load - loads[is_far]) * REPORT_WEIGHT
         waits_ms[is_far] += (record.wait_ms - waits_ms[is_far]) * REPORT_WEIGHT
 
--- a/tests/uneven_study.py
+++ b/tests/uneven_study.py
@@ -1,26 +1,41 @@
 """Waits and shares in time of upstreams of uneven speed, for docs/RESULTS.md.
 
 Usage:
-  uneven_study.py [--seeds=<n>] [--hops=<list>] [--pattern=<text>]
+  uneven_study.py [--seeds=<n>] [--hops=<list>] [--pattern=<text>] [--parts]
 
 Options:
   --seeds=<n>       Number of seeds [default: 5].
   --hops=<list>     Numbers of first hops [default: 13,74,195].
   --pattern=<text>  Only patterns that contain this text.
+  --parts           Compare with versions that lack one part.
 """
 
 from __future__ import annotations
 
 import concurrent.futures
 import statistics
+from unittest import mock
 
 import attrs
 from docopt import docopt
 
+from savoryroute.coordination.call_queue import CallQueue
+from savoryroute.coordination.instance_record import ReportedFactor
+from savoryroute.coordination.spill_rule import SpillRule
+
 from .fleet_replay import FleetReplay, Outcome
 from .load_patterns import uneven_patterns
 
 N_PROCESSES = 3
+VARIANTS = ("before", "after", "oracle")
+PARTS = {
+    "after": None,
+    "no factor": (ReportedFactor, "at", lambda *args: 1.0),
+    "no return": (CallQueue, "_return_late", lambda queue: None),
+    "no wait": (SpillRule, "wait_cost", lambda *args: 0.0),
+    "no herd limit": (SpillRule, "allows", lambda *args: True),
+    "no usual load": (SpillRule, "usual_loads", (0.0, 0.0)),
+}
 
 
 def play(name: str, n_hops: int, variant: str, seed: int) -> tuple[float, ...]:
@@ -31,7 +46,13 @@
         # As upstreams that state nothing are served as before.
         spec = attrs.evolve(spec, stated=None)
     replay = FleetReplay(spec, pattern.load, seed)
-    outcome = replay.play_oracle() if variant == "oracle" else replay.play()
+    if variant == "oracle":
+        outcome = replay.play_oracle()
+    elif PARTS.get(variant) is None:
+        outcome = replay.play()
+    else:
+        with mock.patch.object(*PARTS[variant]):
+            outcome = replay.play()
     return (*_figures(outcome), float(replay.n_returned))
 
 
@@ -52,7 +73,8 @@
     seeds = range(int(options["--seeds"]))
     hops = [int(text) for text in options["--hops"].split(",")]
     names = [n for n in uneven_patterns(1) if (options["--pattern"] or "") in n]
-    jobs = [(n, h, v) for n in names for h in hops for v in _VARIANTS]
+    variants = PARTS if options["--parts"] else VARIANTS
+    jobs = [(n, h, v) for n in names for h in hops for v in variants]
     print("| pattern | hops | | in time % | mean wait ms | p99 | spread | returned |")
     print("|---|---|---|---|---|---|---|---|")
     with concurrent.futures.ProcessPoolExecutor(N_PROCESSES) as pool:
@@ -67,9 +89,6 @@
             )
 
 
-_VARIANTS = ("before", "after", "oracle")
-
-
 def _noise(column: tuple[float, ...]) -> float:
     return statistics.stdev(column) if len(column) > 1 else 0.0
 
