--- a/packages/savoryroute/savoryroute/coordination/upstream_reports.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_reports.py
@@ -37,6 +37,8 @@
         # Last value of the header, so that only changes are parsed and logged.
         self._rate_limit_text: bytes | None = None
         self._leaving_instance = ""
+        # Whether the last answer states the work time, None before the first that does.
+        self._states_work_time: bool | None = None
         # Figures of the load header that could not be read in the last answer.
         self._unreadable: tuple[str, ...] = ()
 
@@ -79,7 +81,13 @@
             )
         if load.n_slots is not None:
             self._queue.slots = slots_to_fill(load.n_slots)
-        self._queue.times.report(1.0 if load.work_time is None else load.work_time)
+        is_stated = load.work_time is not None
+        if self._states_work_time is None:
+            self._states_work_time = is_stated or None
+        elif is_stated != self._states_work_time:
+            self._states_work_time = is_stated
+            self._log.change("upstream_work_time", is_stated=is_stated)
+        self._queue.times.report(load.work_time if is_stated else 1.0)
 
     def note_rate_limit(self, request_id: bytes, text: bytes | None) -> None:
         """Set the rate limit from the header of an answer.
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -234,4 +234,25 @@
         "if route is None or not route.parts:",
         "tests.savoryroute_platform.test_unreadable_routes",
     ),
+    Mutation(
+        "mesh placement: calls are returned that cannot be placed again",
+        "coordination/call_queue.py",
+        "if not call.is_returnable or wait_s <= call.expires_s - now_s:",
+        "if wait_s <= call.expires_s - now_s:",
+        "tests.savoryroute.coordination.test_uneven_upstreams.ReturnTest",
+    ),
+    Mutation(
+        "mesh placement: a stated work time counts unconfirmed",
+        "coordination/work_time_check.py",
+        "return min(1.0, max(0.0, slope))",
+        "return 1.0",
+        "tests.savoryroute.coordination.test_uneven_upstreams.WorkTimeCheckTest",
+    ),
+    Mutation(
+        "mesh placement: all calls go to the remote upstream that looks idle",
+        "coordination/spill_rule.py",
+        "return n_after <= max(1.0, SHARE_MAX * (self._n_calls + 1))",
+        "return True",
+        "tests.savoryroute.coordination.test_uneven_upstreams.SelectorTest",
+    ),
 ]
--- a/tests/savoryroute/coordination/test_upstream_reports.py
+++ b/tests/savoryroute/coordination/test_upstream_reports.py
@@ -45,3 +45,14 @@
         self.assertEqual(unreadable, [["n_slots"], [], ["n_slots"]])
         self.assertEqual(self.lines[0]["event"], "upstream_load_unreadable")
         self.assertEqual(self.queue.slots, slots_to_fill(25))
+
+    def test_missing_or_unreadable_work_time_counts_as_the_usual(self):
+        """Guards against a factor that stays after the upstream stopped stating it."""
+        values = (b"3,0,25", b"3,0,25,250", b"3,0,25,x", b"3,0,25,x", b"3,0,25")
+        for value in (*values, b"3,0,25,250"):
+            self.reports.note_load(value)
+            stated = 2.5 if value.endswith(b"250") else 1.0
+            self.assertEqual(self.reports.work_time, stated, value)
+        self.log.flush()
+        lines = [line for line in self.lines if line["event"] == "upstream_work_time"]
+        self.assertEqual([line["is_stated"] for line in lines], [False, True])
--- /dev/null
+++ b/tests/savoryroute_platform/test_returned_calls.py
@@ -0,0 +1,78 @@
+"""Tests of waiting calls that are returned because their upstream turned slow."""
+
+import asyncio
+from unittest import mock
+
+from savoryroute.protocol.mesh_frames import FrameKind
+from savoryroute.transport.frame_link import FrameLink
+from savoryroute.verdict import Reason
+
+from .test_path import PathTest
+
+
+class ReturnedCallTest(PathTest):
+    services = ("front", "planner", "planner")
+    kinds = {"planner": "unsafe"}
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for upstream in self.planners:
+            upstream.slots = 3
+            upstream.delay_s = 0.15
+        # The daemons learn the slots from the first answers.
+        self.assertEqual(await self.request_many(4), [200] * 4)
+
+    async def request_many(self, n_requests):
+        async def send():
+            caller = await self.fleet.caller(0)
+            answer = await caller.request("/planner/x", method="POST", body=b"x")
+            caller.close()
+            return answer.status
+
+        return await asyncio.gather(*(send() for _ in range(n_requests)))
+
+    async def return_calls_of_first(self):
+        """Let calls wait at the first planner, which then turns slow."""
+        requests = asyncio.create_task(self.request_many(8))
+        queue = self.fleet.nodes[1]._queue
+        await self.fleet.wait_until(lambda: queue.n_waiting)
+        # The other planner has free slots from now on.
+        other = self.fleet.nodes[2]._queue
+        self.planners[1].slots = other.slots = 30
+        other.start_waiting()
+        queue.times._factor = 1000.0
+        queue._return_late()
+        queue.times._factor = 1.0
+        self.assertGreater(queue.n_returned, 0)
+        return await requests
+
+    def runs(self):
+        return [run["request-id"] for item in self.planners for run in item.runs]
+
+    async def test_returned_calls_run_elsewhere_without_the_retry_budget(self):
+        self.assertEqual(set(await self.return_calls_of_first()), {200})
+        self.assertEqual(self.fleet.nodes[0]._first_hop.gauges()["repeats"], {})
+        self.assertEqual(len(self.runs()), len(set(self.runs())))
+        for node in self.fleet.nodes:
+            node._log.flush()
+        lines = [x for x in self.fleet.log_lines if x["event"] == "placed_again"]
+        self.assertTrue(any("1000.00 times" in line["detail"] for line in lines))
+        for line in lines:
+            fields = {"instance", "load", "wait_ms", "factor", "report_age"}
+            self.assertLessEqual(fields, set(line))
+
+    async def test_unsafe_call_runs_once_if_its_return_is_lost_with_the_link(self):
+        """Guards against a second run after an answer that never arrived."""
+        send = FrameLink.send
+
+        def lose_returns(link, frame):
+            if frame[0] == FrameKind.ANSWER and frame[3] == Reason.OVERLOAD:
+                link.abort()
+                return
+            send(link, frame)
+
+        with mock.patch.object(FrameLink, "send", lose_returns):
+            statuses = await self.return_calls_of_first()
+        self.assertIn(502, statuses)
+        self.assertNotIn(503, statuses)
+        self.assertEqual(len(self.runs()), len(set(self.runs())))
