metrics: age of reports by one increment; a stated slowness on the path of a request

Cause: observing a histogram took 1.09 us for each placement, and no test had an upstream that states the fourth figure and returns waiting calls for it. Change: buckets are counted in a list and summed at a scrape; the stand-in states a work time.

--- a/packages/savoryroute/savoryroute/state/metrics.py
+++ b/packages/savoryroute/savoryroute/state/metrics.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
+import itertools
 import math
 from collections.abc import Callable, Mapping
 
@@ -48,6 +50,9 @@
         )
         self._report_ages = Buckets(*ages.upper_bounds)
         ages.set_value({}, self._report_ages)
+        # By bucket and not cumulative: a placement costs one increment.
+        self._n_report_ages = [0] * len(ages.upper_bounds)
+        self._report_age_sum_s = 0.0
         self._gauges: dict[str, Gauge] = {}
         # Kept outside the collectors, which encode the labels on each call.
         self._counts: collections.Counter[tuple[str, str, str]] = collections.Counter()
@@ -71,7 +76,8 @@
         """Count a placement by the age in seconds of the report that it used."""
         # An infinite age, of an instance that was never heard, would spoil the sum.
         if age_s != math.inf:
-            self._report_ages.observe(age_s)
+            self._n_report_ages[bisect.bisect_left(REPORT_AGE_BUCKETS_S, age_s)] += 1
+            self._report_age_sum_s += age_s
 
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Return the body and the headers of a scrape.
@@ -88,6 +94,12 @@
         for (class_name, verdict, reason), n_requests in self._counts.items():
             labels = {"class": class_name, "verdict": verdict, "reason": reason}
             self._outcomes.set(labels, n_requests)
+        ages = self._report_ages
+        counts = itertools.accumulate(self._n_report_ages)
+        for bound, n_ages in zip(ages.buckets, counts, strict=True):
+            ages.buckets[bound] = n_ages
+        ages.sum = self._report_age_sum_s
+        ages.observations = sum(self._n_report_ages)
         return render(self._registry, [accept])
 
     def _buckets_of(self, class_name: str) -> Buckets:
--- a/tests/savoryroute_platform/test_returned_calls.py
+++ b/tests/savoryroute_platform/test_returned_calls.py
@@ -76,3 +76,24 @@
         self.assertIn(502, statuses)
         self.assertNotIn(503, statuses)
         self.assertEqual(len(self.runs()), len(set(self.runs())))
+
+    async def test_calls_are_returned_when_the_upstream_says_that_it_is_slow(self):
+        """Guards against calls that wait out their time at an upstream turned slow."""
+        slow, other = self.planners
+        other.delay_s = 0.05
+        for work_time in (100, 100, 100, 100, 400, 100, 400, 100, 100):
+            slow.work_time, slow.delay_s = work_time, 0.0005 * work_time
+            for _ in range(3):
+                await self.request_many(6)
+        queue = self.fleet.nodes[1]._queue
+        self.assertEqual(queue.times.factor, 1.0)
+        requests = asyncio.create_task(self.request_many(10))
+        await self.fleet.wait_until(lambda: queue.n_waiting)
+        slow.work_time, slow.delay_s = 800, 0.4
+        other.slots = 30
+        self.fleet.nodes[2]._queue.slots = 28
+        self.fleet.nodes[2]._queue.start_waiting()
+        statuses = await requests
+        self.assertGreater(queue.times.factor, 2.0)
+        self.assertGreater(queue.n_returned, 0)
+        self.assertEqual(set(statuses), {200})
