--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -8,8 +8,6 @@
 
 
 PROOF = "tests.savoryroute.coordination.test_configuration_proof"
-    ),
-    Mutation(
 FAIR_SHARE = "tests.savoryroute.coordination.test_fair_share"
 REPEAT_BUDGET = "tests.savoryroute.coordination.test_repeat_budget"
 
@@ -373,4 +371,25 @@
         "                    self._can_reuse = False",
         "tests.savoryroute_platform.test_operator_reports.LateCopyTest",
     ),
+    Mutation(
+        "mesh placement: calls are returned that cannot be placed again",
+        "coordination/call_queue.py",
+        "if not call.is_returnable or wait_s <= call.expires_s - now_s:",
+        "if wait_s <= call.expires_s - now_s:",
+        "tests.savoryroute.coordination.test_uneven_upstreams.ReturnTest",
+    ),
+    Mutation(
+        "mesh placement: a stated work time counts unconfirmed",
+        "coordination/work_time_check.py",
+        "return min(1.0, max(0.0, slope))",
+        "return 1.0",
+        "tests.savoryroute.coordination.test_uneven_upstreams.WorkTimeCheckTest",
+    ),
+    Mutation(
+        "mesh placement: all calls go to the remote upstream that looks idle",
+        "coordination/spill_rule.py",
+        "return n_after <= max(1.0, SHARE_MAX * (self._n_calls + 1))",
+        "return True",
+        "tests.savoryroute.coordination.test_uneven_upstreams.SelectorTest",
+    ),
 ]
