--- a/packages/savoryroute/savoryroute/coordination/quota_holder.py
+++ b/packages/savoryroute/savoryroute/coordination/quota_holder.py
@@ -33,7 +33,7 @@
 # Least credits that a bucket can hold, and the same in seconds of its rate, taken from
 # what the reserves would get. With fewer, irregular requests below the quota are
 # refused, and a first hop that has most of the demand cannot ask often enough.
-BUCKET_CREDITS_MIN = 6.0
+BUCKET_CREDITS_MIN = 8.0
 BUCKET_MIN_S = 0.1
 # Seconds for which a full bucket is kept after its last use. A bucket that is dropped
 # counts as empty when the ring last changed.
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -29,8 +29,10 @@
         """Schedule an action after a delay in seconds."""
         self.at(self._now_s + delay_s, action)
 
-    def run(self) -> None:
-        """Run all actions, including those added meanwhile."""
-        while self._actions:
+    def run(self, until_s: float = float("inf")) -> None:
+        """Run all actions up to a time, including those added meanwhile."""
+        while self._actions and self._actions[0][0] <= until_s:
             self._now_s, _, action = heapq.heappop(self._actions)
             action()
+        if until_s < float("inf"):
+            self._now_s = until_s
