quotas: tests through daemons, and deliberate faults

Cause: the hook at the first hop was not tested. Eight deliberate faults with the tests that must fail.

--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -8,6 +8,9 @@
 
 
 REPEAT_BUDGET = "tests.savoryroute.coordination.test_repeat_budget"
+QUOTAS = "tests.savoryroute.coordination.test_quotas.BoundTest"
+QUOTA_FAILURES = "tests.savoryroute.coordination.test_quota_failures"
+QUOTA_PATH = "tests.savoryroute_platform.test_quota_path"
 
 MESH_MUTATIONS = [
     Mutation(
@@ -234,4 +237,60 @@
         "if route is None or not route.parts:",
         "tests.savoryroute_platform.test_unreadable_routes",
     ),
+    Mutation(
+        "quota: a bucket starts full",
+        "coordination/quota_holder.py",
+        "            tokens = self._filled(scope, limit, now_s)\n",
+        "            tokens = limit.burst\n",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: authority ignores the age of the proof",
+        "coordination/quota_holder.py",
+        "now_s - self._proved_s < self._proof_age_max_s[scope]",
+        "True",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: the next holder does not wait",
+        "coordination/quota_ring.py",
+        "if now_s - left_s >= HANDOVER_S:",
+        "if True:",
+        QUOTAS,
+    ),
+    Mutation(
+        "quota: a host that joins does not wait",
+        "coordination/quota_ring.py",
+        "self._entitled_s = now_s + (FIRST_LIST_WAIT_S if was_listed else HANDOVER_S)",
+        "self._entitled_s = now_s",
+        QUOTAS,
+    ),
+    Mutation(
+        "quota: a grant counts twice",
+        "coordination/quota_client.py",
+        "        del self._asks[grant.number]\n",
+        "        pass\n",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: credits count from the arrival of the grant",
+        "coordination/quota_client.py",
+        "expires_s = ask.sent_s + CREDIT_LIFETIME_S",
+        "expires_s = now_s + CREDIT_LIFETIME_S",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: a host that was off the list unnoticed keeps its buckets",
+        "coordination/quota_holder.py",
+        "if is_lapsed and self._proved_s != -math.inf:",
+        "if False:",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: the credit of a request that reached an upstream is given back",
+        "coordination/first_hop.py",
+        "is_unused = not forwarded.may_have_run and not forwarded.n_arrivals",
+        "is_unused = not forwarded.may_have_run",
+        QUOTA_PATH,
+    ),
 ]
--- a/tests/savoryroute_platform/mesh_fleet.py
+++ b/tests/savoryroute_platform/mesh_fleet.py
@@ -90,10 +90,12 @@
         services: list[str],
         kinds: dict[str, str] | None = None,
         retry_slack: float = 1000.0,
+        extra_settings: dict | None = None,
     ):
         self.services = services
         self.kinds = kinds or {}
         self.retry_slack = retry_slack
+        self.extra_settings = extra_settings or {}
         self.subnet = next(_subnets) % 200 + 10
         ports = free_ports(5)
         self.port, self.link_port, self.ready_port, self.app_port = ports[:4]
@@ -196,6 +198,7 @@
                 "retry_slack": self.retry_slack,
                 "grace_s": "6s",
                 "memory_mb": 300,
+                **self.extra_settings,
             }
         )
         settings = parse_mesh_settings(text, "test").unwrap()
