--- a/tests/savoryroute/coordination/test_quota_failures.py
+++ b/tests/savoryroute/coordination/test_quota_failures.py
@@ -115,7 +115,7 @@
             for host in fleet.hosts:
                 at_s = BEGIN_S + 1.5 * number
                 fleet.time.at(at_s, lambda host=host: fleet.start(host))
-        fleet.load(150.0, BEGIN_S, BEGIN_S + 8.0)
+        fleet.load(1000.0, BEGIN_S, BEGIN_S + 8.0)
         fleet.run(BEGIN_S + 8.0)
         self.assertLessEqual(fleet.most_admitted(), bound(20.0, 200.0))
 
--- a/tests/savoryroute/coordination/test_quotas.py
+++ b/tests/savoryroute/coordination/test_quotas.py
@@ -155,6 +155,24 @@
         self.assertGreaterEqual(n_late, 0.95 * 300.0 * 6.0)
 
 
+class MessagesTest(unittest.TestCase):
+    def test_frames_do_not_grow_with_refused_requests(self):
+        """Guards against a frame for each request beyond the quota."""
+        for n in (13, 64, 195, 1089):
+            fleet = QuotaFleet(n, rate=300.0, seed=n)
+            ring = fleet.hosts[0].quotas._ring
+            fleet.run(BEGIN_S)
+            ip = ring.holder(Scope.FLEET, "o")
+            weights = [1.0 / (i + 1) for i in range(n)]
+            fleet.load(3000.0, BEGIN_S, BEGIN_S + 4.0, weights)
+            fleet.n_frames.clear()
+            fleet.run(BEGIN_S + 4.0)
+            per_s = {at: n_sent / 4.0 for at, n_sent in fleet.n_frames.items()}
+            with self.subTest(n=n):
+                self.assertLess(per_s.pop(ip), min(25.0 * n, 1800.0))
+                self.assertLess(max(per_s.values()), 25.0)
+
+
 class CostTest(unittest.TestCase):
     def setUp(self):
         self.now_s = 0.0
