--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -27,6 +27,8 @@
 from .local_upstream import ORGANISATION_GONE, LocalCall, LocalUpstream
 from .mesh_retry_after import mesh_retry_after_s
 from .peer_links import PeerLinks
+from .quota_account import QuotaDecision
+from .quotas import Quotas
 from .repeat_admission import reserved_share
 from .request_records import RequestRecords
 from .retry_rule import NextStep, n_placements_left, next_step, status_of
@@ -67,6 +69,7 @@
             routes are in force, infinite without any.
         revocation_s: Seconds after which a revoked key must not be used, None if
             revocation has no such bound.
+        quotas: Quotas of organisations.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         rng: random.Random,
         proof_age_s: Callable[[], float],
         revocation_s: float | None,
+        quotas: Quotas,
     ) -> None:
         self._service = service
         self._ip = ip
@@ -101,6 +105,7 @@
         self._caller_check = CallerCheck(names, records, proof_age_s, revocation_s)
         # Requests that need the key of an organisation and were not answered yet.
         self._of_organisations: set[ForwardedRequest] = set()
+        self._quotas = quotas
         self._split = WeightedRoundRobin()
         self._n_retries: Counter[str] = Counter()
         self._n_retries_refused: Counter[str] = Counter()
@@ -165,7 +170,48 @@
         )
         if parent is None and identity.name and not route.is_public:
             self._of_organisations.add(forwarded)
-        self._place(forwarded)
+        if forwarded.parent is None and self._quotas.needs_credit(
+            forwarded.call.organisation
+        ):
+            self._await_credit(forwarded)
+        else:
+            self._place(forwarded)
+
+    def _await_credit(self, forwarded: ForwardedRequest) -> None:
+        """Place a request once it has a credit of its organisation's quota."""
+
+        def on_decision(decision: QuotaDecision) -> None:
+            forwarded.credit_wait = None
+            forwarded.credit_expires_s = decision.expires_s
+            if decision.expires_s is not None:
+                self._place(forwarded)
+                return
+            # A request that was not admitted says nothing about the load downstream.
+            forwarded.timer.cancel()
+            forwarded.timer = None
+            is_empty = decision.status == 429
+            self._give_up(
+                forwarded,
+                Reason.QUOTA if is_empty else Reason.UNREACHABLE,
+                f"no credit for {forwarded.call.organisation}: {decision.by}",
+                decision.retry_after_s,
+            )
+
+        name = forwarded.call.organisation
+        wait = self._quotas.acquire(name, forwarded.request_id, on_decision)
+        if not wait.is_over:
+            forwarded.credit_wait = wait
+
+    def _end_quota(self, forwarded: ForwardedRequest) -> None:
+        """End the wait for a credit, and give back one that was not used."""
+        if forwarded.credit_wait is not None:
+            self._quotas.cancel(forwarded.credit_wait)
+            forwarded.credit_wait = None
+        expires_s, forwarded.credit_expires_s = forwarded.credit_expires_s, None
+        # A request that reached an upstream counts there, also if it was rejected.
+        is_unused = not forwarded.may_have_run and not forwarded.n_arrivals
+        if expires_s is not None and is_unused:
+            self._quotas.give_back(forwarded.call.organisation, expires_s)
 
     def refuse_waiting(self, organisations: Set[str]) -> None:
         """Refuse requests of organisations whose current attempt has not run.
@@ -424,6 +470,7 @@
         verdict = Verdict.NOT_RUN
         if forwarded.may_have_run:
             verdict = Verdict.MAY_HAVE_RUN
+        self._end_quota(forwarded)
         if forwarded.timer is not None:
             forwarded.timer.cancel()
             is_load = forwarded.answer is not None and forwarded.answer.is_load
@@ -483,15 +530,19 @@
             return
         if forwarded.sent is not None:
             self._selector.note_timeout(forwarded.sent)
+        if forwarded.credit_wait is not None:
+            forwarded.timer = None
         self._cancel_attempt(forwarded)
         self._give_up(forwarded, Reason.DEADLINE, "no answer before the deadline")
 
     def _on_caller_gone(self, forwarded: ForwardedRequest) -> None:
         """Give up a request whose caller closed the connection."""
         forwarded.timer.cancel()
-        self._note_end(forwarded, False)
+        if forwarded.credit_wait is None:
+            self._note_end(forwarded, False)
         self._records.caller_gone(forwarded)
         self._cancel_attempt(forwarded)
+        self._end_quota(forwarded)
 
     def _cancel_attempt(self, forwarded: ForwardedRequest) -> None:
         """Cancel the attempt in progress; note whether it may have run."""
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -33,6 +33,7 @@
 from .peer_calls import PeerCalls
 from .peer_links import PeerLinks
 from .peer_polls import LINKS_MIN, PeerPolls
+from .quotas import Quotas
 from .repeat_admission import RepeatAdmission
 from .repeat_budget import RepeatBudget, slack_part
 from .request_records import RequestRecords
@@ -140,6 +141,18 @@
         self._metrics = Metrics(self._gauges)
         self._organisations: Organisations | None = None
         self._organisation_counters = OrganisationCounters()
+        self._quotas = Quotas(
+            settings,
+            lambda: self._synchronizer.table,
+            lambda: self._synchronizer.proof_age_s,
+            lambda: self._is_leaving,
+            self._send_frame,
+            self._links.is_suspect,
+            lambda delay_s, call: asyncio.get_running_loop().call_later(delay_s, call),
+            log,
+            self._rng,
+            lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
+        )
 
         def table() -> RouteTable | None:
             return self._synchronizer.table
@@ -169,6 +182,7 @@
             self._rng,
             proof_age_s,
             settings.revocation_s,
+            self._quotas,
         )
         self._callers = CallersListener(
             self._first_hop.handle, self._limits, self._on_bad_request, self._bodies
@@ -259,9 +273,12 @@
                 self._upstream.sweep,
                 self._peer_calls.sweep,
                 self._links.sweep,
+                self._quotas.check,
                 self._log.flush,
                 self._poll_peers,
             ]
+            if n_ticks % 20 == 0:
+                steps.append(self._quotas.sweep)
             if n_ticks % 5 == 0:
                 steps += [
                     self._callers.sweep,
@@ -315,6 +332,14 @@
         accepted = {link.peer_ip: link for link in self._accepted_links if link.is_open}
         return self._links.open_connections | accepted
 
+    def _send_frame(self, ip: str, frame: list[Any]) -> bool:
+        """Send a frame to a host on any open link, or on a new one."""
+        for link in self._accepted_links:
+            if link.peer_ip == ip and link.is_open:
+                link.send(frame)
+                return True
+        return self._links.send_frame(ip, frame)
+
     def _limits(self) -> CallerLimits:
         table = self._synchronizer.table
         return CallerLimits() if table is None else table.limits
@@ -325,6 +350,7 @@
         view: FleetView = self._synchronizer.view
         ips = {instance.ip for instance in view.instances.values()}
         self._refuse_dropped_organisations()
+        self._quotas.update_hosts(view.instances.values())
         self._links.keep_only(ips)
         self._selector.keep_only(view.instances)
         local = view.instance_at(settings.callers.ip)
@@ -422,6 +448,7 @@
         }
         gauges.update(self._first_hop.gauges())
         gauges.update(self._organisation_counters.gauges())
+        gauges.update(self._quotas.gauges())
         return gauges
 
     # Links that peers opened.
@@ -460,6 +487,8 @@
             reports = self._crash_reports.answer_to(frame[1])
             if reports is not None:
                 link.send(reports)
+        elif kind in (FrameKind.QUOTA_REQUEST, FrameKind.QUOTA_GRANT):
+            self._quotas.on_frame(ip, frame, link.send)
         elif kind == FrameKind.LEAVING:
             self._note_leaving(ip)
 
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -10,6 +10,8 @@
 PROOF = "tests.savoryroute.coordination.test_configuration_proof"
 FAIR_SHARE = "tests.savoryroute.coordination.test_fair_share"
 REPEAT_BUDGET = "tests.savoryroute.coordination.test_repeat_budget"
+QUOTA_FAILURES = "tests.savoryroute.coordination.test_quota_failures"
+QUOTA_PATH = "tests.savoryroute_platform.test_quota_path"
 
 MESH_MUTATIONS = [
     Mutation(
@@ -392,4 +394,60 @@
         "return True",
         "tests.savoryroute.coordination.test_uneven_upstreams.SelectorTest",
     ),
+    Mutation(
+        "quota: a bucket starts full",
+        "coordination/quota_holder.py",
+        "            tokens = self._filled(scope, limit, now_s)\n",
+        "            tokens = limit.burst\n",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: authority ignores the age of the proof",
+        "coordination/quota_holder.py",
+        "now_s - self._proved_s < self._proof_age_max_s[scope]",
+        "True",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: the next holder does not wait",
+        "coordination/quota_ring.py",
+        "if now_s - left_s >= HANDOVER_S:",
+        "if True:",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: a host that joins does not wait",
+        "coordination/quota_ring.py",
+        "self._entitled_s = now_s + (FIRST_LIST_WAIT_S if was_listed else HANDOVER_S)",
+        "self._entitled_s = now_s",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: a grant counts twice",
+        "coordination/quota_client.py",
+        "        del self._asks[grant.number]\n",
+        "        pass\n",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: credits count from the arrival of the grant",
+        "coordination/quota_client.py",
+        "expires_s = ask.sent_s + CREDIT_LIFETIME_S",
+        "expires_s = now_s + CREDIT_LIFETIME_S",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: a host that was off the list unnoticed keeps its buckets",
+        "coordination/quota_holder.py",
+        "if is_lapsed and self._proved_s != -math.inf:",
+        "if False:",
+        QUOTA_FAILURES,
+    ),
+    Mutation(
+        "quota: the credit of a request that reached an upstream is given back",
+        "coordination/first_hop.py",
+        "is_unused = not forwarded.may_have_run and not forwarded.n_arrivals",
+        "is_unused = not forwarded.may_have_run",
+        QUOTA_PATH,
+    ),
 ]
