--- a/packages/savoryroute/savoryroute/coordination/retries.py
+++ b/packages/savoryroute/savoryroute/coordination/retries.py
@@ -25,10 +25,13 @@
         Reason.KEY_REUSED,
         Reason.KEY_SPENT,
         Reason.QUARANTINED,
+        Reason.QUOTA,
         Reason.RETRY_BUDGET,
+        Reason.STALE_CONFIGURATION,
         Reason.TOO_LARGE,
         Reason.UNKNOWN_ROUTE,
         Reason.UNKNOWN_SERVICE,
+        Reason.UNREADABLE_ORGANISATION,
         Reason.UNREADABLE_ROUTE,
     }
 )
