--- a/tests/load_patterns.py
+++ b/tests/load_patterns.py
@@ -15,7 +15,7 @@
 
 from .fleet_replay import Fault, Load, Spec
 
-__all__ = ["PATTERNS", "Pattern", "uneven_patterns"]
+__all__ = ["PATTERNS", "Pattern", "stated_patterns", "uneven_patterns"]
 
 # A service of eight instances, like planner in a deployment of 75 hosts.
 SPEEDS = (0.5, 1.0, 1.0, 1.5, 0.5, 1.0, 1.0, 1.5)
@@ -123,3 +123,17 @@
             speeds_5, 37, n_hops, attrs.evolve(deep, **wave), 0.72
         ),
     }
+
+
+def stated_patterns() -> dict[str, Pattern]:
+    """Return all ``PATTERNS`` with stated faults and a neighbour of one instance."""
+    neighbour = tuple(
+        Fault((3,), 2.4 * number, 2.4 * number + 0.6, slowness=2.5, is_stated=True)
+        for number in range(5)
+    )
+    found = {}
+    for name, pattern in PATTERNS.items():
+        faults = tuple(attrs.evolve(f, is_stated=True) for f in pattern.spec.faults)
+        spec = attrs.evolve(pattern.spec, faults=faults + neighbour, stated=_stated)
+        found[name] = Pattern(spec, pattern.load)
+    return found
--- a/tests/uneven_study.py
+++ b/tests/uneven_study.py
@@ -1,13 +1,14 @@
 """Waits and shares in time of upstreams of uneven speed, for docs/RESULTS.md.
 
 Usage:
-  uneven_study.py [--seeds=<n>] [--hops=<list>] [--pattern=<text>] [--parts]
+  uneven_study.py [--seeds=<n>] [--hops=<list>] [--pattern=<text>] [--parts] [--others]
 
 Options:
   --seeds=<n>       Number of seeds [default: 5].
   --hops=<list>     Numbers of first hops [default: 13,74,195].
   --pattern=<text>  Only patterns that contain this text.
   --parts           Compare with versions that lack one part.
+  --others          Play the other patterns, with 12 first hops.
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 from savoryroute.coordination.spill_rule import SpillRule
 
 from .fleet_replay import FleetReplay, Outcome
-from .load_patterns import uneven_patterns
+from .load_patterns import stated_patterns, uneven_patterns
 
 N_PROCESSES = 3
 VARIANTS = ("before", "after", "oracle")
@@ -40,7 +41,7 @@
 
 def play(name: str, n_hops: int, variant: str, seed: int) -> tuple[float, ...]:
     """Return share in time in %, mean and p99 of the wait and spread in ms."""
-    pattern = uneven_patterns(n_hops)[name]
+    pattern = (uneven_patterns(n_hops) | stated_patterns())[name]
     spec = pattern.spec
     if variant == "before":
         # As upstreams that state nothing are served as before.
@@ -72,7 +73,10 @@
     options = docopt(__doc__)
     seeds = range(int(options["--seeds"]))
     hops = [int(text) for text in options["--hops"].split(",")]
-    names = [n for n in uneven_patterns(1) if (options["--pattern"] or "") in n]
+    patterns = uneven_patterns(1)
+    if options["--others"]:
+        patterns, hops = stated_patterns(), [12]
+    names = [n for n in patterns if (options["--pattern"] or "") in n]
     variants = PARTS if options["--parts"] else VARIANTS
     jobs = [(n, h, v) for n in names for h in hops for v in variants]
     print("| pattern | hops | | in time % | mean wait ms | p99 | spread | returned |")
