tests: robust waits on a loaded machine

Cause: at a load of 14, `test_answer_that_is_being_written_is_not_cut_off` failed in 2 of 6 runs: as read from the test, the long answer then misses the route's timeout of 1.5 s and a short one is served. 0.4 s may pass before both waiting calls are seen. Change: the route has 9 s, and the stop begins once the answer is being written; the calls that occupy the upstreams take 0.8 s. The assertions are the same.

--- a/tests/savoryroute_platform/test_callers_of_organisations.py
+++ b/tests/savoryroute_platform/test_callers_of_organisations.py
@@ -198,7 +198,7 @@
 
     async def test_organisation_dropped_with_requests_waiting(self):
         """Guards against requests that start although their key was withdrawn."""
-        busy = await self.occupy_upstreams(0.4)
+        busy = await self.occupy_upstreams(0.8)
         waiting = []
         # One waits beside the first hop, one at another host.
         for target in ("/front/x", "/planner/x"):
--- a/tests/savoryroute_platform/test_operator_reports.py
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -46,6 +46,29 @@
 ]
 
 
+# Longer than what the buffers of the system take.
+LONG_BYTES = 16 << 20
+
+
+async def start_long_answer(test, index):
+    """Wait until a daemon writes a long answer that its caller does not read."""
+
+    async def answer_long(fields, writer, _):
+        body = b"b" * LONG_BYTES
+        writer.write(complete_answer(fields["request-id"].encode(), body))
+        return True
+
+    for planner in test.planners:
+        planner.script.append(answer_long)
+    test.fleet.publish(2, timeout="9000ms")
+    node = test.fleet.nodes[index]
+    await test.fleet.wait_until(lambda: node.synchronizer.table.version == 2)
+    test.caller.write("/planner/x", headers={"Deadline-Ms": "9000"})
+    callers = node._callers
+    await test.fleet.wait_until(lambda: callers.n_busy and not callers.n_open)
+    return callers
+
+
 class MalformedMessageTest(PathTest):
     """One malformed message or unexpected error took a whole process down."""
 
@@ -246,15 +269,7 @@
     async def test_daemon_that_ends_while_it_answers(self):
         """The caller can tell that the answer is not complete."""
 
-        async def answer_long(fields, writer, _):
-            body = b"b" * (16 << 20)
-            writer.write(complete_answer(fields["request-id"].encode(), body))
-            return True
-
-        self.planners[0].script.append(answer_long)
-        self.caller.write("/planner/x")
-        callers = self.fleet.nodes[0]._callers
-        await self.fleet.wait_until(lambda: not callers.n_open and callers.n_busy)
+        callers = await start_long_answer(self, 0)
         callers.abort()
         try:
             answer = await self.caller.read()
@@ -325,21 +340,12 @@
         await asyncio.wait_for(stop, 1.0)
 
     async def test_answer_that_is_being_written_is_not_cut_off(self):
-        n_bytes = 16 << 20
-
-        async def answer_long(fields, writer, _):
-            body = b"b" * n_bytes
-            writer.write(complete_answer(fields["request-id"].encode(), body))
-            return True
-
-        for planner in self.planners:
-            planner.script.append(answer_long)
-        self.caller.write("/planner/x")
+        await start_long_answer(self, 0)
         stop = asyncio.create_task(self.fleet.nodes[0].stop())
         await asyncio.sleep(3.2)
         self.assertFalse(stop.done())
         answer = await self.caller.read()
-        self.assertEqual((answer.is_complete, len(answer.body)), (True, n_bytes))
+        self.assertEqual((answer.is_complete, len(answer.body)), (True, LONG_BYTES))
         await asyncio.wait_for(stop, 1.0)
 
     async def test_answer_to_a_peer_that_is_being_written_is_not_cut_off(self):
