--- a/tests/savoryroute_platform/test_operator_reports.py
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -46,8 +46,8 @@
 ]
 
 
-# Longer than what the buffers of the system take.
-LONG_BYTES = 16 << 20
+# More than the buffers of the system take (33 MB to read, 4 MB to write).
+LONG_BYTES = 40 << 20
 
 
 async def start_long_answer(test, index):
