quotas: a host whose upstream drains releases its buckets to the next hosts

Cause: each host that left the list kept its place on the ring for 3 s, in which it could not be reached. Change: the host says that it grants no more, by upstream and its start, so that a daemon that restarts beside it does not grant again. Ruled out: a shorter wait for hosts that leave without saying so, as one that is cut off then may grant beside the next one.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -63,6 +63,11 @@
 BODIES_MEMORY_SHARE = 0.15
 # Margin in seconds before the end of the grace period, when the process is killed.
 LEAVE_MARGIN_S = 0.4
+QUOTA_FRAMES = (
+    FrameKind.QUOTA_REQUEST,
+    FrameKind.QUOTA_GRANT,
+    FrameKind.QUOTA_RELEASE,
+)
 
 
 class MeshNode:
@@ -91,6 +96,8 @@
         self._is_leaving = False
         self._was_listed = False
         self._local_start: tuple[str, int] | None = None
+        # Start of the upstream beside which this host has released its quotas.
+        self._released_start: tuple[str, int] | None = None
         self._accepted_links: set[FrameLink] = set()
         self._quarantine = Quarantine(time.monotonic, CRASHES_MAX, QUARANTINE_S)
         self._crash_reports = CrashReports(
@@ -364,6 +371,8 @@
                 self._local_start = start
                 self._upstream.note_start()
         self._repeat_budget.set_slack(self._slack_part(local))
+        if local is not None and not local.is_ready:
+            self._release_quotas(local)
         is_taking = local.is_ready if local is not None else not self._was_listed
         if self._is_leaving or is_taking != self._upstream.is_leaving:
             return
@@ -373,6 +382,15 @@
             self._upstream.leave()
         self._log.change("own_upstream", is_taking_calls=is_taking)
 
+    def _release_quotas(self, instance: Instance) -> None:
+        """Hand the quotas that this host holds over to others, once an upstream."""
+        if self._released_start == self._local_start:
+            return
+        self._released_start = self._local_start
+        frame = self._quotas.release(instance)
+        if frame is not None:
+            self._broadcast(frame)
+
     def _refuse_dropped_organisations(self) -> None:
         """Refuse waiting requests of organisations that the configuration dropped."""
         table = self._synchronizer.table
@@ -487,7 +505,7 @@
             reports = self._crash_reports.answer_to(frame[1])
             if reports is not None:
                 link.send(reports)
-        elif kind in (FrameKind.QUOTA_REQUEST, FrameKind.QUOTA_GRANT):
+        elif kind in QUOTA_FRAMES:
             self._quotas.on_frame(ip, frame, link.send)
         elif kind == FrameKind.LEAVING:
             self._note_leaving(ip)
--- a/packages/savoryroute/savoryroute/coordination/quota_ring.py
+++ b/packages/savoryroute/savoryroute/coordination/quota_ring.py
@@ -40,11 +40,13 @@
         ip: Address of the host.
         failure_domain: Failure domain of the host.
         is_cold: Whether its upstream is in its slow start.
+        instance: Identity of its upstream and of the start of that.
     """
 
     ip: str
     failure_domain: str
     is_cold: bool = False
+    instance: str = ""
 
 
 def _position(text: str) -> int:
@@ -90,6 +92,8 @@
         self._clock = clock
         self._domains: dict[str, str] = {}
         self._left_s: dict[str, float] = {}
+        # Identity of the upstream beside which a host has stopped granting, by address.
+        self._released: dict[str, str] = {}
         self._n_by_domain: Counter[str] = Counter()
         self._points = {scope: _Points() for scope in Scope}
         self._changed_s = dict.fromkeys(Scope, clock())
@@ -123,7 +127,16 @@
         Args:
             hosts: All listed hosts.
         """
-        listed = {host.ip: host for host in hosts}
+        hosts = list(hosts)
+        instances = {(host.ip, host.instance) for host in hosts}
+        for ip, instance in list(self._released.items()):
+            if (ip, instance) not in instances:
+                del self._released[ip]
+        listed = {
+            host.ip: host
+            for host in hosts
+            if self._released.get(host.ip) != host.instance
+        }
         now_s = self._clock()
         self._expire()
         for ip in self._domains.keys() - listed.keys() - self._left_s.keys():
@@ -135,6 +148,22 @@
                 self._add(host, now_s)
         self._update_entitlement(listed, now_s)
 
+    def release(self, ip: str, instance: str) -> None:
+        """Take a host off the ring at once, as it says that it grants no more.
+
+        It holds as long as the host is listed with the same upstream, so that a daemon
+        that restarts beside an upstream that drains does not grant again.
+
+        Args:
+            ip: Address of the host.
+            instance: Identity of its upstream, as in ``RingHost``.
+        """
+        self._released[ip] = instance
+        self._left_s.pop(ip, None)
+        self._remove(ip, self._clock())
+        if ip == self._ip:
+            self._entitled_s = float("inf")
+
     def restart_handover(self) -> None:
         """Wait again as if the local host had just been listed.
 
--- a/packages/savoryroute/savoryroute/coordination/quotas.py
+++ b/packages/savoryroute/savoryroute/coordination/quotas.py
@@ -97,11 +97,27 @@
         if not self._is_bounded:
             return
         self._ring.update(
-            RingHost(item.ip, item.failure_domain, item.cold_s > 0.0)
+            RingHost(item.ip, item.failure_domain, item.cold_s > 0.0, _identity(item))
             for item in instances
         )
         self._holder.keep_held()
 
+    def release(self, instance: Instance) -> list[Any] | None:
+        """Grant no more, as the local upstream drains, which it does not take back.
+
+        Args:
+            instance: The local upstream.
+
+        Returns:
+            The frame that tells this to peers, None if there are no quotas.
+        """
+        if not self._is_bounded:
+            return None
+        identity = _identity(instance)
+        self._ring.release(self._ip, identity)
+        self._holder.keep_held()
+        return [FrameKind.QUOTA_RELEASE.value, identity]
+
     def needs_credit(self, name: str) -> bool:
         """Return whether requests of an organisation need a credit."""
         return self._is_bounded and self._find(name) is not None
@@ -156,7 +172,12 @@
             frame: The frame.
             answer: Sends a frame back.
         """
-        if frame[0] == FrameKind.QUOTA_REQUEST:
+        if frame[0] == FrameKind.QUOTA_RELEASE:
+            if len(frame) == 2 and type(frame[1]) is str:
+                self._n_frames["release_received"] += 1
+                self._ring.release(ip, frame[1])
+                return
+        elif frame[0] == FrameKind.QUOTA_REQUEST:
             request = QuotaRequest.from_frame(frame)
             if request is not None:
                 self._n_frames["request_received"] += 1
@@ -222,6 +243,11 @@
         )
 
 
+def _identity(instance: Instance) -> str:
+    """Return what tells an upstream from a later start under the same id."""
+    return f"{instance.id} {instance.started_ms}"
+
+
 def _shortened(frame: list[Any]) -> str:
     """Return the start of a frame; large numbers are not converted."""
     return ", ".join(
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -48,6 +48,7 @@
     SUSPECTS_REQUEST = 11
     QUOTA_REQUEST = 12
     QUOTA_GRANT = 13
+    QUOTA_RELEASE = 14
 
 
 class AttemptKind(enum.IntEnum):
--- a/tests/savoryroute/coordination/test_quota_failures.py
+++ b/tests/savoryroute/coordination/test_quota_failures.py
@@ -276,6 +276,32 @@
         self.now_s = 3.0
         self.assertNotEqual(self.ring.holder(Scope.FLEET, "o"), held)
 
+    def test_host_that_released_leaves_the_ring_at_once(self):
+        """Guards against quotas without a holder while upstreams are replaced."""
+        hosts = [RingHost(h.ip, h.failure_domain, False, "i-1") for h in self.hosts]
+        self.ring.update(hosts)
+        name = next(
+            f"o{i}" for i in range(99) if self.ring.holder(Scope.FLEET, f"o{i}") == "h3"
+        )
+        self.ring.release("h3", "i-1")
+        successor = self.ring.holder(Scope.FLEET, name)
+        self.assertNotEqual(successor, "h3")
+        # Also while it is still listed, and by a list that is read again.
+        self.ring.update(hosts)
+        self.assertEqual(self.ring.holder(Scope.FLEET, name), successor)
+        # Another upstream at the address is a new host.
+        hosts[3] = RingHost("h3", "d3", False, "i-2")
+        self.ring.update(hosts)
+        self.assertEqual(self.ring.holder(Scope.FLEET, name), "h3")
+
+    def test_host_that_released_grants_no_more(self):
+        """Guards against two holders, also after the daemon has started again."""
+        hosts = [RingHost(h.ip, h.failure_domain, False, "i-1") for h in self.hosts]
+        self.ring.update(hosts)
+        self.ring.release(self.hosts[0].ip, "i-1")
+        self.ring.update(hosts)
+        self.assertEqual(self.ring.entitled_s, float("inf"))
+
     def test_host_that_joins_waits_3_s(self):
         self.ring.update(self.hosts[1:])
         self.now_s = 10.0
