tests: waiting calls of a dropped organisation are refused before a slot is free

Cause: with upstreams busy for 0.8 s, longer than the 0.6 s for which calls wait, the calls ended by their wait and were then refused at the first hop, so the break 'waiting calls of a dropped organisation start' was not caught any more. Change: calls wait for up to 1.2 s.

--- a/tests/savoryroute_platform/test_callers_of_organisations.py
+++ b/tests/savoryroute_platform/test_callers_of_organisations.py
@@ -33,8 +33,8 @@
 
     async def publish(self, version, tenants):
         paths = [
-            path("/planner/", "planner", "unsafe", **{"target-latency": "4000ms"}),
-            path("/front/", "front", "unsafe", **{"target-latency": "4000ms"}),
+            path("/planner/", "planner", "unsafe", **{"target-latency": "8000ms"}),
+            path("/front/", "front", "unsafe", **{"target-latency": "8000ms"}),
             path("/open/", "planner", public=True),
         ]
         members = {} if tenants is ... else {"tenants": tenants}
