mesh node: quotas use the boot time clock of the configuration proof

Cause: the clock that counts suspensions was written a second time. Change: boot_time_s in its place; behaviour is unchanged. Measured: 17 tests of quota path and caller identity pass.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -24,7 +24,7 @@
 from ..transport.http_client import HttpPool
 from ..transport.http_server import CallersListener
 from .call_queue import CallQueue
-from .configuration_proof import ConfigurationProof, proof_limit_s
+from .configuration_proof import ConfigurationProof, boot_time_s, proof_limit_s
 from .crash_reports import CrashReports
 from .first_hop import FirstHop
 from .instance_selector import InstanceSelector
@@ -158,7 +158,7 @@
             lambda delay_s, call: asyncio.get_running_loop().call_later(delay_s, call),
             log,
             self._rng,
-            lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
+            boot_time_s,
         )
 
         def table() -> RouteTable | None:
