throttle: first hops admit the share for which upstreams report room

Cause: each first hop searched for the share to admit by additive increase and multiplicative decrease, from the load of the fullest queue on the path of its own answers. One full instance of three stood for its service, and at many hops each decides by few answers. Change: calls carry the share with which their action was admitted, so the daemon beside an upstream knows the offered work while most of it is refused. It answers with the share that fits, by rank; a first hop admits the mean over the instances that its actions met, of the service with least room. The load of the fullest queue is gone from frames and logs. The test of routes by load is replaced, as the load is no input any more: the same promises are tested on the reported room.

--- a/packages/savoryroute/savoryroute/coordination/call_queue.py
+++ b/packages/savoryroute/savoryroute/coordination/call_queue.py
@@ -137,13 +137,9 @@
         """Moving average of the seconds for which a call holds its slot."""
         return self._times.mean_s
 
-    def load_for(self, rank: float) -> float:
-        """Return the load by running calls and waiting ones of this rank or better.
-
-        It is their number over the usable slots.
-        """
-        n_ahead = bisect.bisect(self._waiting, (rank, math.inf), key=_order)
-        return (self._n_running + n_ahead) / self.usable_slots
+    def n_ahead_of(self, rank: float) -> int:
+        """Return the waiting calls of this rank or better."""
+        return bisect.bisect(self._waiting, (rank, math.inf), key=_order)
 
     def n_waiting_of(self, rank: float, organisation: str) -> int:
         """Return the waiting calls of an organisation in a rank."""
--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -154,14 +154,15 @@
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
         call = forwarded.call
-        if forwarded.parent is None and not self._throttle.admits(
-            route.name, call.rank, call.organisation
-        ):
-            detail = self._throttle.refusal_detail(
-                route.name, call.rank, call.organisation
-            )
-            self._give_up(forwarded, Reason.OVERLOAD, detail)
-            return
+        if forwarded.parent is None:
+            share = self._throttle.admit(route.name, call.rank, call.organisation)
+            if share is None:
+                detail = self._throttle.refusal_detail(
+                    route.name, call.rank, call.organisation
+                )
+                self._give_up(forwarded, Reason.OVERLOAD, detail)
+                return
+            call.admitted_share = share
         exchange.on_abort = lambda: self._on_caller_gone(forwarded)
         forwarded.timer = asyncio.get_running_loop().call_later(
             max(0.0, forwarded.deadline_s - time.monotonic()),
@@ -319,6 +320,7 @@
             ),
             head=head,
             body_bytes=len(request.body),
+            admitted_share=1.0 if parent is None else parent.call.admitted_share,
             organisation=identity.name if parent is None else parent.call.organisation,
         )
         return forwarded
@@ -360,6 +362,7 @@
         call = forwarded.call
         call.instance = instance.id
         call.time_left_ms = int(time_left_s * 1000)
+        call.is_first_placement = forwarded.n_placements == 1
         call.n_placements_left = n_placements_left(
             forwarded.n_placements, len(instances) - len(forwarded.tried)
         )
@@ -395,6 +398,8 @@
         if forwarded.exchange.is_done:
             return
         forwarded.answer = answer
+        if answer.room is not None:
+            forwarded.rooms.append(answer.room)
         if answer.was_sent:
             forwarded.n_arrivals += 1
             forwarded.reached.add(sent.instance.id)
@@ -500,13 +505,16 @@
         self._of_organisations.discard(forwarded)
         if forwarded.parent is not None:
             forwarded.parent.note_downstream_call(
-                forwarded.service, answer, is_load_failure, is_served
+                forwarded.service,
+                answer,
+                forwarded.rooms,
+                is_load_failure,
+                is_served,
             )
         else:
-            pressure = 0.0 if answer is None else answer.pressure
             call = forwarded.call
             self._throttle.note_end(
-                call.route, pressure, is_load_failure, call.rank, call.organisation
+                call.route, forwarded.rooms, call.rank, call.organisation
             )
 
     def _answer_problem(
--- a/packages/savoryroute/savoryroute/coordination/forwarded_request.py
+++ b/packages/savoryroute/savoryroute/coordination/forwarded_request.py
@@ -28,6 +28,7 @@
         sent: The current attempt, or None before the first.
         local: The current attempt if it is at the local upstream, else None.
         answer: Answer to the latest finished attempt, or None.
+        rooms: Room reported in the answers to its attempts.
         failed_answer: Complete answer with a failure, sent if no attempt succeeds.
         parent: Call at the local upstream that made this request, or None.
         tried: Ids of the instances that have been tried.
@@ -57,6 +58,7 @@
         "reached",
         "rejected",
         "request_id",
+        "rooms",
         "route",
         "sent",
         "service",
@@ -82,6 +84,7 @@
         self.local: LocalCall | None = None
         self.answer: MeshAnswer | None = None
         self.failed_answer: MeshAnswer | None = None
+        self.rooms: list[float] = []
         self.parent: LocalCall | None = None
         self.tried: list[str] = []
         self.reached: set[str] = set()
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -18,6 +18,7 @@
 from .running_calls import RunningCalls
 from .upstream_health import UpstreamHealth
 from .upstream_reports import UpstreamReports
+from .upstream_room import ROOM_MAX, UpstreamRoom
 
 __all__ = ["ORGANISATION_GONE", "LocalCall", "LocalUpstream"]
 
@@ -38,11 +39,11 @@
         "call",
         "has_downstream_load_failure",
         "n_downstream_served",
+        "_downstream_rooms",
         "is_over",
         "queued_call",
         "on_answer",
         "pending",
-        "downstream_pressure",
         "started_s",
         "timer",
     )
@@ -62,7 +63,8 @@
         self.queued_call: QueuedCall | None = None
         self.pending: PendingExchange | None = None
         self.started_s = 0.0
-        self.downstream_pressure = 0.0
+        # Reported for the calls that it made, by called service.
+        self._downstream_rooms: dict[str, list[float]] = {}
         self.has_downstream_load_failure = False
         self.n_downstream_served = 0
         self.timer: asyncio.TimerHandle | None = None
@@ -73,10 +75,20 @@
         """Whether the upstream may have got the request."""
         return self.pending is not None and self.pending.is_sent
 
+    @property
+    def downstream_room(self) -> float:
+        """Room of the service downstream that has least.
+
+        Its calls to one service meet several upstreams, of which some are fuller.
+        """
+        rooms = self._downstream_rooms.values()
+        return min((sum(room) / len(room) for room in rooms), default=ROOM_MAX)
+
     def note_downstream_call(
         self,
         service: str,
         answer: MeshAnswer | None,
+        rooms: list[float],
         is_load_failure: bool,
         is_served: bool,
     ) -> None:
@@ -85,14 +97,16 @@
         Args:
             service: Service that was called.
             answer: Last answer to an attempt, None if there is none.
+            rooms: Room reported in the answers to all attempts.
             is_load_failure: Whether it failed for lack of capacity.
             is_served: Whether an upstream answered it with success.
         """
         self.n_downstream_served += is_served
+        if rooms:
+            self._downstream_rooms.setdefault(service, []).extend(rooms)
         self.has_downstream_load_failure |= is_load_failure
         if answer is None:
             return
-        self.downstream_pressure = max(self.downstream_pressure, answer.pressure)
         repeats = self._upstream.repeats
         repeats.note_downstream(self.call.route, service, answer.repeat_share)
         if self.call.is_repeat and answer.reason is Reason.RETRY_BUDGET:
@@ -136,6 +150,7 @@
         self._quarantine = quarantine
         self._repeats = repeats
         self._log = log
+        self._room = UpstreamRoom(queue, time.monotonic)
         self._waiting: set[LocalCall] = set()
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
         self._reports = UpstreamReports(queue, log)
@@ -148,6 +163,11 @@
         """Slots of the upstream and the calls that wait for them."""
         return self._queue
 
+    @property
+    def offered_load(self) -> float:
+        """Work that callers offer over the capacity of the upstream."""
+        return self._room.offered_load
+
     @property
     def repeats(self) -> RepeatAdmission:
         """Decides which repeats the upstream gets."""
@@ -168,6 +188,9 @@
         if refused is not None:
             self._refuse(local, *refused)
             return local
+        if call.is_first_placement:
+            # Later ones were counted where they were refused first.
+            self._room.note_offer(call.rank, call.route, call.admitted_share)
         now_s = time.monotonic()
         local.queued_call = QueuedCall(
             call.rank,
@@ -473,9 +496,9 @@
         self._close(local)
         queue = self._queue
         answer.n_reported = queue.n_running + queue.n_waiting
-        answer.pressure = max(
-            queue.load_for(local.call.rank), local.downstream_pressure
-        )
+        if answer.was_sent or answer.is_load:
+            own_room = self._room.share_for(local.call.rank)
+            answer.room = min(own_room, local.downstream_room)
         answer.limit = round(queue.usable_slots)
         answer.is_leaving = self._reports.is_leaving(local.call.instance)
         answer.work_time = queue.times.factor
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -439,6 +439,7 @@
         gauges: dict[str, float | dict[str, float]] = {
             "calls_running": self._queue.n_running,
             "calls_waiting": self._queue.n_waiting,
+            "offered_load": self._upstream.offered_load,
             "calls_returned": self._queue.n_returned,
             "slots": self._queue.slots,
             "upstream_work_time": self._queue.times.factor,
--- a/packages/savoryroute/savoryroute/coordination/request_records.py
+++ b/packages/savoryroute/savoryroute/coordination/request_records.py
@@ -109,7 +109,7 @@
             instance=forwarded.instance.id,
             status=answer.status,
             is_load=answer.is_load,
-            pressure=round(answer.pressure, 2),
+            room=None if answer.room is None else round(answer.room, 2),
             arrivals=forwarded.n_arrivals,
             routes_version=self._version(),
             list_revision=revision_in_era(self._view.revision),
--- /dev/null
+++ b/packages/savoryroute/savoryroute/coordination/upstream_room.py
@@ -0,0 +1,132 @@
+"""Room of an upstream for new actions, and what callers offer it.
+
+Load pattern: demand for a deep service rises far above its capacity within a second,
+and falls again as fast. First hops that search for the share to admit by trial and
+error refuse too few at first, and refuse while slots are free afterwards.
+
+Each call carries the share of the actions of its kind that its first hop admits, and
+stands for the inverse number of offered ones. The daemon beside the upstream thus knows
+the offered work while most of it is refused, whichever first hops refuse it, and
+answers with the share of it that fits. The estimate does not get worse as the fleet
+grows, since every call to the upstream contributes to it.
+
+Sources: inverse probability weighting (Horvitz and Thompson, 1952); credits by the
+receiver as in Breakwater (Cho and others, Overload Control for us-scale RPCs, 2020);
+priorities as in DAGOR (Zhou and others, Overload Control for Scaling WeChat
+Microservices, 2018); the length of the queue after the square-root rule of Halfin and
+Whitt, Heavy-Traffic Limits for Queues with Many Exponential Servers (1981).
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import attrs
+
+from .call_queue import CallQueue
+
+__all__ = ["ROOM_MAX", "UpstreamRoom"]
+
+# Time constant in seconds with which offered work decays.
+MEMORY_S = 0.25
+# Room beyond this says no more than that all actions fit.
+ROOM_MAX = 4.0
+# Least admitted share that counts. A single call that stands for more offered ones
+# would move the estimate too far.
+SHARE_MIN = 0.05
+# Waiting calls that are aimed at, over the square root of the slots. The number of
+# arrivals varies by about that root, and an empty queue leaves slots idle.
+AIMED_WAITING = 2.0
+# Least time in seconds within which excess waiting calls are worked off, and more if
+# the calls take longer. Actions that fail in a full queue make fewer calls than they
+# would, so that the offered work is underestimated until the queue is short again.
+DRAIN_S = 0.1
+# Ranks are counted in steps of this inverse, and none beyond the last.
+STEPS_PER_RANK = 4
+RANK_LAST = 16
+
+
+@attrs.define(slots=True)
+class _OfferedWork:
+    """Work offered in one rank in about the last ``MEMORY_S``, in slot-seconds."""
+
+    noted_s: float
+    slot_s: float = 0.0
+
+    def add(self, slot_s: float, now_s: float) -> None:
+        self.slot_s = self._left(now_s) + slot_s
+        self.noted_s = now_s
+
+    def load(self, now_s: float) -> float:
+        """Return the slots that the offered work would fill."""
+        return self._left(now_s) / MEMORY_S
+
+    def _left(self, now_s: float) -> float:
+        return self.slot_s * math.exp(-(now_s - self.noted_s) / MEMORY_S)
+
+
+class UpstreamRoom:
+    """Shares of the offered actions that one upstream can serve, by rank.
+
+    Args:
+        queue: Slots of the upstream and the calls that wait for them.
+        clock: Monotonic clock in seconds.
+    """
+
+    def __init__(self, queue: CallQueue, clock: Callable[[], float]) -> None:
+        self._queue = queue
+        self._clock = clock
+        self._offered: dict[int, _OfferedWork] = {}
+
+    @property
+    def offered_load(self) -> float:
+        """Offered work over the capacity of the usable slots."""
+        now_s = self._clock()
+        load = sum(work.load(now_s) for work in self._offered.values())
+        return load / self._queue.usable_slots
+
+    def note_offer(self, rank: float, group: str, admitted_share: float) -> None:
+        """Count a call that is offered to the upstream, whether it runs or not.
+
+        Args:
+            rank: Rank of the call, 0 the highest.
+            group: Group of calls with similar service times, such as a route.
+            admitted_share: Share of the actions of its kind that were admitted.
+        """
+        now_s = self._clock()
+        work_s = self._queue.usual_s(group) or self._queue.mean_s
+        step = _step(rank)
+        offered = self._offered.get(step)
+        if offered is None:
+            offered = self._offered[step] = _OfferedWork(now_s)
+        offered.add(work_s / max(SHARE_MIN, admitted_share), now_s)
+
+    def share_for(self, rank: float) -> float:
+        """Return the share of the offered actions of a rank that fits, 0 or above.
+
+        Above 1 all fit, with capacity to spare. The means over several upstreams of a
+        service are meaningful: one with spare capacity balances one that is too full.
+
+        Args:
+            rank: Rank of the actions, 0 the highest.
+        """
+        now_s = self._clock()
+        queue = self._queue
+        own_step = _step(rank)
+        own = 0.0
+        left = queue.usable_slots
+        for step, work in self._offered.items():
+            if step == own_step:
+                own = work.load(now_s)
+            elif step < own_step:
+                left -= work.load(now_s)
+        n_excess = queue.n_ahead_of(rank) - AIMED_WAITING * math.sqrt(queue.slots)
+        left -= n_excess * min(1.0, queue.mean_s / DRAIN_S)
+        if left >= own * ROOM_MAX:
+            return ROOM_MAX
+        return max(0.0, left / own) if own else 0.0
+
+
+def _step(rank: float) -> int:
+    return round(min(max(rank, 0.0), RANK_LAST) * STEPS_PER_RANK)
--- a/packages/savoryroute/savoryroute/protocol/frame_fields.py
+++ b/packages/savoryroute/savoryroute/protocol/frame_fields.py
@@ -21,6 +21,7 @@
     "bool": (bool,),
     "bytes": (bytes,),
     "float": (float, int),
+    "float | None": (float, int, type(None)),
     "int": (int,),
     "list": (list,),
     "str": (str,),
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -84,6 +84,9 @@
         head: Request line and headers, without the empty line.
         body_bytes: Length of the body. A short body follows in the frame, a long one
             in further frames (``body_transfer``).
+        admitted_share: Share of the actions of its kind that its first hop admitted
+            when it admitted this one, above 0 and at most 1.
+        is_first_placement: Whether the request was not placed elsewhere before.
         organisation: Name of the organisation of the action, or an empty string.
         n_placements_left: How often its first hop can place it elsewhere if no
             upstream got it.
@@ -104,6 +107,8 @@
     fingerprint: bytes
     head: bytes
     body_bytes: int
+    admitted_share: float = 1.0
+    is_first_placement: bool = True
     organisation: str = ""
     n_placements_left: int = 0
 
@@ -136,6 +141,8 @@
             self.fingerprint,
             self.head,
             self.body_bytes,
+            round(self.admitted_share, 3),
+            self.is_first_placement,
             self.organisation,
             self.n_placements_left,
             inline_body,
@@ -153,6 +160,8 @@
         if type(frame[-1]) is not bytes:
             raise TypeError("the body of a call is not a byte string")
         call = cls(*frame[1:-1])
+        if not 0.0 < call.admitted_share <= 1.0:
+            raise ValueError("an admitted share is not between 0 and 1")
         call.kind = AttemptKind(call.kind)
         return call, frame[-1]
 
@@ -174,7 +183,9 @@
         limit: Number of slots of the upstream.
         wait_ms: Milliseconds that a new call would wait for a slot.
         is_load: Whether it failed for lack of capacity, here or downstream.
-        pressure: Highest load of a queue along the call chain, as calls per slot.
+        room: Share of the offered actions of its rank for which the upstreams along
+            the call chain have capacity, above 1 with capacity to spare; None if
+            unknown.
         is_leaving: Whether the upstream said that it is leaving.
         repeat_share: Share of the repeats left to the upstream and further downstream.
         work_time: Factor by which work takes longer at the upstream now than usual,
@@ -193,7 +204,7 @@
     limit: int = 0
     wait_ms: int = 0
     is_load: bool = False
-    pressure: float = 0.0
+    room: float | None = None
     is_leaving: bool = False
     repeat_share: float = 1.0
     work_time: float = 1.0
@@ -214,7 +225,7 @@
             self.limit,
             self.wait_ms,
             self.is_load,
-            round(self.pressure, 3),
+            None if self.room is None else round(self.room, 3),
             self.is_leaving,
             round(self.repeat_share, 3),
             round(self.work_time, 2),
--- a/tests/chain_cost_replay.py
+++ b/tests/chain_cost_replay.py
@@ -17,6 +17,7 @@
 from savoryroute.coordination.instance_selector import InstanceSelector
 from savoryroute.coordination.retry_rule import NextStep, next_step
 from savoryroute.coordination.throttle import ActionThrottle
+from savoryroute.coordination.upstream_room import UpstreamRoom
 from savoryroute.protocol.mesh_frames import MeshAnswer
 from savoryroute.state.fleet_view import Instance, ServiceInstances
 from savoryroute.verdict import Reason, Verdict
@@ -77,7 +78,8 @@
     hop: int
     began_s: float
     n_done: int = 0
-    pressure: float = 0.0
+    share: float = 1.0
+    rooms: list[float] = attrs.field(factory=list)
     n_arrivals: int = 0
     tried: list[str] = attrs.field(factory=list)
     is_over: bool = False
@@ -112,6 +114,9 @@
             ]
         )
         self._queues = {f"i{index}": CallQueue(SLOTS, clock) for index in range(5)}
+        self._rooms = {
+            name: UpstreamRoom(queue, clock) for name, queue in self._queues.items()
+        }
         self._speeds = {f"i{index}": speed for index, speed in enumerate(SPEEDS)}
         self._throttles = [
             ActionThrottle(clock, random.Random(seed * 1000 + hop))
@@ -147,7 +152,9 @@
             is_admitted = self._rng.random() < self._shares[n_calls]
         else:
             throttle = self._throttles[action.hop]
-            is_admitted = throttle.admits(f"r{n_calls}", RANK)
+            share = throttle.admit(f"r{n_calls}", RANK)
+            is_admitted = share is not None
+            action.share = share or 0.0
         if is_admitted:
             self._time.after(OWN_S, lambda: self._next_call(action))
             self._time.after(TIMEOUT_S, lambda: self._end(action, False))
@@ -180,7 +187,7 @@
                 is_load=reason is not None,
                 n_reported=queue.n_running + queue.n_waiting,
                 limit=SLOTS,
-                pressure=queue.load_for(RANK),
+                room=self._rooms[instance.id].share_for(RANK),
             )
 
             def arrive() -> None:
@@ -198,6 +205,8 @@
             answer(None)
 
         def offer() -> None:
+            if len(action.tried) == 1:
+                self._rooms[instance.id].note_offer(RANK, "call", action.share)
             deadline_s = action.began_s + TIMEOUT_S
             call = QueuedCall(RANK, "call", deadline_s, QUEUE_TIMEOUT_S, start, answer)
             reason = queue.offer(call)
@@ -212,7 +221,7 @@
         if action.is_over:
             return
         action.n_arrivals += answer.was_sent
-        action.pressure = max(action.pressure, answer.pressure)
+        action.rooms.append(answer.room)
         n_placed = len(action.tried)
         step = next_step(answer, True, n_placed, action.n_arrivals, ATTEMPTS_MAX)
         if step is NextStep.RETURN_ANSWER:
@@ -228,7 +237,7 @@
             return
         action.is_over = True
         throttle = self._throttles[action.hop]
-        throttle.note_end(f"r{action.n_calls}", action.pressure, not is_completed)
+        throttle.note_end(f"r{action.n_calls}", action.rooms)
         if action.began_s >= WARM_UP_S:
             self._completed[action.n_calls] += is_completed
             self._n_calls += action.n_done
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -253,11 +253,18 @@
         f"{PROOF}.ProofOfPeerTest",
     ),
     Mutation(
-        "mesh throttle: failures with free slots refuse whole routes",
-        "coordination/throttle.py",
-        "is_load_failure and pressure >= FULL_PRESSURE",
-        "is_load_failure",
-        "tests.savoryroute.coordination.test_shed_chains",
+        "mesh room: a call stands for itself alone",
+        "coordination/upstream_room.py",
+        "work_s / max(SHARE_MIN, admitted_share)",
+        "work_s",
+        "tests.savoryroute.coordination.test_upstream_room",
+    ),
+    Mutation(
+        "mesh room: a long queue does not count",
+        "coordination/upstream_room.py",
+        "left -= n_excess * min(1.0, queue.mean_s / DRAIN_S)",
+        "pass",
+        "tests.savoryroute.coordination.test_upstream_room",
     ),
     Mutation(
         "mesh shares: calls of one rank start in order of arrival",
--- a/tests/savoryroute/coordination/test_fair_share.py
+++ b/tests/savoryroute/coordination/test_fair_share.py
@@ -232,7 +232,7 @@
         throttle = ActionThrottle(lambda: self.now_s, random.Random(1))
         for _ in range(100):
             self.offer("only")
-            self.assertTrue(throttle.admits("r", 1, "only"))
+            self.assertEqual(throttle.admit("r", 1, "only"), 1.0)
         self.finish(100)
         self.assertEqual(len(self.started), 100)
 
@@ -326,15 +326,16 @@
     def refuse_more(self, organisation):
         """Let the admitted share of rank 1 fall to about 0.4."""
         while self.throttle.shares.get("r", 1.0) > 0.4:
-            self.throttle.admits("r", 1, organisation)
-            self.throttle.note_end("r", 2.0, False, 1, organisation)
+            self.throttle.admit("r", 1, organisation)
+            self.throttle.note_end("r", [0.38], 1, organisation)
             self.now_s += 0.31
-        self.throttle.admits("r", 1, organisation)
+        self.throttle.admit("r", 1, organisation)
 
     def test_other_rank_of_the_same_route_has_its_own_share(self):
         """Guards organisations of a better rank from refusals of a lower one."""
         self.refuse_more("a")
-        self.assertTrue(all(self.throttle.admits("r", 0, "b") for _ in range(100)))
+        for _ in range(100):
+            self.assertEqual(self.throttle.admit("r", 0, "b"), 1.0)
 
     def test_admitted_total_is_the_share(self):
         """Guards the total against the bias of counts of 0 and 1."""
@@ -352,21 +353,23 @@
         self.refuse_more("")
         share = self.throttle.shares["r"]
         state = self.rng.getstate()
-        admitted = [self.throttle.admits("r", 1) for _ in range(100)]
+        admitted = [self.throttle.admit("r", 1) for _ in range(100)]
         self.rng.setstate(state)
-        self.assertEqual(admitted, [self.rng.random() < share for _ in range(100)])
+        drawn = [share if self.rng.random() < share else None for _ in range(100)]
+        self.assertEqual(admitted, drawn)
 
     def test_refusal_names_the_organisation_and_both_shares(self):
         """Guards the log line by which an operator sees who was refused and why."""
         self.refuse_more("a")
         self.now_s += 0.01
         for _ in range(40):
-            self.throttle.admits("r", 1, "hot")
+            self.throttle.admit("r", 1, "hot")
         self.assertRegex(
             self.throttle.refusal_detail("r", 1, "hot"),
-            r": admitted are 0\.\d\d of all .* here and 0\.\d\d of those of hot$",
+            r": admitted are 0\.\d\d of all and 0\.\d\d of those of hot$",
         )
-        self.assertNotIn(":", self.throttle.refusal_detail("r", 1, ""))
+        self.refuse_more("")
+        self.assertNotIn("of those", self.throttle.refusal_detail("r", 1, ""))
 
 
 class CostTest(QueueCase):
--- a/tests/savoryroute/coordination/test_throttle.py
+++ b/tests/savoryroute/coordination/test_throttle.py
@@ -5,6 +5,7 @@
 
 from savoryroute.coordination.call_queue import CallQueue, QueuedCall
 from savoryroute.coordination.throttle import ActionThrottle
+from savoryroute.coordination.upstream_room import UpstreamRoom
 from tests.virtual_time import VirtualTime
 
 CALLS = 4
@@ -21,64 +22,80 @@
         seed: Seed of arrivals, service times and refusals.
         is_throttled: Whether the first hops refuse whole actions.
         slow: Factor by which calls take longer, as a function of the time.
+        n_first_hops: Number of first hops; an action enters at a random one.
     """
 
-    def __init__(self, seed, is_throttled, slow=lambda now_s: 1.0):
+    def __init__(
+        self, seed, is_throttled, slow=lambda now_s: 1.0, n_first_hops=N_FIRST_HOPS
+    ):
         self.time = VirtualTime()
         self.rng = random.Random(seed)
         self.queue = CallQueue(SLOTS, self.time.now_s)
+        self.room = UpstreamRoom(self.queue, self.time.now_s)
         self.throttles = [
-            ActionThrottle(self.time.now_s, self.rng) for _ in range(N_FIRST_HOPS)
+            ActionThrottle(self.time.now_s, self.rng) for _ in range(n_first_hops)
         ]
         self.is_throttled, self.slow = is_throttled, slow
         self.served = []
         self.arrived = []
+        self.busy = []
+        self.n_wasted = 0
 
     def play(self, per_s, seconds):
-        for rank, rate in per_s.items():
-            at_s = 0.0
-            while (at_s := at_s + self.rng.expovariate(rate)) < seconds:
-                self.time.at(at_s, lambda rank=rank: self.arrive(rank))
+        self.schedule(per_s, 0.0, seconds)
         self.time.run()
         return self
 
+    def schedule(self, per_s, start_s, end_s):
+        for rank, rate in per_s.items():
+            at_s = start_s
+            while (at_s := at_s + self.rng.expovariate(rate)) < end_s:
+                self.time.at(at_s, lambda rank=rank: self.arrive(rank))
+
     def arrive(self, rank):
         self.arrived.append((self.time.now_s(), rank))
-        hop = self.rng.randrange(N_FIRST_HOPS)
-        admitted = self.throttles[hop].admits(f"r{rank}", rank)
-        if not self.is_throttled or admitted:
-            self.call(hop, rank, self.time.now_s(), 0)
-
-    def call(self, hop, rank, began_s, n_done):
+        hop = self.rng.randrange(len(self.throttles))
+        share = 1.0
+        if self.is_throttled:
+            share = self.throttles[hop].admit(f"r{rank}", rank)
+        if share is not None:
+            self.call(hop, rank, self.time.now_s(), 0, share)
+
+    def call(self, hop, rank, began_s, n_done, share):
         if n_done == CALLS:
             self.served.append((began_s, rank))
-            self.end(hop, rank, False)
+            self.end(hop, rank)
             return
+        self.room.note_offer(rank, "call", share)
         call = QueuedCall(
             rank,
             "call",
             began_s + TIMEOUT_S,
             0.045,
             lambda: self.time.after(
-                self.work_s(), lambda: self.finish(hop, rank, began_s, n_done)
+                self.work_s(), lambda: self.finish(hop, rank, began_s, n_done, share)
             ),
-            lambda reason: self.end(hop, rank, True),
+            lambda reason: self.fail(hop, rank, n_done),
         )
         if self.queue.offer(call) is not None:
-            self.end(hop, rank, True)
+            self.fail(hop, rank, n_done)
         elif call.expires_s:
             self.time.at(call.expires_s, self.queue.expire)
 
     def work_s(self):
         return CALL_S * self.slow(self.time.now_s()) * self.rng.uniform(0.5, 1.5)
 
-    def finish(self, hop, rank, began_s, n_done):
+    def finish(self, hop, rank, began_s, n_done, share):
         self.queue.finish("call", CALL_S * self.slow(self.time.now_s()))
-        self.call(hop, rank, began_s, n_done + 1)
+        self.call(hop, rank, began_s, n_done + 1, share)
+
+    def fail(self, hop, rank, n_done):
+        self.n_wasted += n_done
+        self.end(hop, rank)
 
-    def end(self, hop, rank, is_load_failure):
-        pressure = self.queue.load_for(rank)
-        self.throttles[hop].note_end(f"r{rank}", pressure, is_load_failure)
+    def end(self, hop, rank):
+        rooms = [self.room.share_for(rank)]
+        self.throttles[hop].note_end(f"r{rank}", rooms, rank)
 
     def share(self, rank, start_s, end_s):
         arrived = sum(start_s <= t < end_s and r == rank for t, r in self.arrived)
@@ -88,9 +105,28 @@
     def n_served(self, start_s, end_s):
         return sum(start_s <= t < end_s for t, _ in self.served)
 
+    def watch_slots(self, end_s, interval_s=0.005):
+        for number in range(int(end_s / interval_s)):
+            at_s = number * interval_s
+            self.time.at(
+                at_s,
+                lambda at_s=at_s: self.busy.append(
+                    (at_s, self.queue.n_running / self.queue.slots)
+                ),
+            )
+
+    def busy_share(self, start_s, end_s):
+        shares = [share for at_s, share in self.busy if start_s <= at_s < end_s]
+        return sum(shares) / len(shares)
+
+    def wasted_share(self):
+        """Return the share of the calls that were run for actions that failed."""
+        return self.n_wasted / (self.n_wasted + CALLS * len(self.served))
+
 
 CAPACITY_PER_S = SLOTS / CALL_S / CALLS
 BURST = {2: 1.4 * CAPACITY_PER_S, 0: 0.4 * CAPACITY_PER_S}
+CAPACITY_6_S = 6.0 * CAPACITY_PER_S
 NORMAL_LOAD = {2: 0.5 * CAPACITY_PER_S, 0: 0.25 * CAPACITY_PER_S}
 
 
@@ -132,34 +168,58 @@
             self.assertGreater(replay.share(0, 11.0, 20.0), 0.98)
 
 
+class EndOfBurstTest(unittest.TestCase):
+    """A burst of 1.8 times the capacity for 8 s, at 13 and 57 first hops.
+
+    Guards against first hops that search for the share to admit by trial and error,
+    each by the few answers that it gets.
+    """
+
+    def test_slots_are_busy_while_actions_are_refused(self):
+        for n_first_hops in (13, 57):
+            for seed in range(3):
+                replay = ChainReplay(seed, True, n_first_hops=n_first_hops)
+                replay.schedule(BURST, 0.0, 8.0)
+                replay.schedule(NORMAL_LOAD, 8.0, 14.0)
+                replay.watch_slots(14.0)
+                replay.time.run()
+                with self.subTest(n_first_hops=n_first_hops, seed=seed):
+                    self.assertGreater(replay.busy_share(2.0, 8.0), 0.95)
+                    self.assertLess(replay.wasted_share(), 0.03)
+                    self.assertGreater(replay.n_served(2.0, 8.0), 0.95 * CAPACITY_6_S)
+                    self.assertGreater(replay.share(2, 8.5, 14.0), 0.95)
+
+
 class RouteStateTest(unittest.TestCase):
     def setUp(self):
         self.now_s = 0.0
         self.throttle = ActionThrottle(lambda: self.now_s, random.Random(1))
 
-    def windows(self, n_windows, rank, pressure, n_failed=0):
-        for _ in range(n_windows):
-            self.throttle.admits("r", rank)
-            for number in range(20):
-                self.throttle.note_end("r", pressure, number < n_failed)
-            self.now_s += 0.31
-        self.throttle.admits("r", rank)
+    def share_after(self, *rooms, gap_s=0.05):
+        for room in rooms:
+            self.throttle.admit("r", 2)
+            self.now_s += gap_s
+            self.throttle.note_end("r", [room], 2)
         return self.throttle.shares["r"]
 
-    def test_nothing_is_refused_while_there_is_capacity(self):
-        self.assertEqual(self.windows(10, 2, 1.2), 1.0)
-        self.assertTrue(all(self.throttle.admits("r", 2) for _ in range(100)))
-
-    def test_lower_priority_is_throttled_first(self):
-        self.assertEqual(self.windows(10, 0, 1.4), 1.0)
-        self.assertLess(self.windows(20, 2, 1.4), 0.5)
-
-    def test_load_failures_at_a_full_queue_count_below_the_target_load(self):
-        self.assertLess(self.windows(10, 2, 1.0, n_failed=10), 0.2)
+    def test_nothing_is_refused_with_room_for_all(self):
+        self.assertEqual(self.share_after(*[1.05, 1.2] * 10), 1.0)
+        for _ in range(100):
+            self.assertEqual(self.throttle.admit("r", 2), 1.0)
 
-    def test_load_failures_with_free_slots_do_not_count(self):
-        """Refusing actions then leaves no capacity to others."""
-        self.assertEqual(self.windows(10, 2, 0.2, n_failed=10), 1.0)
+    def test_share_is_the_mean_room_of_full_and_free_upstreams(self):
+        self.assertAlmostEqual(self.share_after(*[0.2, 0.8] * 30), 0.5, delta=0.07)
 
     def test_some_requests_are_always_admitted(self):
-        self.assertGreater(self.windows(100, 2, 9.0), 0.04)
+        self.assertGreater(self.share_after(*[0.0] * 100), 0.04)
+
+    def test_share_grows_without_answers(self):
+        share = self.share_after(*[0.1] * 30)
+        self.now_s += 5.0
+        self.assertGreater(self.throttle.shares["r"], 0.85)
+        self.assertLess(share, 0.15)
+
+    def test_unknown_room_changes_nothing(self):
+        share = self.share_after(*[0.3] * 30)
+        self.throttle.note_end("r", [], 2)
+        self.assertEqual(self.throttle.shares["r"], share)
--- a/tests/share_replay.py
+++ b/tests/share_replay.py
@@ -13,6 +13,7 @@
 
 from savoryroute.coordination.call_queue import CallQueue, QueuedCall
 from savoryroute.coordination.throttle import ActionThrottle
+from savoryroute.coordination.upstream_room import UpstreamRoom
 
 from .load_replay import QueueReplay, ReplayedCall, draw_calls
 from .virtual_time import VirtualTime
@@ -193,6 +194,7 @@
         self.throttles = [
             ActionThrottle(self._time.now_s, self._rng) for _ in range(n_hops)
         ]
+        self._room = UpstreamRoom(self._queue, self._time.now_s)
 
     def play(self, calls: list[ReplayedCall]) -> None:
         """Replay all calls until each is answered or refused for good."""
@@ -203,9 +205,11 @@
     def _arrive(self, call: ReplayedCall) -> None:
         throttle = self._rng.choice(self.throttles)
         organisation = call.organisation if self._is_shared else ""
-        if not throttle.admits("r", call.rank, organisation):
+        share = throttle.admit("r", call.rank, organisation)
+        if share is None:
             self._refuse(call)
             return
+        self._room.note_offer(call.rank, "r", share)
         now_s = self._time.now_s()
         queued_call = QueuedCall(
             call.rank,
@@ -223,19 +227,17 @@
 
     def _end(self, call: ReplayedCall, throttle: ActionThrottle) -> None:
         call.ended_s = self._time.now_s()
-        self._note_end(call, throttle, False)
+        self._note_end(call, throttle)
         self._queue.finish("r", call.work_s)
 
     def _fail(self, call: ReplayedCall, throttle: ActionThrottle) -> None:
-        self._note_end(call, throttle, True)
+        self._note_end(call, throttle)
         self._refuse(call)
 
-    def _note_end(
-        self, call: ReplayedCall, throttle: ActionThrottle, is_load_failure: bool
-    ) -> None:
-        pressure = self._queue.load_for(call.rank)
+    def _note_end(self, call: ReplayedCall, throttle: ActionThrottle) -> None:
+        rooms = [self._room.share_for(call.rank)]
         organisation = call.organisation if self._is_shared else ""
-        throttle.note_end("r", pressure, is_load_failure, call.rank, organisation)
+        throttle.note_end("r", rooms, call.rank, organisation)
 
     def _refuse(self, call: ReplayedCall) -> None:
         if call.n_repeats:
--- a/tests/shed_replay.py
+++ b/tests/shed_replay.py
@@ -32,6 +32,8 @@
 ATTEMPTS_MAX = 2
 SLOTS = 40
 SHED_ANSWER_S = 0.003
+# The leaf has free slots all the time.
+IDLE_ROOM = 2.0
 PLACEMENTS_MAX = 3
 
 
@@ -172,7 +174,7 @@
         self.arrived.append((now_s, route))
         n_hosts = len(self._throttles)
         first_hop = self._rng.randrange(n_hosts)
-        if not self._throttles[first_hop].admits(route.name, route.rank):
+        if self._throttles[first_hop].admit(route.name, route.rank) is None:
             return
         self._call(_Action(route, now_s, first_hop))
 
@@ -191,7 +193,7 @@
             if upstream.may_start(call) and upstream.try_start(call):
                 break
         else:
-            self._end(action, 0.5, True)
+            self._end(action)
             return
         if call.is_repeat:
             self.retries.append(now_s)
@@ -206,7 +208,6 @@
                 is_load=True,
                 n_reported=SLOTS // 2,
                 limit=SLOTS,
-                pressure=0.5,
                 repeat_share=upstream.share_left(LEAF),
             )
             delay_s = SHED_ANSWER_S
@@ -223,18 +224,18 @@
                 self._call(action)
                 return
             self.served.append((action.began_s, action.route))
-            self._end(action, 0.5, False)
+            self._end(action)
         elif step is NextStep.RETRY and answer.repeat_share > reserved_share(
             _call_of(action, AttemptKind.RETRY)
         ):
             self._send(action, AttemptKind.RETRY, n_arrivals + 1)
         else:
-            self._end(action, answer.pressure, answer.is_load)
+            self._end(action)
 
-    def _end(self, action: _Action, pressure: float, is_load_failure: bool) -> None:
+    def _end(self, action: _Action) -> None:
         route = action.route
         throttle = self._throttles[action.first_hop]
-        throttle.note_end(route.name, pressure, is_load_failure)
+        throttle.note_end(route.name, [IDLE_ROOM], route.rank)
 
 
 def _call_of(action: _Action, kind: AttemptKind) -> MeshCall:
