--- a/packages/savoryroute/savoryroute/coordination/call_queue.py
+++ b/packages/savoryroute/savoryroute/coordination/call_queue.py
@@ -27,6 +27,7 @@
 from .fair_share import StartTags, Tag
 from .rate_limit import RateLimit
 from .service_times import ServiceTimes
+from .switches import ALL_ON, Switches, switchable
 
 __all__ = ["CallQueue", "QueuedCall"]
 
@@ -80,11 +81,21 @@
     Args:
         slots: Calls that the upstream runs concurrently.
         clock: Monotonic clock in seconds.
+        switches: Mechanisms that are switched off.
     """
 
-    def __init__(self, slots: int, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, slots: int, clock: Callable[[], float], switches: Switches = ALL_ON
+    ) -> None:
         self._slots = slots
         self._clock = clock
+        self._knows_organisations = switches.has("fair_shares")
+        self._order_of = switches.pick(
+            "rank_order",
+            switches.pick("progress_order", order_by_progress, order_by_rank),
+            order_by_arrival,
+        )
+        self._returns_late = switches.has("returned_calls")
         self._n_running = 0
         self._waiting: list[QueuedCall] = []
         self._n_arrivals = 0
@@ -173,8 +184,9 @@
         max_wait_s = min(call.queue_timeout_s, slack_s)
         self._n_arrivals += 1
         work_s = self.usual_s(call.group) or self.mean_s
-        call.tag = self._tags.next_tag(call.rank, call.organisation, work_s)
-        call.order = _order_of(call, self._n_arrivals)
+        organisation = call.organisation if self._knows_organisations else ""
+        call.tag = self._tags.next_tag(call.rank, organisation, work_s)
+        call.order = self._order_of(call, self._n_arrivals)
         n_ahead = bisect.bisect(self._waiting, call.order, key=_order)
         if self.expected_wait_s(n_ahead) > max_wait_s:
             return Reason.OVERLOAD
@@ -199,10 +211,11 @@
             self._times.note(group, latency_s, work_time)
         self.start_waiting()
         factor = self._times.factor
-        if factor > self._checked_factor:
+        if factor > self._checked_factor and self._returns_late:
             self._return_late()
         self._checked_factor = factor
 
+    @switchable("returned_calls", "waiting calls stay when the upstream turns slow")
     def _return_late(self) -> None:
         """Return calls whose expected wait has become too long, the last first.
 
@@ -282,7 +295,7 @@
             return
         self._tags.retag([call.tag for call in self._waiting])
         for call in self._waiting:
-            call.order = _order_of(call, call.order[-1])
+            call.order = self._order_of(call, call.order[-1])
         self._waiting.sort(key=_order)
 
 
@@ -290,5 +303,18 @@
     return call.order
 
 
-def _order_of(call: QueuedCall, n_arrivals: int) -> _Order:
+@switchable("progress_order", "the first calls of a run start like its later ones")
+def order_by_progress(call: QueuedCall, n_arrivals: int) -> _Order:
+    """Order by rank, and calls of runs with completed calls first."""
     return call.rank, not call.has_progress, call.tag.start_s, n_arrivals
+
+
+@switchable("rank_order", "waiting calls start in the order of their arrival")
+def order_by_rank(call: QueuedCall, n_arrivals: int) -> _Order:
+    """Order by rank alone."""
+    return call.rank, False, call.tag.start_s, n_arrivals
+
+
+def order_by_arrival(call: QueuedCall, n_arrivals: int) -> _Order:
+    """Order by arrival, whatever the rank."""
+    return 0.0, False, 0.0, n_arrivals
--- a/packages/savoryroute/savoryroute/coordination/fair_share.py
+++ b/packages/savoryroute/savoryroute/coordination/fair_share.py
@@ -21,6 +21,7 @@
 import attrs
 
 from .service_rate import RecentCount
+from .switches import switchable
 
 __all__ = ["MaxMinShares", "StartTags", "Tag"]
 
@@ -231,6 +232,7 @@
     return flow.n_started.value(now_s) + 1.0 < n_floor
 
 
+@switchable("fair_shares", "organisations are not told apart when load is refused")
 class MaxMinShares:
     """Shares of one route's requests that a first hop admits, by organisation.
 
--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -25,13 +25,19 @@
 from .instance_record import SentCall
 from .instance_selector import InstanceSelector
 from .local_upstream import ORGANISATION_GONE, LocalCall, LocalUpstream
-from .mesh_retry_after import mesh_retry_after_s
+from .mesh_retry_after import SHORTEST_S, mesh_retry_after_s
 from .peer_links import PeerLinks
 from .quota_account import QuotaDecision
 from .quotas import Quotas
-from .repeat_admission import reserved_share
 from .request_records import RequestRecords
-from .retry_rule import NextStep, n_placements_left, next_step, status_of
+from .retry_rule import (
+    REJECTIONS_MAX,
+    NextStep,
+    n_placements_left,
+    next_step,
+    status_of,
+)
+from .switches import Switches, switchable
 from .throttle import ActionThrottle
 
 __all__ = ["FirstHop"]
@@ -70,6 +76,7 @@
         revocation_s: Seconds after which a revoked key must not be used, None if
             revocation has no such bound.
         quotas: Quotas of organisations.
+        switches: Mechanisms that are switched off.
     """
 
     def __init__(
@@ -89,6 +96,7 @@
         proof_age_s: Callable[[], float],
         revocation_s: float | None,
         quotas: Quotas,
+        switches: Switches,
     ) -> None:
         self._service = service
         self._ip = ip
@@ -106,6 +114,11 @@
         # Requests that need the key of an organisation and were not answered yet.
         self._of_organisations: set[ForwardedRequest] = set()
         self._quotas = quotas
+        self._switches = switches
+        self._rejections_max = switches.pick("rejected_again", REJECTIONS_MAX, 0)
+        self._is_suspect = switches.pick(
+            "suspect_links", links.is_suspect, lambda ip: False
+        )
         self._split = WeightedRoundRobin()
         self._n_retries: Counter[str] = Counter()
         self._n_retries_refused: Counter[str] = Counter()
@@ -255,7 +268,7 @@
         retry_after_s = None
         if refusal.status == 503:
             time_left_s = self._deadline_s(request, route, fields) - time.monotonic()
-            retry_after_s = mesh_retry_after_s(0.0, time_left_s, self._rng)
+            retry_after_s = self._retry_after_within(0.0, time_left_s)
         headers = self._caller_check.headers_of(refusal)
         self._answer_problem(
             exchange, refusal.status, refusal.reason, retry_after_s, headers
@@ -293,9 +306,6 @@
             self._deadline_s(request, route, fields),
         )
         forwarded.parent = parent
-        queue_timeout_share = (
-            QUEUE_TIMEOUT_SHARE if parent is None else DOWNSTREAM_QUEUE_TIMEOUT_SHARE
-        )
         forwarded.call = MeshCall(
             id=0,
             service=forwarded.service,
@@ -303,8 +313,8 @@
             route=route.name,
             rank=table.rank_of(route, identity.organisation)
             if parent is None
-            else parent.call.rank,
-            queue_timeout_ms=int(route.target_latency_s * queue_timeout_share * 1000),
+            else self._rank_of_call(table, route, parent),
+            queue_timeout_ms=int(self._queue_timeout_s(route, parent) * 1000),
             time_left_ms=0,
             is_idempotent=route.is_idempotent,
             is_head=request.method == b"HEAD",
@@ -325,6 +335,22 @@
         )
         return forwarded
 
+    @switchable("queue_timeout", "calls wait for a slot until their deadline")
+    def _queue_timeout_s(self, route: TableRoute, parent: LocalCall | None) -> float:
+        if not self._switches.has("queue_timeout"):
+            return route.timeout_s
+        if parent is None:
+            return route.target_latency_s * QUEUE_TIMEOUT_SHARE
+        return route.target_latency_s * DOWNSTREAM_QUEUE_TIMEOUT_SHARE
+
+    @switchable("action_rank", "calls of upstreams have the rank of their own route")
+    def _rank_of_call(
+        self, table: RouteTable, route: TableRoute, parent: LocalCall
+    ) -> float:
+        if self._switches.has("action_rank"):
+            return parent.call.rank
+        return table.rank_of(route, None)
+
     def _place(self, forwarded: ForwardedRequest) -> None:
         """Send the next attempt of a request."""
         if self._is_organisation_gone(forwarded):
@@ -347,7 +373,7 @@
             return
         instances = self._view.of_service(forwarded.service)
         instance = choose_instance(
-            forwarded, instances, self._selector, self._links.is_suspect
+            forwarded, instances, self._selector, self._is_suspect
         )
         if instance is None:
             detail = f"none of {len(instances)} instances is available"
@@ -419,6 +445,7 @@
             forwarded.n_placements,
             forwarded.n_arrivals,
             route.attempts_max,
+            self._rejections_max,
         )
         if step is NextStep.RETRY:
             step = self._try_retry(forwarded, answer)
@@ -437,7 +464,7 @@
         """
         call = forwarded.call
         call.kind = AttemptKind.RETRY
-        if answer.repeat_share > reserved_share(call):
+        if answer.repeat_share > self._upstream.repeats.reserved_share(call):
             self._n_retries[forwarded.service] += 1
             return NextStep.RETRY
         self._n_retries_refused[forwarded.service] += 1
@@ -492,6 +519,11 @@
         answer = forwarded.answer
         wait_s = 0.0 if answer is None else answer.wait_ms / 1000
         time_left_s = forwarded.deadline_s - time.monotonic()
+        return self._retry_after_within(wait_s, time_left_s)
+
+    def _retry_after_within(self, wait_s: float, time_left_s: float) -> float:
+        if not self._switches.has("retry_after"):
+            return SHORTEST_S
         return mesh_retry_after_s(wait_s, time_left_s, self._rng)
 
     def _note_end(
--- a/packages/savoryroute/savoryroute/coordination/instance_record.py
+++ b/packages/savoryroute/savoryroute/coordination/instance_record.py
@@ -16,6 +16,7 @@
 import attrs
 
 from ..state.fleet_view import Instance
+from .switches import switchable
 from .work_time_check import FACTOR_MAX, FACTOR_MIN, WorkTimeCheck, log_factor
 
 __all__ = ["BASE_LOAD", "InstanceRecord", "ReportedFactor", "SentCall"]
@@ -206,6 +207,7 @@
             cost += self.current_failure_rate(now_s) * FAILURE_LOAD
         return cost
 
+    @switchable("overdue", "calls in flight do not count as slow before they end")
     def overdue_factor(self, now_s: float, route_latency_s: dict[str, float]) -> float:
         """Return the age of calls in flight over the usual latency, 0 if unknown.
 
--- a/packages/savoryroute/savoryroute/coordination/instance_selector.py
+++ b/packages/savoryroute/savoryroute/coordination/instance_selector.py
@@ -24,6 +24,7 @@
 from ..verdict import Reason, Verdict
 from .instance_record import InstanceRecord, SentCall
 from .spill_rule import SpillRule
+from .switches import ALL_ON, Switches, switchable
 
 __all__ = ["InstanceSelector"]
 
@@ -54,6 +55,7 @@
         failure_domain: Local failure domain.
         rng: Random source of the samples.
         clock: Monotonic clock in seconds.
+        switches: Mechanisms that are switched off.
     """
 
     def __init__(
@@ -62,7 +64,16 @@
         failure_domain: str,
         rng: random.Random,
         clock: Callable[[], float],
+        switches: Switches = ALL_ON,
     ) -> None:
+        self._other_domain_cost = switches.pick(
+            "domain_preference", OTHER_DOMAIN_COST, 0.0
+        )
+        self._has_slowness = switches.has("slowness")
+        self._has_failure_rate = switches.has("failure_rate")
+        self._has_overdue = switches.has("overdue")
+        self._has_warm_up = switches.has("warm_up")
+        self._has_work_time = switches.has("work_time")
         self._ip = ip
         self._failure_domain = failure_domain
         self._rng = rng
@@ -84,11 +95,14 @@
         """Return the observations of an instance."""
         found = self._records.get(instance.id)
         if found is None:
-            cold_until_s = self._clock() + instance.cold_s
+            cold_s = instance.cold_s if self._has_warm_up else 0.0
+            cold_until_s = self._clock() + cold_s
             found = InstanceRecord(cold_until_s=cold_until_s)
             self._records[instance.id] = found
         return found
 
+    @switchable("domain_preference", "other failure domains cost as much as the own")
+    @switchable("warm_up", "upstreams in their slow start get as many calls as others")
     def choose(
         self,
         instances: ServiceInstances,
@@ -112,7 +126,7 @@
         best, cost = self._cheapest(near, now_s, loads[0])
         far = self._usable(far, tried, is_suspect, now_s)
         best_far, cost_far = self._cheapest(far, now_s, loads[1])
-        cost_far += OTHER_DOMAIN_COST
+        cost_far += self._other_domain_cost
         if rule is None or best is None or best_far is None:
             return best_far if cost_far < cost else best
         cost += rule.wait_cost(self.record(best), False, now_s)
@@ -182,6 +196,7 @@
         """Send no calls to an instance whose host is leaving, for ``LEAVING_S``."""
         self.record(instance).unavailable_until_s = self._clock() + LEAVING_S
 
+    @switchable("work_time", "the work time that upstreams state is ignored")
     def note_report(
         self,
         instance: Instance,
@@ -201,6 +216,8 @@
         """
         now_s = self._clock()
         record = self.record(instance)
+        if not self._has_work_time:
+            work_time = 1.0
         record.report(n_reported, limit, wait_ms, work_time, now_s)
         if work_time != 1.0 and instance.service not in self._spill_rules:
             self._spill_rules[instance.service] = SpillRule()
@@ -210,6 +227,8 @@
                 is_far = instance.failure_domain != self._failure_domain
                 rule.note_report(record, is_far, work_time)
 
+    @switchable("slowness", "latencies do not tell slow instances from others")
+    @switchable("failure_rate", "failed calls do not count against an instance")
     def note_outcome(
         self, instance: Instance, is_failure: bool, route: str, latency_s: float
     ) -> None:
@@ -222,7 +241,7 @@
             latency_s: Seconds from sending to the end.
         """
         record = self.record(instance)
-        sample = 1.0 if is_failure else 0.0
+        sample = 1.0 if is_failure and self._has_failure_rate else 0.0
         now_s = self._clock()
         rate = record.current_failure_rate(now_s)
         record.failure_rate = rate + (sample - rate) * FAILURE_WEIGHT
@@ -233,7 +252,8 @@
         self._route_latency_s[route] = (
             route_latency_s + (latency_s - route_latency_s) * ROUTE_LATENCY_WEIGHT
         )
-        record.note_latency(latency_s / max(route_latency_s, 1e-6), now_s)
+        if self._has_slowness:
+            record.note_latency(latency_s / max(route_latency_s, 1e-6), now_s)
         if self._spill_rules:
             self._note_spill_latency(instance.service, route_latency_s, now_s)
 
@@ -290,8 +310,10 @@
         """Return the instance of lowest cost, and its cost."""
         best: Instance | None = None
         lowest = float("inf")
+        # Without the usual latencies no call counts as overdue.
+        latencies_s = self._route_latency_s if self._has_overdue else {}
         for instance, record in usable:
-            cost = record.cost(now_s, instance.slots, self._route_latency_s, usual_load)
+            cost = record.cost(now_s, instance.slots, latencies_s, usual_load)
             if instance.ip == self._ip:
                 cost -= LOCAL_BONUS
             # Random tie-break among instances of equal cost.
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -16,6 +16,7 @@
 from .call_queue import CallQueue, QueuedCall
 from .repeat_admission import RepeatAdmission
 from .running_calls import RunningCalls
+from .switches import ALL_ON, Switches
 from .upstream_health import UpstreamHealth
 from .upstream_reports import UpstreamReports
 from .upstream_room import ROOM_MAX, UpstreamRoom
@@ -129,6 +130,7 @@
         quarantine: Evidence of requests that crash upstreams.
         repeats: Decides which repeats the upstream gets.
         log: Log of decisions.
+        switches: Mechanisms that are switched off.
     """
 
     def __init__(
@@ -141,6 +143,7 @@
         quarantine: Quarantine,
         repeats: RepeatAdmission,
         log: EventLog,
+        switches: Switches = ALL_ON,
     ) -> None:
         self._service = service
         self._pool = pool
@@ -153,7 +156,7 @@
         self._room = UpstreamRoom(queue, time.monotonic)
         self._waiting: set[LocalCall] = set()
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
-        self._reports = UpstreamReports(queue, log)
+        self._reports = UpstreamReports(queue, log, switches)
         self.is_leaving = False
         self.n_open = 0
         self.n_runs = 0
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -37,6 +37,7 @@
 from .repeat_admission import RepeatAdmission
 from .repeat_budget import RepeatBudget, slack_part
 from .request_records import RequestRecords
+from .switches import MECHANISMS, Switches
 from .throttle import ActionThrottle
 from .upstream_health import UpstreamHealth
 from .upstream_reports import slots_to_fill
@@ -103,7 +104,8 @@
         self._crash_reports = CrashReports(
             self._quarantine, log, self._broadcast, self._forward
         )
-        self._queue = CallQueue(SLOTS_DEFAULT, time.monotonic)
+        switches = Switches(frozenset(settings.switched_off))
+        self._queue = CallQueue(SLOTS_DEFAULT, time.monotonic, switches)
         self._pool = HttpPool(
             settings.upstream.ip,
             settings.upstream.port,
@@ -112,7 +114,11 @@
         )
         self._repeat_budget = RepeatBudget(settings.retry_ratio, time.monotonic)
         self._repeats = RepeatAdmission(
-            self._repeat_budget, names.id_separator, time.monotonic, self._rng
+            self._repeat_budget,
+            names.id_separator,
+            time.monotonic,
+            self._rng,
+            switches,
         )
         self._upstream = LocalUpstream(
             settings.service,
@@ -129,6 +135,7 @@
             self._quarantine,
             self._repeats,
             log,
+            switches,
         )
         self._bodies = BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE))
         self._peer_calls = PeerCalls(self._upstream, self._bodies)
@@ -142,7 +149,11 @@
         )
         self._polls = PeerPolls(self._rng, lambda: self._synchronizer.is_disconnected)
         self._selector = InstanceSelector(
-            settings.callers.ip, settings.failure_domain, self._rng, time.monotonic
+            settings.callers.ip,
+            settings.failure_domain,
+            self._rng,
+            time.monotonic,
+            switches,
         )
         self._links = PeerLinks(settings.links.port, log, self._on_control_frame)
         self._metrics = Metrics(self._gauges)
@@ -176,7 +187,7 @@
             self._selector,
             self._links,
             self._upstream,
-            ActionThrottle(time.monotonic, self._rng),
+            ActionThrottle(time.monotonic, self._rng, switches),
             self._quarantine,
             RequestRecords(
                 log,
@@ -190,6 +201,7 @@
             proof_age_s,
             settings.revocation_s,
             self._quotas,
+            switches,
         )
         self._callers = CallersListener(
             self._first_hop.handle, self._limits, self._on_bad_request, self._bodies
@@ -224,7 +236,11 @@
                 settings.metrics.ip, settings.metrics.port
             )
         self._sweeper = asyncio.create_task(self._sweep())
-        self._log.change("started", service=settings.service)
+        self._log.change(
+            "started",
+            service=settings.service,
+            switched_off=sorted(settings.switched_off),
+        )
 
     async def stop(self) -> None:
         """Stop gracefully: finish the requests that were read, then close."""
@@ -464,6 +480,10 @@
             "platform_heard": int(synchronizer.is_platform_reachable),
             "configuration_proof_age_seconds": synchronizer.proof.gauge_s,
             "log_lines_left_out": self._log.n_left_out,
+            "switched_off": {
+                str(name): int(name in self._settings.switched_off)
+                for name in MECHANISMS
+            },
         }
         gauges.update(self._first_hop.gauges())
         gauges.update(self._organisation_counters.gauges())
--- a/packages/savoryroute/savoryroute/coordination/mesh_retry_after.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_retry_after.py
@@ -11,7 +11,9 @@
 
 import random
 
-__all__ = ["mesh_retry_after_s"]
+from .switches import switchable
+
+__all__ = ["SHORTEST_S", "mesh_retry_after_s"]
 
 SHORTEST_S = 0.1
 # Width of the jitter in seconds, unless the deadline cuts it short.
@@ -20,6 +22,7 @@
 SHARE_OF_TIME_LEFT = 0.3
 
 
+@switchable("retry_after", "refused callers are told to come back soon, all alike")
 def mesh_retry_after_s(wait_s: float, time_left_s: float, rng: random.Random) -> float:
     """Return the seconds after which a refused caller may retry.
 
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -14,6 +14,7 @@
 from ..state.event_log import EventLog
 from ..transport.frame_link import FrameLink
 from ..verdict import Reason, Verdict
+from .switches import switchable
 
 __all__ = ["PeerLinks"]
 
@@ -96,6 +97,7 @@
             if link.connection.is_open
         }
 
+    @switchable("suspect_links", "hosts get calls although their link is silent")
     def is_suspect(self, ip: str) -> bool:
         """Return whether a host does not answer pings or was unreachable recently."""
         link = self._links.get(ip)
--- a/packages/savoryroute/savoryroute/coordination/repeat_admission.py
+++ b/packages/savoryroute/savoryroute/coordination/repeat_admission.py
@@ -27,6 +27,7 @@
 from ..protocol.mesh_frames import AttemptKind, MeshCall
 from .rank_table import value_for_rank
 from .repeat_budget import WINDOW_S, RepeatBudget
+from .switches import ALL_ON, Switches, switchable
 
 __all__ = ["RepeatAdmission", "reserved_share"]
 
@@ -51,6 +52,7 @@
 REPEATED_RUN_S = 30.0
 
 
+@switchable("repeat_reserves", "repeats are admitted first come, first served")
 def reserved_share(call: MeshCall) -> float:
     """Return the share of the repeats that a repeat must leave to others."""
     by_progress = RESERVED_AT_START * RESERVED_PER_CALL**call.n_done
@@ -94,6 +96,7 @@
             that of the action.
         clock: Monotonic clock in seconds.
         rng: Source of randomness for repeated runs when little is left downstream.
+        switches: Mechanisms that are switched off.
     """
 
     def __init__(
@@ -102,7 +105,11 @@
         separator: bytes,
         clock: Callable[[], float],
         rng: random.Random,
+        switches: Switches = ALL_ON,
     ) -> None:
+        self._reserved_share = switches.pick(
+            "repeat_reserves", reserved_share, lambda call: 0.0
+        )
         self._budget = budget
         self._separator = separator
         self._clock = clock
@@ -120,6 +127,10 @@
         """Repeats that the upstream may still get now."""
         return self._budget.left
 
+    def reserved_share(self, call: MeshCall) -> float:
+        """Return the share of the repeats that a repeat must leave to others."""
+        return self._reserved_share(call)
+
     def may_start(self, call: MeshCall) -> bool:
         """Return whether a call could start now, as far as repeats are limited."""
         if not call.is_repeat:
@@ -190,7 +201,7 @@
         A part of a repeat counts with that probability, as an upstream with few
         requests saves up less than one repeat.
         """
-        n_kept = reserved_share(call) * self._budget.saved_max
+        n_kept = self.reserved_share(call) * self._budget.saved_max
         return int(n_kept) + (self._rng.random() < n_kept % 1.0)
 
     def _bears(self, route: str) -> bool:
--- a/packages/savoryroute/savoryroute/coordination/retry_rule.py
+++ b/packages/savoryroute/savoryroute/coordination/retry_rule.py
@@ -9,8 +9,9 @@
 
 from ..protocol.mesh_frames import MeshAnswer
 from ..verdict import Reason, Verdict
+from .switches import switchable
 
-__all__ = ["NextStep", "n_placements_left", "next_step", "status_of"]
+__all__ = ["REJECTIONS_MAX", "NextStep", "n_placements_left", "next_step", "status_of"]
 
 # After this many refusals by daemons a request is refused: all instances are then
 # taken to be full.
@@ -29,12 +30,16 @@
     GIVE_UP = "give_up"
 
 
+@switchable(
+    "rejected_again", "a request is rejected no more often than its route has attempts"
+)
 def next_step(
     answer: MeshAnswer,
     is_idempotent: bool,
     n_placements: int,
     n_arrivals: int,
     attempts_max: int,
+    rejections_max: int = REJECTIONS_MAX,
 ) -> NextStep:
     """Return what to do after an attempt.
 
@@ -44,6 +49,7 @@
         n_placements: Attempts made so far, including this one.
         n_arrivals: Attempts made so far that reached an upstream.
         attempts_max: Maximum number of attempts that may reach an upstream.
+        rejections_max: The same if upstreams reject the request with free slots.
 
     Returns:
         ``PLACE_ELSEWHERE`` if no upstream got the request, which takes nothing from
@@ -68,7 +74,7 @@
         # An upstream with free slots sheds for reasons other than load, and may accept
         # the next attempt.
         has_free_slots = answer.n_reported < answer.limit
-        n_max = max(attempts_max, REJECTIONS_MAX) if has_free_slots else attempts_max
+        n_max = max(attempts_max, rejections_max) if has_free_slots else attempts_max
         return NextStep.RETRY if n_arrivals < n_max else NextStep.GIVE_UP
     if is_idempotent and n_arrivals < attempts_max:
         return NextStep.RETRY
--- a/packages/savoryroute/savoryroute/coordination/throttle.py
+++ b/packages/savoryroute/savoryroute/coordination/throttle.py
@@ -23,6 +23,7 @@
 import attrs
 
 from .fair_share import MaxMinShares
+from .switches import ALL_ON, Switches, switchable
 
 __all__ = ["ActionThrottle"]
 
@@ -71,6 +72,7 @@
         return share
 
 
+@switchable("throttle", "every action is admitted at its first hop")
 class ActionThrottle:
     """Throttles the requests of one first hop by route.
 
@@ -80,11 +82,19 @@
     Args:
         clock: Monotonic clock in seconds.
         rng: Source of randomness for the choice of refused requests.
+        switches: Mechanisms that are switched off.
     """
 
-    def __init__(self, clock: Callable[[], float], rng: random.Random) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        rng: random.Random,
+        switches: Switches = ALL_ON,
+    ) -> None:
         self._clock = clock
         self._rng = rng
+        self._is_on = switches.has("throttle")
+        self._knows_organisations = switches.has("fair_shares")
         self._states: dict[_Key, _RouteState] = {}
 
     @property
@@ -109,13 +119,15 @@
             The share of such requests that is admitted now, above 0 and at most 1, or
             None if this one is refused.
         """
+        if not self._is_on:
+            return 1.0
         now_s = self._clock()
         key = _key(route, rank, organisation)
         state = self._states.get(key)
         if state is None:
             state = self._states[key] = _RouteState(now_s)
         share = state.share(now_s)
-        if organisation:
+        if organisation and self._knows_organisations:
             if state.organisations is None:
                 state.organisations = MaxMinShares(self._clock)
             # Counted even if nothing is refused, so that the first refusals are right.
--- a/packages/savoryroute/savoryroute/coordination/upstream_reports.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_reports.py
@@ -9,6 +9,7 @@
 from ..state.event_log import EventLog
 from ..verdict import Reason
 from .call_queue import CallQueue
+from .switches import ALL_ON, Switches
 
 __all__ = ["UpstreamReports", "slots_to_fill"]
 
@@ -29,10 +30,14 @@
     Args:
         queue: Slots of the upstream and the calls that wait for them.
         log: Log of decisions.
+        switches: Mechanisms that are switched off.
     """
 
-    def __init__(self, queue: CallQueue, log: EventLog) -> None:
+    def __init__(
+        self, queue: CallQueue, log: EventLog, switches: Switches = ALL_ON
+    ) -> None:
         self._queue = queue
+        self._has_work_time = switches.has("work_time")
         self._log = log
         # Last value of the header, so that only changes are parsed and logged.
         self._rate_limit_text: bytes | None = None
@@ -87,7 +92,8 @@
         elif is_stated != self._states_work_time:
             self._states_work_time = is_stated
             self._log.change("upstream_work_time", is_stated=is_stated)
-        self._queue.times.report(load.work_time if is_stated else 1.0)
+        is_used = is_stated and self._has_work_time
+        self._queue.times.report(load.work_time if is_used else 1.0)
 
     def note_rate_limit(self, request_id: bytes, text: bytes | None) -> None:
         """Set the rate limit from the header of an answer.
--- a/packages/savoryroute/savoryroute/state/checking.py
+++ b/packages/savoryroute/savoryroute/state/checking.py
@@ -195,6 +195,14 @@
                 self.fail(f"{name}[{i}]", value, f"an integer from {low} to {high}")
         return values
 
+    def texts(self, name: str, default: object = _REQUIRED) -> list[str]:
+        """Return a list of strings."""
+        values = self._list(name, default)
+        for i, value in enumerate(values):
+            if type(value) is not str:
+                self.fail(f"{name}[{i}]", value, "a string")
+        return values
+
     def nested_object(self, name: str, default: object = _REQUIRED) -> ObjectReader:
         """Return a reader of a member that is itself an object."""
         return self._child(name, self.get(name, default))
--- a/packages/savoryroute/savoryroute/state/mesh_settings.py
+++ b/packages/savoryroute/savoryroute/state/mesh_settings.py
@@ -52,6 +52,7 @@
             None if there are no quotas.
         quota_overage: Fraction by which a quota may be exceeded in a window.
         quota_slack: Requests by which it may be exceeded besides.
+        switched_off: Names of mechanisms that are switched off.
     """
 
     host: str
@@ -72,6 +73,7 @@
     quota_window_s: float | None = None
     quota_overage: float = 0.0
     quota_slack: float = 0.0
+    switched_off: tuple[str, ...] = ()
 
 
 def read_mesh_settings(
@@ -120,6 +122,7 @@
         quota_window_s=_optional_seconds(root, "quota_window_s"),
         quota_overage=root.number("quota_overage", 0.0, RATIO_MAX, 0.0),
         quota_slack=root.number("quota_slack", 0.0, SLACK_MAX, 0.0),
+        switched_off=tuple(root.texts("switched_off", [])),
     )
 
 
