upstream room: short overloads wait, and free slots admit all

And calls that fail at once were counted with the usual service time, so that an upstream with free slots, but broken answers, had requests refused (503 for 502 in two tests of broken answers). Change: the aimed wait is a share of the shortest queue timeout of the rank instead of the square root of the slots, and an upstream with free slots reports room for all. The fields that calls carry for it are the last of their frame.

--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -193,7 +193,12 @@
             return local
         if call.is_first_placement:
             # Later ones were counted where they were refused first.
-            self._room.note_offer(call.rank, call.route, call.admitted_share)
+            self._room.note_offer(
+                call.rank,
+                call.route,
+                call.queue_timeout_ms / 1000,
+                call.admitted_share,
+            )
         now_s = time.monotonic()
         local.queued_call = QueuedCall(
             call.rank,
--- a/packages/savoryroute/savoryroute/coordination/upstream_room.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_room.py
@@ -13,8 +13,7 @@
 Sources: inverse probability weighting (Horvitz and Thompson, 1952); credits by the
 receiver as in Breakwater (Cho and others, Overload Control for us-scale RPCs, 2020);
 priorities as in DAGOR (Zhou and others, Overload Control for Scaling WeChat
-Microservices, 2018); the length of the queue after the square-root rule of Halfin and
-Whitt, Heavy-Traffic Limits for Queues with Many Exponential Servers (1981).
+Microservices, 2018).
 """
 
 from __future__ import annotations
@@ -35,9 +34,12 @@
 # Least admitted share that counts. A single call that stands for more offered ones
 # would move the estimate too far.
 SHARE_MIN = 0.05
-# Waiting calls that are aimed at, over the square root of the slots. The number of
-# arrivals varies by about that root, and an empty queue leaves slots idle.
-AIMED_WAITING = 2.0
+# Wait that is aimed at, as a share of the shortest queue timeout in a rank. A queue
+# absorbs short overloads, and an empty one leaves slots idle between arrivals.
+AIMED_WAIT_SHARE = 0.15
+# Factor by which the shortest queue timeout may grow with each call, so that it follows
+# when calls with a shorter one end.
+TIMEOUT_GROWTH = 1.002
 # Least time in seconds within which excess waiting calls are worked off, and more if
 # the calls take longer. Actions that fail in a full queue make fewer calls than they
 # would, so that the offered work is underestimated until the queue is short again.
@@ -53,9 +55,13 @@
 
     noted_s: float
     slot_s: float = 0.0
+    queue_timeout_s: float = math.inf
 
-    def add(self, slot_s: float, now_s: float) -> None:
+    def add(self, slot_s: float, queue_timeout_s: float, now_s: float) -> None:
         self.slot_s = self._left(now_s) + slot_s
+        self.queue_timeout_s = min(
+            self.queue_timeout_s * TIMEOUT_GROWTH, queue_timeout_s
+        )
         self.noted_s = now_s
 
     def load(self, now_s: float) -> float:
@@ -86,12 +92,15 @@
         load = sum(work.load(now_s) for work in self._offered.values())
         return load / self._queue.usable_slots
 
-    def note_offer(self, rank: float, group: str, admitted_share: float) -> None:
+    def note_offer(
+        self, rank: float, group: str, queue_timeout_s: float, admitted_share: float
+    ) -> None:
         """Count a call that is offered to the upstream, whether it runs or not.
 
         Args:
             rank: Rank of the call, 0 the highest.
             group: Group of calls with similar service times, such as a route.
+            queue_timeout_s: Longest wait of the call in the queue in seconds.
             admitted_share: Share of the actions of its kind that were admitted.
         """
         now_s = self._clock()
@@ -100,7 +109,8 @@
         offered = self._offered.get(step)
         if offered is None:
             offered = self._offered[step] = _OfferedWork(now_s)
-        offered.add(work_s / max(SHARE_MIN, admitted_share), now_s)
+        slot_s = work_s / max(SHARE_MIN, admitted_share)
+        offered.add(slot_s, queue_timeout_s, now_s)
 
     def share_for(self, rank: float) -> float:
         """Return the share of the offered actions of a rank that fits, 0 or above.
@@ -114,18 +124,22 @@
         now_s = self._clock()
         queue = self._queue
         own_step = _step(rank)
-        own = 0.0
+        own = aimed_wait_s = 0.0
         left = queue.usable_slots
         for step, work in self._offered.items():
             if step == own_step:
                 own = work.load(now_s)
+                aimed_wait_s = work.queue_timeout_s * AIMED_WAIT_SHARE
             elif step < own_step:
                 left -= work.load(now_s)
-        n_excess = queue.n_ahead_of(rank) - AIMED_WAITING * math.sqrt(queue.slots)
+        n_excess = queue.n_ahead_of(rank) - aimed_wait_s * queue.slots / queue.mean_s
         left -= n_excess * min(1.0, queue.mean_s / DRAIN_S)
+        # Failed calls hold their slots for less than the usual time, which the offered
+        # work does not show: with free slots nothing is refused.
+        least = 1.0 if queue.n_running + 1 < queue.slots else 0.0
         if left >= own * ROOM_MAX:
             return ROOM_MAX
-        return max(0.0, left / own) if own else 0.0
+        return max(least, left / own) if own else least
 
 
 def _step(rank: float) -> int:
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -84,12 +84,12 @@
         head: Request line and headers, without the empty line.
         body_bytes: Length of the body. A short body follows in the frame, a long one
             in further frames (``body_transfer``).
-        admitted_share: Share of the actions of its kind that its first hop admitted
-            when it admitted this one, above 0 and at most 1.
-        is_first_placement: Whether the request was not placed elsewhere before.
         organisation: Name of the organisation of the action, or an empty string.
         n_placements_left: How often its first hop can place it elsewhere if no
             upstream got it.
+        admitted_share: Share of the actions of its kind that its first hop admitted
+            when it admitted this one, above 0 and at most 1.
+        is_first_placement: Whether the request was not placed elsewhere before.
     """
 
     id: int
@@ -107,10 +107,10 @@
     fingerprint: bytes
     head: bytes
     body_bytes: int
-    admitted_share: float = 1.0
-    is_first_placement: bool = True
     organisation: str = ""
     n_placements_left: int = 0
+    admitted_share: float = 1.0
+    is_first_placement: bool = True
 
     @property
     def is_repeat(self) -> bool:
@@ -141,10 +141,10 @@
             self.fingerprint,
             self.head,
             self.body_bytes,
-            round(self.admitted_share, 3),
-            self.is_first_placement,
             self.organisation,
             self.n_placements_left,
+            round(self.admitted_share, 3),
+            self.is_first_placement,
             inline_body,
         ]
 
