--- a/tests/savoryroute/state/test_mesh_settings.py
+++ b/tests/savoryroute/state/test_mesh_settings.py
@@ -46,6 +46,8 @@
             ("seeds", {}),
             ("memory_mb", 10),
             ("memory_mb", "300MB"),
+            ("switched_off", [1]),
+            ("switched_off", "throttle"),
         ):
             error = self.parse(**{name: value}).unwrap_err()
             self.assertIn(name, str(error))
