upstream room: slots that a rate limit leaves unused are not free

Cause: found while reading the diff: an upstream with a rate limit has free slots while calls wait for their turn, and would have reported room for all. Change: slots count as free up to the usable ones, and only if no call waits. Measured: test_slots_that_a_rate_limit_leaves_unused_are_not_free fails without it.

--- a/packages/savoryroute/savoryroute/coordination/upstream_room.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_room.py
@@ -132,11 +132,13 @@
                 aimed_wait_s = work.queue_timeout_s * AIMED_WAIT_SHARE
             elif step < own_step:
                 left -= work.load(now_s)
-        n_excess = queue.n_ahead_of(rank) - aimed_wait_s * queue.slots / queue.mean_s
-        left -= n_excess * min(1.0, queue.mean_s / DRAIN_S)
+        n_aimed = aimed_wait_s * queue.slots / queue.mean_s
+        # Slots to add or take so that the queue has this length after the drain time.
+        left -= (queue.n_ahead_of(rank) - n_aimed) * min(1.0, queue.mean_s / DRAIN_S)
         # Failed calls hold their slots for less than the usual time, which the offered
         # work does not show: with free slots nothing is refused.
-        least = 1.0 if queue.n_running + 1 < queue.slots else 0.0
+        has_free_slots = queue.n_running + 1 < queue.usable_slots
+        least = 1.0 if has_free_slots and not queue.n_waiting else 0.0
         if left >= own * ROOM_MAX:
             return ROOM_MAX
         return max(least, left / own) if own else least
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -262,15 +262,29 @@
     Mutation(
         "mesh room: a long queue does not count",
         "coordination/upstream_room.py",
-        "left -= n_excess * min(1.0, queue.mean_s / DRAIN_S)",
-        "pass",
+        "left -= (queue.n_ahead_of(rank) - n_aimed)",
+        "left -= 0.0",
+        "tests.savoryroute.coordination.test_upstream_room",
+    ),
+    Mutation(
+        "mesh room: requests are refused with free slots",
+        "coordination/upstream_room.py",
+        "least = 1.0 if has_free_slots and not queue.n_waiting else 0.0",
+        "least = 0.0",
         "tests.savoryroute.coordination.test_upstream_room",
     ),
+    Mutation(
+        "mesh queue: calls of runs with progress wait like first calls",
+        "coordination/call_queue.py",
+        "return call.rank, not call.has_progress, call.tag.start_s, n_arrivals",
+        "return call.rank, False, call.tag.start_s, n_arrivals",
+        "tests.savoryroute.coordination.test_throttle",
+    ),
     Mutation(
         "mesh shares: calls of one rank start in order of arrival",
         "coordination/call_queue.py",
-        "call.order = (call.rank, call.tag.start_s, self._n_arrivals)",
-        "call.order = (call.rank, 0.0, self._n_arrivals)",
+        "return call.rank, not call.has_progress, call.tag.start_s, n_arrivals",
+        "return call.rank, not call.has_progress, 0.0, n_arrivals",
         f"{FAIR_SHARE}.StartOrderTest",
     ),
     Mutation(
--- a/tests/savoryroute/coordination/test_upstream_room.py
+++ b/tests/savoryroute/coordination/test_upstream_room.py
@@ -78,6 +78,13 @@
         self.queue.rate_limit.set(100.0)
         self.assertLess(self.room.share_for(2), 0.6)
 
+    def test_slots_that_a_rate_limit_leaves_unused_are_not_free(self):
+        self.offer(400.0, 1.0)
+        self.queue.rate_limit.set(10.0)
+        self.fill_queue(0)
+        self.assertLess(self.queue.n_running, SLOTS)
+        self.assertLess(self.room.share_for(2), 0.2)
+
     def test_demand_is_forgotten_after_the_load(self):
         self.offer(4000.0, 0.1)
         self.now_s += 2.0
