mutations: the reserve for better ranks is read through the switches

Cause: its source text changed with the switches, so the mutation did not apply. Change: the new text.

--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -213,7 +213,7 @@
     Mutation(
         "mesh retries: no part is reserved for better ranks",
         "coordination/repeat_admission.py",
-        "n_kept = reserved_share(call) * self._budget.saved_max",
+        "n_kept = self.reserved_share(call) * self._budget.saved_max",
         "n_kept = 0.0",
         "tests.savoryroute.coordination.test_repeat_admission",
     ),
