throttle: a share that no answer renews grows by a factor

A share near the floor grew as fast as one near 1. Change: the share grows by the factor e a second instead of towards 1. Ruled out: a shorter time constant towards 1 (0.7 s: more calls for actions that fail, as shares near the floor jump).

--- a/packages/savoryroute/savoryroute/coordination/throttle.py
+++ b/packages/savoryroute/savoryroute/coordination/throttle.py
@@ -32,10 +32,10 @@
 ANSWER_WEIGHT = 0.15
 # Time constant in seconds with which earlier answers lose weight.
 MEMORY_S = 0.3
-# After this time in seconds without answers the admitted share begins to grow towards
-# 1, with the following time constant.
+# After this time in seconds without answers the admitted share begins to grow, by the
+# factor e in each of the following time.
 SILENCE_S = 0.5
-GROWTH_S = 2.0
+GROWTH_S = 1.0
 # Share that is always admitted, to detect when the overload has ended.
 ADMITTED_SHARE_MIN = 0.05
 
@@ -68,7 +68,8 @@
         share = min(1.0, max(ADMITTED_SHARE_MIN, self.room))
         silence_s = now_s - self.heard_s - SILENCE_S
         if share < 1.0 and silence_s > 0.0:
-            share = 1.0 - (1.0 - share) * math.exp(-silence_s / GROWTH_S)
+            # A silence of many times the growth time must not overflow.
+            share = min(1.0, share * math.exp(min(silence_s / GROWTH_S, 10.0)))
         return share
 
 
