logs: failed and answered calls to the platform, by what they asked for

Cause: platform_lost and platform_regained show the latest call of any kind. Change: PlatformCalls records each call's time and outcome by topic. The first failure of a series and the answer after it leave a line with the seconds waited and failed; the gauge platform_answer_age_seconds has the age of the latest answer. No decision uses it yet.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -478,6 +478,7 @@
             "platform_era": era_of(synchronizer.view.revision),
             "instances": len(synchronizer.view.instances),
             "platform_heard": int(synchronizer.is_platform_reachable),
+            "platform_answer_age_seconds": synchronizer.calls.answer_ages_s,
             "configuration_proof_age_seconds": synchronizer.proof.gauge_s,
             "log_lines_left_out": self._log.n_left_out,
             "switched_off": {
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -26,6 +26,7 @@
 from ..state.revision import era_of, revision_in_era
 from ..state.route_table import RouteTable
 from .configuration_proof import ConfigurationProof
+from .platform_calls import PlatformCalls
 
 __all__ = ["RouteDecoder", "ViewSynchronizer"]
 
@@ -74,6 +75,7 @@
         self._on_change = on_change
         self._forward_update = forward_update
         self._proof = proof
+        self._calls = PlatformCalls(log)
         self._changes = ChangeLog()
         self._current_at_s = float("-inf")
         self._view = FleetView()
@@ -99,6 +101,11 @@
         """Proof that the active routes are in force."""
         return self._proof
 
+    @property
+    def calls(self) -> PlatformCalls:
+        """Calls by which this daemon follows the platform."""
+        return self._calls
+
     @property
     def is_platform_reachable(self) -> bool:
         """Whether the latest call to the platform succeeded."""
