tests: a silent store keeps all hosts on an old configuration (known red)

Seen by callers: requests handled by a configuration that was replaced 2.8 s and more before, on every host at once. Evidence: three tests with four daemons and a store that loses its pending watches. Each fails on this code: no host has the change 3 s after the store is back, and the line platform_call_failed shows 9.2 s of waiting for a lost watch.

--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -80,6 +80,10 @@
         self.revision, self.items = copy[0], dict(copy[1])
         self.expire_history()
 
+    def lose_watches(self) -> None:
+        """Never answer the pending watches; their connections stay open."""
+        self._waiting.clear()
+
     def abort_watches(self) -> None:
         self._listener.abort()
 
--- /dev/null
+++ b/tests/savoryroute_platform/test_store_outage.py
@@ -0,0 +1,51 @@
+"""Tests of a store that is silent for some seconds while changes are made."""
+
+import asyncio
+
+from .test_path import PathTest
+
+# Seconds after the end of an outage from which changes must be in force.
+RECOVERY_S = 3.0
+
+
+class LostWatchTest(PathTest):
+    """Guards against a lost watch that keeps a host on an old configuration."""
+
+    services = ("front", "planner", "planner", "planner")
+
+    def versions(self):
+        return {node.synchronizer.table.version for node in self.fleet.nodes}
+
+    async def darken(self, duration_s):
+        """Lose all pending and further calls to the store for some seconds."""
+        self.fleet.store.is_silent = True
+        self.fleet.store.lose_watches()
+        await asyncio.sleep(duration_s)
+
+    async def assert_followed(self, version):
+        """Let the store answer again; check that all hosts get the version in time."""
+        self.fleet.store.is_silent = False
+        try:
+            await self.fleet.wait_until(
+                lambda: self.versions() == {version}, timeout_s=RECOVERY_S
+            )
+        except TimeoutError:
+            self.fail(f"versions {self.versions()} after {RECOVERY_S} s, not {version}")
+
+    async def test_change_during_a_short_silence(self):
+        await self.darken(1.0)
+        self.fleet.publish(2)
+        await self.assert_followed(2)
+
+    async def test_changes_at_the_end_of_a_silence_that_outlasts_calls(self):
+        await self.darken(4.0)
+        for version in (2, 3, 4):
+            self.fleet.publish(version)
+        await self.assert_followed(4)
+
+    async def test_silences_in_series_with_lost_history(self):
+        for version in (2, 3):
+            await self.darken(2.0)
+            self.fleet.publish(version)
+            self.fleet.store.expire_history()
+            await self.assert_followed(version)
