platform calls: a watch whose answer is in doubt is given up

Cause: the watches of routes and instances know nothing of each other, and each waits 9.2 s for its answer whatever happens. One that is pending when the store falls silent, or is sent while it is, never gets one. All hosts watch again at the same moment after each change, so all lose their watches together. Class: old knowledge without a bound on its age when the answer that would bring the news never comes. Evidence: in the incident each host's only call for the configuration between 24.1 and 42.5 s was sent at 33.2 to 33.5 s, 0.7 s before the store was back; the list was followed again from 36.0 s on. Change: a call without an answer casts doubt on the pending watches of the other topics. They are given up, and calls of 0.1 s take their place until one is answered. Ruled out: shorter watches on all hosts, whose calls grow with the fleet.

--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -75,7 +75,7 @@
         self._on_change = on_change
         self._forward_update = forward_update
         self._proof = proof
-        self._calls = PlatformCalls(log)
+        self._calls = PlatformCalls(log, rng)
         self._changes = ChangeLog()
         self._current_at_s = float("-inf")
         self._view = FleetView()
--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -373,6 +373,12 @@
                 self._idle.remove(connection)
                 connection.abort()
 
+    def close_idle(self) -> None:
+        """Close the connections that carry no exchange."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.abort()
+
     def close(self) -> None:
         """Close all connections and cancel those being opened."""
         for connection in list(self.connections):
--- a/tests/savoryroute_platform/test_store_outage.py
+++ b/tests/savoryroute_platform/test_store_outage.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from savoryroute_platform.store import StoreClient, WatchGivenUpError
+
 from .test_path import PathTest
 
 # Seconds after the end of an outage from which changes must be in force.
@@ -49,3 +51,33 @@
             self.fleet.publish(version)
             self.fleet.store.expire_history()
             await self.assert_followed(version)
+
+
+class StoreClientTest(PathTest):
+    services = ("front",)
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.client = StoreClient("127.0.0.1", self.fleet.store_port)
+        self.addCleanup(self.client.close)
+
+    async def test_silent_connections_are_not_tried_one_after_the_other(self):
+        reads = [self.client.read_page("op/") for _ in range(3)]
+        await asyncio.gather(*reads)
+        self.fleet.store.is_silent = True
+        await self.client.read_page("op/")
+        self.fleet.store.is_silent = False
+        n_opened = self.client._pool.n_opened
+        (await self.client.read_page("op/")).unwrap()
+        self.assertEqual(self.client._pool.n_opened, n_opened + 1)
+
+    async def test_watch_that_is_given_up_ends_at_once(self):
+        page = (await self.client.read_page("op/")).unwrap()
+        watch = asyncio.create_task(self.client.watch("op/", page.revision, 8.0))
+        await asyncio.sleep(0.05)
+        self.client.give_up_watch("servers/")
+        self.client.give_up_watch("op/")
+        async with asyncio.timeout(0.5):
+            error = (await watch).unwrap_err()
+        self.assertIsInstance(error, WatchGivenUpError)
+        self.client.give_up_watch("op/")
