http client: a request is not repeated on a connection on which it failed

Seen by callers (an operator's report, looked for here): told "not run" for a request that ran, or a request that may run once ran twice. Cause: attempts of one request at an upstream have the same id, and the second one took the connection of the first. A late copy of the first refusal has that id too and was taken for the answer to the second attempt, which was running; a third attempt followed. Evidence: LateCopyTest.test_copy_of_a_rejection_with_the_id_of_its_request: three executions or refusals of an unsafe request with one refusal, expected two. Change: a connection remembers the ids that failed on it, 256 at most, and carries none of them again; with more it is not reused. Ruled out: closing each connection after a refusal, as many requests are refused under load and connections are dear. Result: the test passes.

--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -30,6 +30,8 @@
 # in chunks of one byte has five for each of its bytes.
 FRAMING_BYTES_MAX = 64 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Failed exchanges of one connection whose identities are remembered.
+FAILED_IDS_MAX = 256
 
 _TIMEOUT_VALUE = re.compile(rb"timeout\s*=\s*(\d+)")
 
@@ -110,6 +112,7 @@
         self._answer: HttpAnswer | None = None
         self._framing_bytes = 0
         self._body_bytes = 0
+        self._failed_ids: set[bytes] = set()
         self.idle_since_s = time.monotonic()
         self.idle_max_s = IDLE_DEFAULT_S
         self._reset_message()
@@ -131,6 +134,10 @@
             and not self._transport.is_closing()
         )
 
+    def has_failed(self, id_: bytes | None) -> bool:
+        """Whether an exchange of this identity failed on this connection."""
+        return id_ in self._failed_ids
+
     def start(self, pending: PendingExchange) -> None:
         """Start an exchange on this connection."""
         self._pending = pending
@@ -254,6 +261,10 @@
                     return
         self._is_message_open = False
         status = self._parser.get_status_code()
+        if pending.expected_id is not None and status >= 400:
+            self._failed_ids.add(pending.expected_id)
+            if len(self._failed_ids) >= FAILED_IDS_MAX:
+                self._can_reuse = False
         self._answer = HttpAnswer(status, self._headers, b"".join(self._body))
 
     def _finish(self) -> None:
@@ -340,7 +351,7 @@
             body: The complete body.
         """
         pending = PendingExchange(data, body, expected_id, is_head, on_done)
-        connection = self._take_idle(is_idempotent)
+        connection = self._take_idle(is_idempotent, expected_id)
         if connection is not None:
             connection.start(pending)
         else:
@@ -386,18 +397,26 @@
         for task in list(self._tasks):
             task.cancel()
 
-    def _take_idle(self, is_idempotent: bool) -> _PooledConnection | None:
+    def _take_idle(
+        self, is_idempotent: bool, id_: bytes | None
+    ) -> _PooledConnection | None:
+        """Return an idle connection for an exchange, None if a new one is needed.
+
+        A repeated request does not use a connection on which it failed: a late copy of
+        that failure could not be told from its answer.
+        """
         now_s = time.monotonic()
-        while self._idle:
-            connection = self._idle[-1]
+        for index in reversed(range(len(self._idle))):
+            connection = self._idle[index]
             age_s = now_s - connection.idle_since_s
-            if connection.is_usable and age_s <= connection.idle_max_s:
-                if not is_idempotent and age_s > NON_IDEMPOTENT_IDLE_S:
-                    return None
-                self._idle.pop()
+            if not connection.is_usable or age_s > connection.idle_max_s:
+                del self._idle[index]
+                connection.abort()
+            elif not is_idempotent and age_s > NON_IDEMPOTENT_IDLE_S:
+                return None
+            elif not connection.has_failed(id_):
+                del self._idle[index]
                 return connection
-            self._idle.pop()
-            connection.abort()
         return None
 
     def _run(self, coroutine: Coroutine[None, None, None]) -> None:
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -394,6 +394,13 @@
         "                    self._can_reuse = False",
         "tests.savoryroute_platform.test_operator_reports.LateCopyTest",
     ),
+    Mutation(
+        "mesh answers: a request is repeated on the connection on which it failed",
+        "transport/http_client.py",
+        "            elif not connection.has_failed(id_):",
+        "            else:",
+        "tests.savoryroute_platform.test_operator_reports.LateCopyTest",
+    ),
     Mutation(
         "mesh placement: calls are returned that cannot be placed again",
         "coordination/call_queue.py",
--- a/tests/savoryroute_platform/test_operator_reports.py
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -266,6 +266,22 @@
                 answer = await self.request(method="POST", body=b"b")
                 self.assertEqual(answer.status, 502, whole[:end])
 
+    async def test_heads_that_end_early_at_each_byte(self):
+        """Also where nothing but the end of the connection would end the answer."""
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n\r\n"
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        for whole in (head, interim + head, head.replace(b"1.1", b"1.0", 1)):
+            for end in range(len(whole)):
+
+                async def break_off(fields, writer, _, end=end, whole=whole):
+                    request_id = fields["request-id"].encode()
+                    writer.write(whole.replace(b"ID", request_id)[: -len(whole) + end])
+                    return False
+
+                self.planners[0].script.append(break_off)
+                answer = await self.request(method="POST", body=b"b")
+                self.assertEqual(answer.status, 502, whole[:end])
+
     async def test_daemon_that_ends_while_it_answers(self):
         """The caller can tell that the answer is not complete."""
 
@@ -310,6 +326,16 @@
         # The rejected attempt and one more.
         self.assertEqual(len(self.planners[0].arrivals), 2)
 
+    async def test_copy_of_a_rejection_with_the_id_of_its_request(self):
+        """The second attempt has the same id, and runs while the copy arrives."""
+        shed = (
+            b"HTTP/1.1 503 Busy\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        answer = await self.exchange_with_copy(shed)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.planners[0].arrivals), 2)
+
     async def test_copy_of_an_answer(self):
         for first in (
             complete_answer(b"ID", b"first"),
