mesh stop: a request that is read late in the grace period is not passed on

Seen by callers (an operator's report, looked for here): in a planned stop a request that may not be repeated was passed on and its connection cut, with no answer. Cause: a daemon that stops serves whatever it still reads. After its port is closed, 2.6 s after the signal, and idle connections 0.3 s later, that is what was long on its way, such as a slow upload; its upstream may work longer than the 5.6 s at which the process ends. Evidence: PlannedStopTest.test_request_that_is_read_late_is_not_passed_on: read 4.4 s after the signal, with 5 s to its deadline: it ran, and the caller got 502, not 503. Change: from 2.9 s on a request of a caller with a deadline after the end is refused with 503, not run. One with an earlier deadline is served, and so are calls of the local upstream, whose runs began before. Ruled out: refusing from the signal on, as most requests of that time are answered long before the end.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -123,6 +123,7 @@
         self._n_retries: Counter[str] = Counter()
         self._n_retries_refused: Counter[str] = Counter()
         self._caller_header = b"%b: %b\r\n" % (names.caller_service, service.encode())
+        self._stops_s = float("inf")
 
     def gauges(self) -> dict[str, float | dict[str, float]]:
         """Return admitted shares by route, and retries by service."""
@@ -132,6 +133,14 @@
             "repeats_refused": dict(self._n_retries_refused),
         }
 
+    def stop_at(self, stops_s: float) -> None:
+        """Refuse further requests of callers with deadlines after the process's end.
+
+        Args:
+            stops_s: Monotonic time in seconds.
+        """
+        self._stops_s = stops_s
+
     def handle(self, exchange: Exchange) -> None:
         """Start to serve a request; it is answered now or later."""
         request = exchange.request
@@ -167,6 +176,10 @@
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
         call = forwarded.call
+        if forwarded.parent is None and forwarded.deadline_s > self._stops_s:
+            detail = "the host may stop before the request is answered"
+            self._give_up(forwarded, Reason.LEAVING, detail)
+            return
         if forwarded.parent is None:
             share = self._throttle.admit(route.name, call.rank, call.organisation)
             if share is None:
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -262,6 +262,9 @@
             # A request accepted later could be aborted at the end of the grace period.
             self._callers.stop_listening()
             self._callers.sweep(LEAVE_IDLE_S)
+            if time.monotonic() - started_s >= LEAVE_LISTEN_S + LEAVE_IDLE_S:
+                # What is read from now on was long on its way, such as a slow upload.
+                self._first_hop.stop_at(latest_s)
             if not self._n_unfinished():
                 break
         self._log.change(
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -385,6 +385,13 @@
         "or False",
         "tests.savoryroute_platform.test_operator_reports.PlannedStopTest",
     ),
+    Mutation(
+        "mesh stop: requests are passed on that may outlast the grace period",
+        "coordination/mesh_node.py",
+        "                self._first_hop.stop_at(latest_s)",
+        "                pass",
+        "tests.savoryroute_platform.test_operator_reports.PlannedStopTest",
+    ),
     Mutation(
         "mesh answers: a connection is used again after an answer without an id",
         "transport/http_client.py",
--- a/tests/savoryroute_platform/test_operator_reports.py
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -365,6 +365,30 @@
         self.assertEqual((await caller.read()).status, 200)
         await asyncio.wait_for(stop, 1.0)
 
+    async def test_request_that_is_read_late_is_not_passed_on(self):
+        """It could not be answered before the process ends."""
+        self.fleet.publish(2, kind="unsafe", timeout="4000ms")
+        node = self.fleet.nodes[0]
+        await self.fleet.wait_until(lambda: node.synchronizer.table.version == 2)
+        for planner in self.planners:
+            planner.delay_s = 3.0
+        stop = asyncio.create_task(node.stop())
+        await asyncio.sleep(2.4)
+        caller = await self.fleet.caller(0)
+        head = (
+            "POST /planner/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: q-late\r\n"
+            "Deadline-Ms: 5000\r\nContent-Length: 3\r\n\r\n"
+        )
+        caller.writer.write(head.encode() + b"b")
+        await asyncio.sleep(1.0)
+        caller.writer.write(b"b")
+        await asyncio.sleep(1.0)
+        caller.writer.write(b"b")
+        answer = await caller.read()
+        self.assertEqual((answer.status, self.n_runs), (503, 0))
+        self.assertIn("retry-after", answer.headers)
+        await asyncio.wait_for(stop, 2.0)
+
     async def test_answer_that_is_being_written_is_not_cut_off(self):
         await start_long_answer(self, 0)
         stop = asyncio.create_task(self.fleet.nodes[0].stop())
