distribution: readers ask by short calls after a failed watch

One that is sent just before the platform is back delays its changes by 20 s, above the bound of 12 s. Change: after a failed watch the next one waits 0.1 s, until one is answered. The in-memory platform can be silent, pending calls included.

--- a/packages/savoryroute/savoryroute/coordination/distribution.py
+++ b/packages/savoryroute/savoryroute/coordination/distribution.py
@@ -35,6 +35,9 @@
 __all__ = ["Distribution"]
 
 WATCH_TIMEOUT_S = 10.0
+# The same after a failed watch, until one is answered. A longer one that is sent just
+# before the platform is back would delay its changes.
+PROBE_TIMEOUT_S = 0.1
 # Seconds between the checks of a host that is not a reader whether it became one.
 ROLE_CHECK_S = 2.0
 BACKOFF_MIN_S = 0.5
@@ -76,6 +79,7 @@
         answered: Set when a document frame arrives.
         wants_full: Whether the next request asks for the full document.
         backoff_s: Wait in seconds after the next failed read.
+        is_watch_answered: Whether the platform answered the latest watch.
     """
 
     store: DocumentStore
@@ -87,6 +91,7 @@
     answered: asyncio.Event = attrs.Factory(asyncio.Event)
     wants_full: bool = False
     backoff_s: float = BACKOFF_MIN_S
+    is_watch_answered: bool = True
 
 
 class Distribution:
@@ -396,7 +401,9 @@
         """Watch once, and back off if the platform does not answer."""
         after = max(channel.read_revision, channel.store.revision)
         key = channel.store.codec.key
-        result = await self._platform.watch(key, after, WATCH_TIMEOUT_S)
+        wait_s = WATCH_TIMEOUT_S if channel.is_watch_answered else PROBE_TIMEOUT_S
+        result = await self._platform.watch(key, after, wait_s)
+        channel.is_watch_answered = result.is_ok()
         if result.is_err():
             await asyncio.sleep(self._rng.uniform(0.5, 1.0) * channel.backoff_s)
             channel.backoff_s = min(2 * channel.backoff_s, BACKOFF_MAX_S)
--- a/packages/savoryroute/savoryroute/transport/platform_client.py
+++ b/packages/savoryroute/savoryroute/transport/platform_client.py
@@ -141,6 +141,7 @@
         self._history: dict[str, list[PlatformValue]] = {}
         self._revision = 0
         self._is_down = False
+        self._is_silent = False
         self._cut_off_hosts: set[str] = set()
         self._stale: dict[str, int] = {}
         self._n_reads: Counter[str] = Counter()
@@ -173,6 +174,11 @@
         self._is_down = is_down
         self._notify()
 
+    def set_silent(self, is_silent: bool) -> None:
+        """Start or end an outage in which calls, pending ones too, get no answer."""
+        self._is_silent = is_silent
+        self._notify()
+
     def set_cut(self, host: str, is_cut: bool) -> None:
         """Disconnect one host from the platform, or reconnect it."""
         if is_cut:
@@ -193,6 +199,11 @@
         """Count one read or watch of a host."""
         self._n_reads[host] += 1
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether calls get no answer."""
+        return self._is_silent
+
     def is_reachable(self, host: str) -> bool:
         """Return whether the platform answers a host."""
         return not self._is_down and host not in self._cut_off_hosts
@@ -215,6 +226,10 @@
         self._changed = asyncio.Event()
 
 
+class _LostCallError(Exception):
+    """The platform never answers this call."""
+
+
 class _MemoryReader(PlatformReader):
     """Access of one host to a ``MemoryPlatform``."""
 
@@ -226,6 +241,9 @@
         """Return the value that this host sees, or None."""
         self._platform.count(self._host)
         await asyncio.sleep(0.001)
+        if self._platform.is_silent:
+            await asyncio.sleep(READ_TIMEOUT_S)
+            return Err(PlatformError("no answer"))
         if not self._platform.is_reachable(self._host):
             return Err(PlatformError("unreachable"))
         return Ok(self._platform.visible(self._host, key))
@@ -235,9 +253,14 @@
     ) -> Result[PlatformValue | None, PlatformError]:
         """Wait for a newer value that this host sees."""
         self._platform.count(self._host)
+        started_s = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(wait_s):
                 return await self._next(key, after_revision)
+        except _LostCallError:
+            elapsed_s = asyncio.get_running_loop().time() - started_s
+            await asyncio.sleep(wait_s + WATCH_MARGIN_S - elapsed_s)
+            return Err(PlatformError("no answer"))
         except TimeoutError:
             return Ok(None)
 
@@ -250,6 +273,8 @@
         """Return the next newer value, or an error if the platform is unreachable."""
         while True:
             await asyncio.sleep(0.001)
+            if self._platform.is_silent:
+                raise _LostCallError
             if not self._platform.is_reachable(self._host):
                 return Err(PlatformError("unreachable"))
             value = self._platform.visible(self._host, key)
--- a/tests/savoryroute/coordination/test_distribution.py
+++ b/tests/savoryroute/coordination/test_distribution.py
@@ -294,6 +294,23 @@
 
         run_virtual(scenario())
 
+    def test_change_at_the_end_of_a_silence_is_active_within_the_bound(self):
+        """Guards against a watch sent shortly before the end, which is lost."""
+
+        async def scenario(seed):
+            fleet = await _started(1, 3, seed=seed)
+            fleet.platform.set_silent(True)
+            await asyncio.sleep(60 + 3 * seed)
+            revision = fleet.platform.publish(KEY, document_text(2))
+            fleet.platform.set_silent(False)
+            await asyncio.sleep(12)
+            self.assertEqual(_revisions(fleet), {revision})
+            await fleet.stop_all()
+
+        for seed in range(16):
+            with self.subTest(seed=seed):
+                run_virtual(scenario(seed))
+
     def test_reads_in_an_outage_do_not_grow_with_the_fleet(self):
         async def reads_per_s(n_hosts):
             fleet = await _started(2, n_hosts)
