--- a/packages/savoryroute/savoryroute/coordination/platform_calls.py
+++ b/packages/savoryroute/savoryroute/coordination/platform_calls.py
@@ -8,8 +8,8 @@
 A watch waits for long only while nothing casts doubt on its answer. A call that gets no
 answer casts doubt on the pending watches of the other topics. They are given up, and
 short calls take their place until one is answered. A loss that leaves no other trace is
-found by a short watch. Each watch is one with a probability that gives the fleet a few
-at a time, however large it is.
+found by a short watch of the configuration. Each is one with a probability that gives
+the fleet a few at a time, however large it is.
 
 Source: randomized probing that detects failures in constant time at a constant load of
 each member (Das et al., "SWIM: Scalable Weakly-consistent Infection-style Process Group
@@ -35,7 +35,8 @@
 # the 3 s after an outage in which the platform expects changes to be followed again.
 SHORT_WAIT_MIN_S = 0.5
 SHORT_WAIT_MAX_S = 1.5
-# Short watches among those that all hosts together send at a time.
+# Short watches among those of the configuration that all hosts send at a time. Changes
+# of the instances need none, as each host that learns of one passes it on to peers.
 N_SHORT_WATCHES = 6
 # The same of a call that finds out whether the platform answers.
 PROBE_WAIT_S = 0.1
@@ -113,7 +114,8 @@
         """
         if self._calls[topic].is_doubtful:
             return PROBE_WAIT_S
-        if self._rng.random() * n_hosts < N_SHORT_WATCHES:
+        is_short = self._rng.random() * n_hosts < N_SHORT_WATCHES
+        if is_short and topic is Topic.CONFIGURATION:
             return self._rng.uniform(SHORT_WAIT_MIN_S, SHORT_WAIT_MAX_S)
         return WATCH_WAIT_S
 
