tests: the stand-in of the store ends watches after their wait

Cause: test_host_whose_reads_fail_has_the_proof_of_peers failed each time since watches are given up after a failed read: the short calls that follow were never answered, as the stand-in kept each watch until a change, whatever wait it named. So the host lost the store. The store answers a watch without events at the end of its wait. Change: the stand-in does the same. No check is changed. Result: the test passes; 29 tests of the modules that follow the store pass.

--- a/tests/savoryroute_platform/stand_ins.py
+++ b/tests/savoryroute_platform/stand_ins.py
@@ -109,6 +109,9 @@
             self._respond(exchange, 200, item | {"store-revision": self.revision})
         elif url.path == "/api/kv-watch":
             self._watch(exchange, query["prefix"], int(query["after"]))
+            wait_s = int(query["wait-ms"]) / 1000
+            loop = asyncio.get_running_loop()
+            loop.call_later(wait_s, self._end_wait, exchange)
         else:
             self._respond(exchange, 404, {})
 
@@ -127,6 +130,15 @@
         }
         self._respond(exchange, 200, answer)
 
+    def _end_wait(self, exchange: Exchange) -> None:
+        """Answer a watch without events at the end of its wait."""
+        for waiting in self._waiting:
+            if waiting[0] is exchange:
+                self._waiting.remove(waiting)
+                answer = {"events": [], "store-revision": self.revision}
+                self._respond(exchange, 200, answer)
+                return
+
     def _watch(self, exchange: Exchange, prefix: str, after: int) -> None:
         if exchange.is_done:
             return
