--- a/tests/savoryroute_platform/test_operator_reports.py
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -248,6 +248,18 @@
     services = ("front", "planner")
     kinds = {"planner": "unsafe"}
 
+    async def assert_fails(self, whole, end):
+        """Check that an answer that breaks off at a byte is not delivered."""
+
+        async def break_off(fields, writer, _):
+            request_id = fields["request-id"].encode()
+            writer.write(whole.replace(b"ID", request_id)[: -len(whole) + end])
+            return False
+
+        self.planners[0].script.append(break_off)
+        answer = await self.request(method="POST", body=b"b")
+        self.assertEqual(answer.status, 502, whole[:end])
+
     async def test_answers_that_end_early_at_each_byte(self):
         full = complete_answer(b"ID", b"x" * 20)
         chunked = full.replace(b"Content-Length: 20", b"Transfer-Encoding: chunked")
@@ -256,15 +268,7 @@
             # In the head a step of five bytes, to keep the number of cases low.
             ends = {*range(0, len(whole) - 45, 5), *range(len(whole) - 45, len(whole))}
             for end in sorted(ends):
-
-                async def break_off(fields, writer, _, end=end, whole=whole):
-                    request_id = fields["request-id"].encode()
-                    writer.write(whole.replace(b"ID", request_id)[: -len(whole) + end])
-                    return False
-
-                self.planners[0].script.append(break_off)
-                answer = await self.request(method="POST", body=b"b")
-                self.assertEqual(answer.status, 502, whole[:end])
+                await self.assert_fails(whole, end)
 
     async def test_heads_that_end_early_at_each_byte(self):
         """Also where nothing but the end of the connection would end the answer."""
@@ -272,15 +276,7 @@
         interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
         for whole in (head, interim + head, head.replace(b"1.1", b"1.0", 1)):
             for end in range(len(whole)):
-
-                async def break_off(fields, writer, _, end=end, whole=whole):
-                    request_id = fields["request-id"].encode()
-                    writer.write(whole.replace(b"ID", request_id)[: -len(whole) + end])
-                    return False
-
-                self.planners[0].script.append(break_off)
-                answer = await self.request(method="POST", body=b"b")
-                self.assertEqual(answer.status, 502, whole[:end])
+                await self.assert_fails(whole, end)
 
     async def test_daemon_that_ends_while_it_answers(self):
         """The caller can tell that the answer is not complete."""
