view synchronizer: one property for the version of the active routes

Cause: the version, or -1 before the first routes, was worked out in three places. Change: the property is public; the gauge and answers to requests use it.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -479,9 +479,7 @@
             "body_bytes_held": self._bodies.held_bytes,
             "bodies_refused": self._bodies.n_refused,
             "links_open": len(self._links.open_connections),
-            "routes_version": -1
-            if synchronizer.table is None
-            else synchronizer.table.version,
+            "routes_version": synchronizer.version,
             "routes_defects": 0
             if synchronizer.table is None
             else len(synchronizer.table.defects),
--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -105,7 +105,7 @@
         return self._proof
 
     @property
-    def _version(self) -> int:
+    def version(self) -> int:
         """Version of the active routes, -1 before the first."""
         return -1 if self._table is None else self._table.version
 
@@ -287,7 +287,7 @@
     def make_request(self) -> ViewRequest:
         """Return a request to one peer, sent now, for all that is newer than here."""
         number = self._proof.start_poll()
-        return ViewRequest(self._version, self._view.revision, number)
+        return ViewRequest(self.version, self._view.revision, number)
 
     def note_request(
         self, ip: str, request: ViewRequest, send: Callable[[list[Any]], None]
@@ -300,14 +300,14 @@
             send: Sends a frame to the peer.
         """
         peer = PeerAhead(ip, request.version, send)
-        self._newer_routes.note(peer, self._version)
+        self._newer_routes.note(peer, self.version)
 
     def ask_peer_ahead(self) -> None:
         """Ask a peer for routes that the platform should have reported by now.
 
         The watch of the configuration is in doubt then.
         """
-        peer = self._newer_routes.take(self._version)
+        peer = self._newer_routes.take(self.version)
         if peer is not None:
             peer.send(self.make_request().to_frame())
             self._calls.doubt(Topic.CONFIGURATION, f"{peer.ip} has newer routes")
@@ -318,8 +318,8 @@
 
     def _newer_than(self, request: ViewRequest) -> ViewUpdate | None:
         version, source = -1, b""
-        if self._table is not None and self._table.version > request.version:
-            version, source = self._table.version, self._routes_source
+        if self.version > request.version:
+            version, source = self.version, self._routes_source
         if self._view.revision > request.revision:
             changes = self._changes.since(request.revision)
             base = request.revision
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -423,7 +423,7 @@
     Mutation(
         "mesh routes: a daemon does not notice that a peer has newer ones",
         "coordination/view_synchronizer.py",
-        "        self._newer_routes.note(peer, self._version)",
+        "        self._newer_routes.note(peer, self.version)",
         "        pass",
         "tests.savoryroute.coordination.test_newer_routes",
     ),
