first hop: what holds for requests of callers stands in one branch

Cause: two conditions in a row asked whether a request has a parent. Change: they are one. Result: no change of behaviour; PlannedStopTest passes.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -176,11 +176,11 @@
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
         call = forwarded.call
-        if forwarded.parent is None and forwarded.deadline_s > self._stops_s:
-            detail = "the host may stop before the request is answered"
-            self._give_up(forwarded, Reason.LEAVING, detail)
-            return
         if forwarded.parent is None:
+            if forwarded.deadline_s > self._stops_s:
+                detail = "the host may stop before the request is answered"
+                self._give_up(forwarded, Reason.LEAVING, detail)
+                return
             share = self._throttle.admit(route.name, call.rank, call.organisation)
             if share is None:
                 detail = self._throttle.refusal_detail(
