instances: entries with values out of range are no instances

Cause: what another program writes was checked for its type and not for its range. A start or report number above 2**53 was taken from the store and refused in the frames of peers, which closed their links on it again and again. Slots with 400 digits raised OverflowError in the comparison of instances, so that no call to the service was placed. Half a surrogate pair as service, zone or key raised UnicodeEncodeError in frames. A key with line breaks would have reached the head of a request.

Change: `check_instance` says which value no upstream can have. An unusable entry removes its instance, and is logged as `instance_unusable`.

Ruled out: nested entries and numbers of 5,000 digits, which were no instance before.

Addresses of the instances in test_view_synchronizer are addresses now; its checks are unchanged.

--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -24,6 +24,7 @@
 from ..state.change_log import ChangeLog
 from ..state.event_log import EventLog
 from ..state.fleet_view import RELISTING_GRACE_S, FleetView, Instance
+from ..state.instance_check import check_instance, is_identity
 from ..state.revision import era_of, revision_in_era
 from ..state.route_table import RouteTable
 from .configuration_proof import ConfigurationProof
@@ -44,6 +45,8 @@
 # Seconds for which entries that a return of the store restored are doubted: longer
 # than the store lists an instance that is silent (three heartbeats of 1.5 s).
 RESTORED_DOUBT_S = 6.0
+# Characters shown of the identity of an entry that cannot be used.
+UNUSABLE_ID_CHARACTERS = 60
 
 RouteDecoder = Callable[[bytes], RouteTable]
 
@@ -349,7 +352,7 @@
         if update.revision > self._view.revision:
             if update.base > self._view.revision:
                 return False
-            rows = {row[0]: Instance(*row) for row in update.instances}
+            rows = self._read_rows(update.instances, ip)
             retain_until_s = None
             if update.retain_ms:
                 retain_until_s = time.monotonic() + update.retain_ms / 1000
@@ -362,12 +365,38 @@
                     peer=ip,
                     revision=revision_in_era(update.revision),
                 )
-                self._apply_list(update.revision, rows, retain_until_s, ip)
+                listed = {id_: row for id_, row in rows.items() if row is not None}
+                self._apply_list(update.revision, listed, retain_until_s, ip)
         if update.revision == self._view.revision:
             current_at_s = time.monotonic() - update.age_ms / 1000
             self._current_at_s = max(self._current_at_s, current_at_s)
         return True
 
+    def note_unusable(self, id_: str, origin: str, detail: str) -> None:
+        """Log an entry of the list that describes no instance that can be used.
+
+        Args:
+            id_: Identity in the entry's key.
+            origin: ``platform``, or the address of the peer that sent the entry.
+            detail: What is wrong with it.
+        """
+        id_ = ascii(id_[:UNUSABLE_ID_CHARACTERS])
+        self._log.request(
+            "instance_unusable", "", instance=id_, by=origin, detail=detail
+        )
+
+    def _read_rows(self, rows: list[list[Any]], ip: str) -> dict[str, Instance | None]:
+        """Return the instances that a peer sent; None for those out of range."""
+        read: dict[str, Instance | None] = {}
+        for row in rows:
+            instance = Instance(*row)
+            defect = check_instance(instance)
+            if defect is not None:
+                self.note_unusable(instance.id, ip, defect)
+            if is_identity(instance.id):
+                read[instance.id] = instance if defect is None else None
+        return read
+
     def _make_update(
         self, base: int, changes: dict[str, Instance | None]
     ) -> ViewUpdate:
--- a/packages/savoryroute/savoryroute/protocol/frame_fields.py
+++ b/packages/savoryroute/savoryroute/protocol/frame_fields.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-__all__ = ["check_fields"]
+__all__ = ["check_fields", "check_types"]
 
 # Numbers beyond it are not exact as floats; no field comes near.
 NUMBER_MAX = 2**53
@@ -44,18 +44,34 @@
         TypeError: An item has a wrong type.
         ValueError: The number of items is wrong, or a number is out of range.
     """
+    check_types(cls, items, n_optional)
+    for item in items:
+        is_number = type(item) is int or type(item) is float
+        # False for a float that is not a number, too.
+        if is_number and not -NUMBER_MAX <= item <= NUMBER_MAX:
+            raise ValueError(f"{cls.__name__} has a number out of range")
+
+
+def check_types(cls: type, items: Sequence[object], n_optional: int = 0) -> None:
+    """Check the number and the types of the items of a frame, and not their ranges.
+
+    Args:
+        cls: Class of the frame, with a field for each item.
+        items: The items, without the kind of the frame.
+        n_optional: Number of the last fields that may be left out, all or none.
+
+    Raises:
+        TypeError: An item has a wrong type.
+        ValueError: The number of items is wrong.
+    """
     if type(items) is not list:
         raise TypeError(f"{cls.__name__} is not a list")
     types = _types_of(cls)
     if len(items) == len(types) - n_optional:
         types = types[: len(items)]
     for item, allowed in zip(items, types, strict=True):
-        found = type(item)
-        if found not in allowed:
-            raise TypeError(f"{cls.__name__} has a {found.__name__}")
-        # False for a float that is not a number, too.
-        if (found is int or found is float) and not -NUMBER_MAX <= item <= NUMBER_MAX:
-            raise ValueError(f"{cls.__name__} has a number out of range")
+        if type(item) not in allowed:
+            raise TypeError(f"{cls.__name__} has a {type(item).__name__}")
 
 
 @functools.cache
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -14,7 +14,7 @@
 
 from ..state.fleet_view import Instance
 from ..verdict import Reason, Verdict
-from .frame_fields import check_fields
+from .frame_fields import check_fields, check_types
 
 __all__ = [
     "AttemptKind",
@@ -332,7 +332,9 @@
         check_fields(cls, frame[1:], n_optional=N_PROOF_FIELDS)
         update = cls(*frame[1:])
         for row in update.instances:
-            check_fields(Instance, row)
+            # The ranges are checked when the row is merged: one entry that another
+            # program wrote must not cost the link to a daemon that took it.
+            check_types(Instance, row)
         if any(type(id_) is not str for id_ in update.removed):
             raise TypeError("the identity of a removed instance is not a text")
         return update
--- a/tests/savoryroute/coordination/test_view_synchronizer.py
+++ b/tests/savoryroute/coordination/test_view_synchronizer.py
@@ -20,7 +20,7 @@
 
 def instance(number, state=0):
     is_ready = state == 0
-    return Instance(f"i{number}", "planner", f"ip{number}", "a", 4, is_ready)
+    return Instance(f"i{number}", "planner", f"10.0.0.{number}", "a", 4, is_ready)
 
 
 class Fleet:
