routes: values that frames cannot carry are not read

Cause, as for the entries of instances: types were checked and ranges were not. A timeout of 400 digits is infinite and raised OverflowError for each request. Half a surrogate pair as service or name raised UnicodeEncodeError.

What is out of range is a defect of the field, with the default or effect that the field has when it is missing.

--- a/packages/savoryroute/savoryroute/state/checking.py
+++ b/packages/savoryroute/savoryroute/state/checking.py
@@ -10,7 +10,7 @@
 from ..errors import CheckError
 from .address import PORT_MAX, Address
 
-__all__ = ["ObjectReader", "describe", "parse_duration"]
+__all__ = ["ObjectReader", "describe", "is_encodable", "parse_duration"]
 
 NAME_PATTERN = re.compile(r"[a-z][a-z0-9_-]{0,63}")
 NAME_ALLOWED = "1 to 64 of a-z, 0-9, - and _, starting with a letter"
@@ -25,7 +25,18 @@
     match = DURATION_PATTERN.fullmatch(value) if type(value) is str else None
     if match is None:
         return None
-    return float(match[1]) / (1000.0 if match[2] == "ms" else 1.0)
+    seconds = float(match[1]) / (1000.0 if match[2] == "ms" else 1.0)
+    # Too many digits for a float make it infinite.
+    return seconds if math.isfinite(seconds) else None
+
+
+def is_encodable(text: str) -> bool:
+    """Return whether a text can be sent; JSON may contain halves of surrogate pairs."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def describe(value: object) -> str:
--- a/packages/savoryroute/savoryroute/state/instance_check.py
+++ b/packages/savoryroute/savoryroute/state/instance_check.py
@@ -10,6 +10,7 @@
 import ipaddress
 import re
 
+from .checking import is_encodable
 from .fleet_view import Instance
 
 __all__ = ["SLOTS_MAX", "check_instance", "is_identity"]
@@ -58,14 +59,7 @@
 
 
 def _is_name(text: str) -> bool:
-    if not 1 <= len(text) <= NAME_CHARACTERS_MAX:
-        return False
-    try:
-        text.encode()
-    except UnicodeEncodeError:
-        # JSON can contain halves of surrogate pairs, which frames cannot.
-        return False
-    return True
+    return 1 <= len(text) <= NAME_CHARACTERS_MAX and is_encodable(text)
 
 
 def _is_host(ip: str) -> bool:
