logs: load of a daemon, its upstream and its admission while requests are refused

Change: `under_load`, at most one line a second and host, with the mean of busy slots and waiting calls, arrivals, failures for load by reason, room by rank, admitted shares, and the longest delay of the event loop, which is also a gauge.

No decision reads the new figures.

--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 
 from ..protocol.header_names import HOP_BY_HOP, HeaderNames
 from ..protocol.mesh_frames import MeshAnswer, MeshCall
@@ -157,6 +158,7 @@
         self._waiting: set[LocalCall] = set()
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
         self._reports = UpstreamReports(queue, log, switches)
+        self._load_counts: Counter[str] = Counter()
         self.is_leaving = False
         self.n_open = 0
         self.n_runs = 0
@@ -171,6 +173,20 @@
         """Work that callers offer over the capacity of the upstream."""
         return self._room.offered_load
 
+    @property
+    def rooms(self) -> dict[float, float]:
+        """Share of the offered actions that fits, by rank."""
+        return self._room.shares
+
+    @property
+    def load_counts(self) -> Mapping[str, int]:
+        """Calls offered since the start as ``arrivals``, and failures for load.
+
+        These are ``rejected`` for calls that the upstream rejected, otherwise the
+        reason for which a call was refused here.
+        """
+        return self._load_counts
+
     @property
     def repeats(self) -> RepeatAdmission:
         """Decides which repeats the upstream gets."""
@@ -187,6 +203,7 @@
         """
         local = LocalCall(self, call, body, on_answer)
         self.n_open += 1
+        self._load_counts["arrivals"] += 1
         refused = self.check(call)
         if refused is not None:
             self._refuse(local, *refused)
@@ -398,6 +415,7 @@
         if is_leaving and (is_signed or is_not_executed):
             self._reports.note_leaving(call.instance)
         if is_not_executed:
+            self._load_counts["rejected"] += 1
             detail = f"the upstream rejected the request with status {answer.status}"
             return MeshAnswer(
                 call.id,
@@ -494,6 +512,8 @@
 
     def _refuse(self, local: LocalCall, reason: Reason, detail: str) -> None:
         is_load = reason in (Reason.OVERLOAD, Reason.DEADLINE, Reason.RETRY_BUDGET)
+        if is_load:
+            self._load_counts[str(reason)] += 1
         answer = MeshAnswer(
             local.call.id, Verdict.NOT_RUN, reason, detail, is_load=is_load
         )
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -28,6 +28,7 @@
 from .crash_reports import CrashReports
 from .first_hop import FirstHop
 from .instance_selector import InstanceSelector
+from .load_reports import LoadReports
 from .local_upstream import LocalUpstream
 from .organisation_counters import OrganisationCounters
 from .peer_calls import PeerCalls
@@ -181,6 +182,10 @@
         def proof_age_s() -> float:
             return self._synchronizer.proof_age_s
 
+        throttle = ActionThrottle(time.monotonic, self._rng, switches)
+        self._load_reports = LoadReports(
+            self._upstream, throttle, log, time.monotonic, SWEEP_INTERVAL_S
+        )
         self._first_hop = FirstHop(
             settings.service,
             settings.callers.ip,
@@ -190,7 +195,7 @@
             self._selector,
             self._links,
             self._upstream,
-            ActionThrottle(time.monotonic, self._rng, switches),
+            throttle,
             self._quarantine,
             RequestRecords(
                 log,
@@ -299,6 +304,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             n_ticks += 1
             steps: list[Callable[[], object]] = [
+                self._load_reports.sample,
                 self._upstream.sweep,
                 self._peer_calls.sweep,
                 self._links.sweep,
@@ -467,6 +473,7 @@
             "calls_running": self._queue.n_running,
             "calls_waiting": self._queue.n_waiting,
             "offered_load": self._upstream.offered_load,
+            "loop_delay_seconds": self._load_reports.loop_delay_s,
             "calls_returned": self._queue.n_returned,
             "slots": self._queue.slots,
             "upstream_work_time": self._queue.times.factor,
--- a/packages/savoryroute/savoryroute/coordination/throttle.py
+++ b/packages/savoryroute/savoryroute/coordination/throttle.py
@@ -18,7 +18,8 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -97,6 +98,12 @@
         self._is_on = switches.has("throttle")
         self._knows_organisations = switches.has("fair_shares")
         self._states: dict[_Key, _RouteState] = {}
+        self._n_refused: Counter[str] = Counter()
+
+    @property
+    def n_refused(self) -> Mapping[str, int]:
+        """Requests refused since the start, by route."""
+        return self._n_refused
 
     @property
     def shares(self) -> dict[str, float]:
@@ -135,7 +142,10 @@
             n_requests = state.organisations.note_request(organisation)
             if share < 1.0:
                 share = state.organisations.share_for(n_requests, share)
-        return share if share >= 1.0 or self._rng.random() < share else None
+        if share >= 1.0 or self._rng.random() < share:
+            return share
+        self._n_refused[route] += 1
+        return None
 
     def refusal_detail(self, route: str, rank: float, organisation: str) -> str:
         """Return why a request was refused, as one sentence for a person."""
--- a/packages/savoryroute/savoryroute/coordination/upstream_room.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_room.py
@@ -92,6 +92,12 @@
         load = sum(work.load(now_s) for work in self._offered.values())
         return load / self._queue.usable_slots
 
+    @property
+    def shares(self) -> dict[float, float]:
+        """Share of the offered actions that fits, by rank."""
+        ranks = [step / STEPS_PER_RANK for step in sorted(self._offered)]
+        return {rank: round(self.share_for(rank), 2) for rank in ranks}
+
     def note_offer(
         self, rank: float, group: str, queue_timeout_s: float, admitted_share: float
     ) -> None:
