planned stops: the first hop of a stopping daemon knows that its own host leaves

Cause: a stopping daemon gets no announcement of its own, so its first hop preferred the local upstream, which refuses calls that others can take, and in a failure domain that is cut off the others cannot be reached. Change: it marks its own instance as peers do.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -267,6 +267,9 @@
         self._callers.is_leaving = True
         serves_s = 0.0 if self._upstream.is_leaving else LEAVE_SERVE_S
         self._upstream.is_last_resort = True
+        own = self._synchronizer.view.instance_at(self._settings.callers.ip)
+        if own is not None:
+            self._selector.note_leaving(own, serves_s)
         for link in self._accepted_links:
             link.send(Leaving(int(serves_s * 1000)).to_frame())
         latest_s = started_s + self._settings.grace_s - LEAVE_MARGIN_S
