answers: figures that no upstream can have are not taken

Cause, as for the entries of instances: the slots in an upstream's load header counted up to 999,999,999, so that its daemon would have passed everything on, and a negative limit or a work time of 0 in a peer's answer was kept for the comparison of instances.

Change: more slots than a host has connections to one address are unreadable, as are other figures that are garbage; negative figures and a work time that is not above 0 make the frame of an answer malformed. Ruled out: rate limits (read as decimals of at most twelve digits, at least 0.5 a second in effect) and retry budgets (counted, not read).

--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -243,6 +243,10 @@
         """
         check_fields(cls, frame[1:])
         answer = cls(*frame[1:])
+        if min(answer.n_reported, answer.limit, answer.wait_ms) < 0:
+            raise ValueError("a figure of the load is negative")
+        if answer.work_time <= 0.0:
+            raise ValueError("a work time is not above 0")
         answer.verdict = _VERDICTS[frame[2]]
         answer.reason = None if frame[3] is None else Reason(frame[3])
         return answer
--- a/packages/savoryroute/savoryroute/protocol/server_load.py
+++ b/packages/savoryroute/savoryroute/protocol/server_load.py
@@ -6,8 +6,11 @@
 
 import attrs
 
+from ..state.instance_check import SLOTS_MAX
+
 __all__ = ["ServerLoad", "read_server_load"]
 
+FIGURE_MAX = 999_999_999
 # Longer figures are taken for garbage.
 _FIGURE = re.compile(rb"[ \t]*([0-9]{1,9})[ \t]*")
 
@@ -19,7 +22,7 @@
     Attributes:
         n_running: Requests that run at the upstream.
         n_waiting: Requests that wait there.
-        n_slots: Requests that it runs concurrently, at least 1.
+        n_slots: Requests that it runs concurrently, from 1 to ``SLOTS_MAX``.
         work_time: Factor by which work takes longer there now than usual.
         unreadable: Names of the figures that are present but cannot be read.
     """
@@ -42,10 +45,13 @@
     unreadable: list[str] = []
     names = ("n_running", "n_waiting", "n_slots", "work_time")
     lowest = (0, 0, 1, 1)
-    for text, name, low in zip(value.split(b","), names, lowest, strict=False):
+    highest = (FIGURE_MAX, FIGURE_MAX, SLOTS_MAX, FIGURE_MAX)
+    for text, name, low, high in zip(
+        value.split(b","), names, lowest, highest, strict=False
+    ):
         match = _FIGURE.fullmatch(text)
         figure = int(match[1]) if match else None
-        if figure is None or figure < low:
+        if figure is None or not low <= figure <= high:
             unreadable.append(name)
             figure = None
         figures.append(figure)
--- a/tests/savoryroute/protocol/test_frame_fields.py
+++ b/tests/savoryroute/protocol/test_frame_fields.py
@@ -8,6 +8,7 @@
 
 from savoryroute.protocol.mesh_frames import (
     AttemptKind,
+    Leaving,
     MeshAnswer,
     MeshCall,
     ViewRequest,
@@ -58,6 +59,24 @@
                 with self.subTest(cls), self.assertRaises((TypeError, ValueError)):
                     cls.from_frame(wrong)
 
+    def test_figures_of_an_answer_that_no_upstream_can_have(self):
+        for wrong in ({"limit": -1}, {"n_reported": -1}, {"wait_ms": -1}):
+            frame = attrs.evolve(ANSWER, **wrong).to_frame()
+            with self.subTest(wrong), self.assertRaises(ValueError):
+                MeshAnswer.from_frame(frame)
+        for work_time in (0.0, -1.0):
+            frame = attrs.evolve(ANSWER, work_time=work_time).to_frame()
+            with self.subTest(work_time), self.assertRaises(ValueError):
+                MeshAnswer.from_frame(frame)
+
+    def test_leaving_hosts_of_this_and_of_an_older_version(self):
+        self.assertEqual(Leaving.from_frame(Leaving(2400).to_frame()).serves_ms, 2400)
+        older = Leaving().to_frame()[:1]
+        self.assertEqual(Leaving.from_frame(older).serves_ms, 0)
+        for item in (-1, 10**30, None, "2400", 2.5):
+            with self.subTest(item), self.assertRaises((TypeError, ValueError)):
+                Leaving.from_frame([*older, item])
+
     @given(st.sampled_from(list(FRAMES)), st.integers(1, 17), ITEMS)
     def test_item_of_another_type_or_out_of_range(self, cls, position, item):
         frame = list(FRAMES[cls])
--- a/tests/savoryroute/protocol/test_server_load.py
+++ b/tests/savoryroute/protocol/test_server_load.py
@@ -30,6 +30,8 @@
             (b"3,0,25,", ServerLoad(3, 0, 25, None), ("work_time",)),
             (b"3,0,25,0", ServerLoad(3, 0, 25, None), ("work_time",)),
             (b"3,0,25,1e3", ServerLoad(3, 0, 25, None), ("work_time",)),
+            (b"3,0,65536", ServerLoad(3, 0, None, None), ("n_slots",)),
+            (b"3,0,999999999", ServerLoad(3, 0, None, None), ("n_slots",)),
             (b"3,0," + b"9" * 40, ServerLoad(3, 0, None, None), ("n_slots",)),
             ("3,0,\u0662\u0665".encode(), ServerLoad(3, 0, None, None), ("n_slots",)),
         ):
