--- a/packages/savoryroute/savoryroute/protocol/frame_fields.py
+++ b/packages/savoryroute/savoryroute/protocol/frame_fields.py
@@ -53,12 +53,7 @@
 
 
 def check_types(cls: type, items: Sequence[object], n_optional: int = 0) -> None:
-    """Check the number and the types of the items of a frame, and not their ranges.
-
-    Args:
-        cls: Class of the frame, with a field for each item.
-        items: The items, without the kind of the frame.
-        n_optional: Number of the last fields that may be left out, all or none.
+    """Check the items as ``check_fields`` does, but not the ranges of numbers.
 
     Raises:
         TypeError: An item has a wrong type.
