--- a/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
+++ b/packages/savoryroute/savoryroute/coordination/view_synchronizer.py
@@ -22,6 +22,7 @@
 from ..errors import DocumentError
 from ..protocol.mesh_frames import ViewRequest, ViewUpdate
 from ..state.change_log import ChangeLog
+from ..state.checking import describe
 from ..state.event_log import EventLog
 from ..state.fleet_view import RELISTING_GRACE_S, FleetView, Instance
 from ..state.instance_check import check_instance, is_identity
@@ -45,8 +46,6 @@
 # Seconds for which entries that a return of the store restored are doubted: longer
 # than the store lists an instance that is silent (three heartbeats of 1.5 s).
 RESTORED_DOUBT_S = 6.0
-# Characters shown of the identity of an entry that cannot be used.
-UNUSABLE_ID_CHARACTERS = 60
 
 RouteDecoder = Callable[[bytes], RouteTable]
 
@@ -380,9 +379,8 @@
             origin: ``platform``, or the address of the peer that sent the entry.
             detail: What is wrong with it.
         """
-        id_ = ascii(id_[:UNUSABLE_ID_CHARACTERS])
         self._log.request(
-            "instance_unusable", "", instance=id_, by=origin, detail=detail
+            "instance_unusable", "", instance=describe(id_), by=origin, detail=detail
         )
 
     def _read_rows(self, rows: list[list[Any]], ip: str) -> dict[str, Instance | None]:
