--- a/packages/savoryroute/savoryroute/protocol/server_load.py
+++ b/packages/savoryroute/savoryroute/protocol/server_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 import attrs
@@ -10,7 +11,6 @@
 
 __all__ = ["ServerLoad", "read_server_load"]
 
-FIGURE_MAX = 999_999_999
 # Longer figures are taken for garbage.
 _FIGURE = re.compile(rb"[ \t]*([0-9]{1,9})[ \t]*")
 
@@ -45,7 +45,7 @@
     unreadable: list[str] = []
     names = ("n_running", "n_waiting", "n_slots", "work_time")
     lowest = (0, 0, 1, 1)
-    highest = (FIGURE_MAX, FIGURE_MAX, SLOTS_MAX, FIGURE_MAX)
+    highest = (math.inf, math.inf, SLOTS_MAX, math.inf)
     for text, name, low, high in zip(
         value.split(b","), names, lowest, highest, strict=False
     ):
