--- a/packages/savoryroute/savoryroute/state/checking.py
+++ b/packages/savoryroute/savoryroute/state/checking.py
@@ -10,11 +10,13 @@
 from ..errors import CheckError
 from .address import PORT_MAX, Address
 
-__all__ = ["ObjectReader", "describe", "is_encodable", "parse_duration"]
+__all__ = ["INTEGER_MAX", "ObjectReader", "describe", "is_encodable", "parse_duration"]
 
 NAME_PATTERN = re.compile(r"[a-z][a-z0-9_-]{0,63}")
 NAME_ALLOWED = "1 to 64 of a-z, 0-9, - and _, starting with a letter"
 SHOWN_CHARACTERS = 60
+# Largest integer that all JSON writers represent exactly; frames carry no larger ones.
+INTEGER_MAX = 2**53 - 1
 DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 
 _REQUIRED = object()
--- a/packages/savoryroute/savoryroute/state/instance_check.py
+++ b/packages/savoryroute/savoryroute/state/instance_check.py
@@ -10,7 +10,7 @@
 import ipaddress
 import re
 
-from .checking import is_encodable
+from .checking import INTEGER_MAX, is_encodable
 from .fleet_view import Instance
 
 __all__ = ["SLOTS_MAX", "check_instance", "is_identity"]
@@ -21,8 +21,6 @@
 COLD_MAX_S = 3600.0
 # End of the year 9999, in Unix milliseconds.
 STARTED_MS_MAX = 253_402_300_799_999
-# Largest integer that all JSON writers represent exactly.
-SEQUENCE_MAX = 2**53 - 1
 NAME_CHARACTERS_MAX = 200
 
 # Identities are sent in a header.
@@ -53,7 +51,7 @@
         return f"the slow start is not from 0 to {COLD_MAX_S:.0f} seconds"
     if not 0 <= instance.started_ms <= STARTED_MS_MAX:
         return "the start is not a time in Unix milliseconds"
-    if not 0 <= instance.sequence <= SEQUENCE_MAX:
+    if not 0 <= instance.sequence <= INTEGER_MAX:
         return "the number of the report is out of range"
     return None
 
