upstream room: each rank has a least share in a lasting shortage

Cause: priority without a least share. A rank got what the better ones left, without any bound, while organisations within a rank have one. Change: the daemon beside an upstream counts what each rank offered and what got a slot over 5 s. A rank below 0.3 of its offered actions, or below 0.9 of an equal share where that is less, gets slots from better ranks, of which the largest shares are cut first. Short bursts go by priority as before; no rank is served more often than a better one. `under_load` has the served shares; the switch is `least_shares`. Why it works: first hops admit what `share_for` returns, so the slots move where the action enters, and nothing is refused after work for it.

Test: LastingShortageTest, which fails with the switch off (part of the test). The test that ranks get what better ones leave now says that all had been served before.

--- a/packages/savoryroute/savoryroute/coordination/load_reports.py
+++ b/packages/savoryroute/savoryroute/coordination/load_reports.py
@@ -111,6 +111,7 @@
             arrivals=n_arrivals,
             refused=dict(new),
             room=upstream.rooms,
+            served=upstream.served_shares,
             offered=round(upstream.offered_load, 2),
             admitted={
                 route: round(share, 2) for route, share in self._throttle.shares.items()
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -154,7 +154,7 @@
         self._quarantine = quarantine
         self._repeats = repeats
         self._log = log
-        self._room = UpstreamRoom(queue, time.monotonic)
+        self._room = UpstreamRoom(queue, time.monotonic, switches)
         self._waiting: set[LocalCall] = set()
         self._running: RunningCalls[LocalCall] = RunningCalls(names.id_separator)
         self._reports = UpstreamReports(queue, log, switches)
@@ -180,6 +180,11 @@
         """Share of the offered actions that fits, by rank."""
         return self._room.shares
 
+    @property
+    def served_shares(self) -> dict[float, float]:
+        """Share of the offered actions that was served in the last seconds, by rank."""
+        return self._room.served_shares
+
     @property
     def load_counts(self) -> Mapping[str, int]:
         """Calls offered since the start as ``arrivals``, and failures for load.
@@ -217,6 +222,7 @@
                 call.route,
                 call.queue_timeout_ms / 1000,
                 call.admitted_share,
+                call.n_done == 0,
             )
         now_s = time.monotonic()
         local.queued_call = QueuedCall(
@@ -319,6 +325,8 @@
         call = local.call
         now_s = time.monotonic()
         local.started_s = now_s
+        if call.n_done == 0:
+            self._room.note_start(call.rank)
         time_left_ms = max(1, int((local.queued_call.deadline_s - now_s) * 1000))
         time_left_s = time_left_ms / 1000
         self._running.begin(call.request_id, local)
--- a/packages/savoryroute/savoryroute/coordination/upstream_room.py
+++ b/packages/savoryroute/savoryroute/coordination/upstream_room.py
@@ -10,6 +10,9 @@
 answers with the share of it that fits. The estimate does not get worse as the fleet
 grows, since every call to the upstream contributes to it.
 
+Slots are divided by priority, and by least shares while a shortage lasts
+(``rank_shares``).
+
 Sources: inverse probability weighting (Horvitz and Thompson, 1952); credits by the
 receiver as in Breakwater (Cho and others, Overload Control for us-scale RPCs, 2020);
 priorities as in DAGOR (Zhou and others, Overload Control for Scaling WeChat
@@ -24,6 +27,8 @@
 import attrs
 
 from .call_queue import CallQueue
+from .rank_shares import RankDemand, ServedShare, grants_by_least_share
+from .switches import ALL_ON, Switches
 
 __all__ = ["ROOM_MAX", "UpstreamRoom"]
 
@@ -54,9 +59,15 @@
     """Work offered in one rank in about the last ``MEMORY_S``, in slot-seconds."""
 
     noted_s: float
+    served: ServedShare
     slot_s: float = 0.0
     queue_timeout_s: float = math.inf
 
+    @property
+    def aimed_wait_s(self) -> float:
+        """Wait in the queue that is aimed at."""
+        return self.queue_timeout_s * AIMED_WAIT_SHARE
+
     def add(self, slot_s: float, queue_timeout_s: float, now_s: float) -> None:
         self.slot_s = self._left(now_s) + slot_s
         self.queue_timeout_s = min(
@@ -78,11 +89,19 @@
     Args:
         queue: Slots of the upstream and the calls that wait for them.
         clock: Monotonic clock in seconds.
+        switches: Mechanisms that are switched off.
     """
 
-    def __init__(self, queue: CallQueue, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        queue: CallQueue,
+        clock: Callable[[], float],
+        switches: Switches = ALL_ON,
+    ) -> None:
         self._queue = queue
         self._clock = clock
+        self._has_least_shares = switches.has("least_shares")
+        # By step of the rank, the best rank first.
         self._offered: dict[int, _OfferedWork] = {}
 
     @property
@@ -95,11 +114,24 @@
     @property
     def shares(self) -> dict[float, float]:
         """Share of the offered actions that fits, by rank."""
-        ranks = [step / STEPS_PER_RANK for step in sorted(self._offered)]
+        ranks = [step / STEPS_PER_RANK for step in self._offered]
         return {rank: round(self.share_for(rank), 2) for rank in ranks}
 
+    @property
+    def served_shares(self) -> dict[float, float]:
+        """Share of the offered actions that was served in the last seconds, by rank."""
+        return {
+            step / STEPS_PER_RANK: round(work.served.value, 2)
+            for step, work in self._offered.items()
+        }
+
     def note_offer(
-        self, rank: float, group: str, queue_timeout_s: float, admitted_share: float
+        self,
+        rank: float,
+        group: str,
+        queue_timeout_s: float,
+        admitted_share: float,
+        is_first_call: bool = True,
     ) -> None:
         """Count a call that is offered to the upstream, whether it runs or not.
 
@@ -108,15 +140,24 @@
             group: Group of calls with similar service times, such as a route.
             queue_timeout_s: Longest wait of the call in the queue in seconds.
             admitted_share: Share of the actions of its kind that were admitted.
+            is_first_call: Whether it is the first call that its action makes here.
         """
         now_s = self._clock()
         work_s = self._queue.usual_s(group) or self._queue.mean_s
-        step = _step(rank)
-        offered = self._offered.get(step)
-        if offered is None:
-            offered = self._offered[step] = _OfferedWork(now_s)
-        slot_s = work_s / max(SHARE_MIN, admitted_share)
-        offered.add(slot_s, queue_timeout_s, now_s)
+        offered = self._work_of(rank, now_s)
+        n_offered = 1.0 / max(SHARE_MIN, admitted_share)
+        offered.add(work_s * n_offered, queue_timeout_s, now_s)
+        if is_first_call:
+            offered.served.note_offer(n_offered, now_s)
+
+    def note_start(self, rank: float) -> None:
+        """Count the first call of an action, which got a slot.
+
+        Args:
+            rank: Rank of the call, 0 the highest.
+        """
+        now_s = self._clock()
+        self._work_of(rank, now_s).served.note_start(now_s)
 
     def share_for(self, rank: float) -> float:
         """Return the share of the offered actions of a rank that fits, 0 or above.
@@ -130,17 +171,15 @@
         now_s = self._clock()
         queue = self._queue
         own_step = _step(rank)
-        own = aimed_wait_s = 0.0
-        left = queue.usable_slots
-        for step, work in self._offered.items():
-            if step == own_step:
-                own = work.load(now_s)
-                aimed_wait_s = work.queue_timeout_s * AIMED_WAIT_SHARE
-            elif step < own_step:
-                left -= work.load(now_s)
-        n_aimed = aimed_wait_s * queue.slots / queue.mean_s
-        # Slots to add or take so that the queue has this length after the drain time.
-        left -= (queue.n_ahead_of(rank) - n_aimed) * min(1.0, queue.mean_s / DRAIN_S)
+        loads = {step: work.load(now_s) for step, work in self._offered.items()}
+        own = loads.get(own_step, 0.0)
+        aimed_wait_s = self._offered[own_step].aimed_wait_s if own else 0.0
+        left = self._budget(rank, aimed_wait_s)
+        left -= sum(load for step, load in loads.items() if step < own_step)
+        is_short = queue.n_waiting or sum(loads.values()) > queue.usable_slots
+        if is_short and self._has_least_shares:
+            grant = self._grants(loads)[own_step] if own else None
+            left = left if grant is None else grant
         # Failed calls hold their slots for less than the usual time, which the offered
         # work does not show: with free slots nothing is refused.
         has_free_slots = queue.n_running + 1 < queue.usable_slots
@@ -149,6 +188,33 @@
             return ROOM_MAX
         return max(least, left / own) if own else least
 
+    def _work_of(self, rank: float, now_s: float) -> _OfferedWork:
+        step = _step(rank)
+        if step not in self._offered:
+            self._offered[step] = _OfferedWork(now_s, ServedShare(now_s))
+            self._offered = dict(sorted(self._offered.items()))
+        return self._offered[step]
+
+    def _budget(self, rank: float, aimed_wait_s: float) -> float:
+        """Return the slots that the offered work up to a rank may fill."""
+        queue = self._queue
+        n_aimed = aimed_wait_s * queue.slots / queue.mean_s
+        # Slots to add or take so that the queue has this length after the drain time.
+        n_excess = queue.n_ahead_of(rank) - n_aimed
+        return queue.usable_slots - n_excess * min(1.0, queue.mean_s / DRAIN_S)
+
+    def _grants(self, loads: dict[int, float]) -> dict[int, float | None]:
+        """Return the slots of ranks that least shares change, by step of the rank."""
+        demands = [
+            RankDemand(
+                loads[step],
+                self._budget(step / STEPS_PER_RANK, work.aimed_wait_s),
+                work.served.value,
+            )
+            for step, work in self._offered.items()
+        ]
+        return dict(zip(self._offered, grants_by_least_share(demands), strict=True))
+
 
 def _step(rank: float) -> int:
     return round(min(max(rank, 0.0), RANK_LAST) * STEPS_PER_RANK)
--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -9,6 +9,7 @@
 
 PROOF = "tests.savoryroute.coordination.test_configuration_proof"
 FAIR_SHARE = "tests.savoryroute.coordination.test_fair_share"
+RANK_SHARES = "tests.savoryroute.coordination.test_rank_shares"
 REPEAT_BUDGET = "tests.savoryroute.coordination.test_repeat_budget"
 QUOTA_FAILURES = "tests.savoryroute.coordination.test_quota_failures"
 QUOTA_PATH = "tests.savoryroute_platform.test_quota_path"
@@ -255,15 +256,15 @@
     Mutation(
         "mesh room: a call stands for itself alone",
         "coordination/upstream_room.py",
-        "work_s / max(SHARE_MIN, admitted_share)",
-        "work_s",
+        "1.0 / max(SHARE_MIN, admitted_share)",
+        "1.0",
         "tests.savoryroute.coordination.test_upstream_room",
     ),
     Mutation(
         "mesh room: a long queue does not count",
         "coordination/upstream_room.py",
-        "left -= (queue.n_ahead_of(rank) - n_aimed)",
-        "left -= 0.0",
+        "n_excess = queue.n_ahead_of(rank) - n_aimed",
+        "n_excess = 0.0",
         "tests.savoryroute.coordination.test_upstream_room",
     ),
     Mutation(
@@ -273,6 +274,27 @@
         "least = 0.0",
         "tests.savoryroute.coordination.test_upstream_room",
     ),
+    Mutation(
+        "mesh room: a rank has no least share",
+        "coordination/rank_shares.py",
+        "goal = min(LEAST_SHARE, equal_share)",
+        "goal = 0.0",
+        f"{RANK_SHARES}.LastingShortageTest",
+    ),
+    Mutation(
+        "mesh room: a least share counts from the first moment of a shortage",
+        "coordination/rank_shares.py",
+        "2.0 * goal - demand.served_share",
+        "goal",
+        f"{RANK_SHARES}.ShortShortageTest",
+    ),
+    Mutation(
+        "mesh room: better ranks keep their slots beside a least share",
+        "coordination/rank_shares.py",
+        "cut = _cut(granted[:index], demands, total - least)",
+        "cut = granted[:index]",
+        f"{RANK_SHARES}.GrantsByLeastShareTest",
+    ),
     Mutation(
         "mesh queue: calls of runs with progress wait like first calls",
         "coordination/call_queue.py",
--- a/tests/savoryroute/coordination/test_load_reports.py
+++ b/tests/savoryroute/coordination/test_load_reports.py
@@ -29,7 +29,11 @@
         self.queue = CallQueue(4, clock)
         self.counts = {"arrivals": 0}
         upstream = SimpleNamespace(
-            queue=self.queue, load_counts=self.counts, rooms={0: 2.0}, offered_load=1.5
+            queue=self.queue,
+            load_counts=self.counts,
+            rooms={0: 2.0},
+            served_shares={0: 0.75},
+            offered_load=1.5,
         )
         self.throttle = ActionThrottle(clock, random.Random(1))
         self.reports = LoadReports(upstream, self.throttle, self.log, clock, INTERVAL_S)
@@ -53,6 +57,7 @@
         self.assertEqual(line["arrivals"], 50)
         self.assertEqual(line["refused"], {"rejected": 7, "overload": 2})
         self.assertEqual(line["slots"], 4)
+        self.assertEqual(line["served"], {"0": 0.75})
         self.counts.update(arrivals=60, rejected=8)
         (line,) = self.pass_second()
         self.assertEqual(line["refused"], {"rejected": 1})
--- a/tests/savoryroute/coordination/test_upstream_room.py
+++ b/tests/savoryroute/coordination/test_upstream_room.py
@@ -55,6 +55,9 @@
             self.now_s += 1.0 / 500.0
             self.room.note_offer(0, "call", QUEUE_TIMEOUT_S, 1.0)
             self.room.note_offer(2, "call", QUEUE_TIMEOUT_S, 0.5)
+            # All that was offered, as before a shortage.
+            self.room.note_start(2)
+            self.room.note_start(2)
         self.assertAlmostEqual(self.room.share_for(0), 20.6 / 25, delta=0.02)
         self.assertEqual(self.room.share_for(2), 0.0)
         self.assertEqual(self.room.share_for(3), 0.0)
