call queue: calls of a rank start in the order in which their waits end

Cause: within a rank calls started by arrival. In a shortage those that may wait for 150 ms fill the queue, and one that may wait for 45 ms is refused at once, whatever share of its class the first hops admit. Change: earliest end of the wait first, where organisations have no shares; start tags decide as before where they have.

--- a/packages/savoryroute/savoryroute/coordination/call_queue.py
+++ b/packages/savoryroute/savoryroute/coordination/call_queue.py
@@ -6,13 +6,16 @@
 callers still have time to try another upstream. If the upstream turns slow, calls at
 the end of the queue whose wait became too long are returned, for the same reason.
 
+Calls of one rank start in the order in which their waits end. In order of arrival,
+calls that can wait for long fill the queue, and those that cannot are all refused.
+
 Where calls carry an organisation, those of one rank start by its share of the work
-(``fair_share``) instead of their arrival, so that an organisation that sends too much
-delays only itself.
+(``fair_share``) instead, so that an organisation that sends too much delays only
+itself.
 
-Sources: bounded queues with a delay target as in CoDel (Nichols and Jacobson, 2012);
-admission by class as in DAGOR (Zhou and others, Overload Control for Scaling WeChat
-Microservices, 2018).
+Sources: earliest deadline first (Liu and Layland, 1973); bounded queues with a delay
+target as in CoDel (Nichols and Jacobson, 2012); admission by class as in DAGOR (Zhou
+and others, Overload Control for Scaling WeChat Microservices, 2018).
 """
 
 from __future__ import annotations
@@ -50,8 +53,10 @@
         has_progress: Whether the run that makes it has completed calls before.
         organisation: Name of the organisation that has a share, or an empty string;
             calls without one share the turn of one organisation.
-        order: Rank, whether it lacks progress, start tag and arrival number, the sort
-            key; set by the queue.
+        order: Rank, whether it lacks progress, turn and arrival number, the sort key;
+            set by the queue.
+        turn: Time at which the wait ends, or start tag if organisations have shares;
+            the least starts first. Set by the queue.
         tag: Place among the calls of the same rank; set by the queue.
         expires_s: Monotonic time at which the wait ends; set by the queue.
         work_time: Factor that the upstream stated at the start; set by the queue.
@@ -69,6 +74,7 @@
     has_progress: bool = False
     organisation: str = ""
     order: _Order = (0, False, 0, 0)
+    turn: float = 0.0
     tag: Tag | None = None
     expires_s: float = 0.0
     work_time: float = 1.0
@@ -102,6 +108,7 @@
         self._times = ServiceTimes()
         self._rate_limit = RateLimit(clock)
         self._tags = StartTags(clock)
+        self._has_organisations = False
         # Factor for which the waits of the waiting calls were checked last.
         self._checked_factor = 1.0
         self._n_returned = 0
@@ -186,11 +193,14 @@
         work_s = self.usual_s(call.group) or self.mean_s
         organisation = call.organisation if self._knows_organisations else ""
         call.tag = self._tags.next_tag(call.rank, organisation, work_s)
-        call.order = self._order_of(call, self._n_arrivals)
+        call.expires_s = now_s + max_wait_s
+        if organisation and not self._has_organisations:
+            self._has_organisations = True
+            self._sort()
+        self._set_order(call, self._n_arrivals)
         n_ahead = bisect.bisect(self._waiting, call.order, key=_order)
         if self.expected_wait_s(n_ahead) > max_wait_s:
             return Reason.OVERLOAD
-        call.expires_s = now_s + max_wait_s
         self._waiting.insert(n_ahead, call)
         self._tags.add(call.tag)
         return None
@@ -294,10 +304,17 @@
         if not self._tags.has_gaps:
             return
         self._tags.retag([call.tag for call in self._waiting])
+        self._sort()
+
+    def _sort(self) -> None:
         for call in self._waiting:
-            call.order = self._order_of(call, call.order[-1])
+            self._set_order(call, call.order[-1])
         self._waiting.sort(key=_order)
 
+    def _set_order(self, call: QueuedCall, n_arrivals: int) -> None:
+        call.turn = call.tag.start_s if self._has_organisations else call.expires_s
+        call.order = self._order_of(call, n_arrivals)
+
 
 def _order(call: QueuedCall) -> _Order:
     return call.order
@@ -306,13 +323,13 @@
 @switchable("progress_order", "the first calls of a run start like its later ones")
 def order_by_progress(call: QueuedCall, n_arrivals: int) -> _Order:
     """Order by rank, and calls of runs with completed calls first."""
-    return call.rank, not call.has_progress, call.tag.start_s, n_arrivals
+    return call.rank, not call.has_progress, call.turn, n_arrivals
 
 
 @switchable("rank_order", "waiting calls start in the order of their arrival")
 def order_by_rank(call: QueuedCall, n_arrivals: int) -> _Order:
     """Order by rank alone."""
-    return call.rank, False, call.tag.start_s, n_arrivals
+    return call.rank, False, call.turn, n_arrivals
 
 
 def order_by_arrival(call: QueuedCall, n_arrivals: int) -> _Order:
--- a/tests/chain_replay.py
+++ b/tests/chain_replay.py
@@ -26,7 +26,7 @@
 
 @attrs.frozen
 class ActionKind:
-    """Calls that the actions of one rank make, one after the other.
+    """Calls that the actions of one kind make, one after the other.
 
     Attributes:
         n_calls: Calls of one action.
@@ -34,6 +34,7 @@
         queue_timeout_s: Longest wait of a call for a slot in seconds.
         n_returns: How often a caller returns after a refusal at the first hop.
         return_s: Longest time in seconds after which it returns.
+        rank: Rank of the actions, None for the key of the kind.
     """
 
     n_calls: int = CALLS
@@ -41,6 +42,7 @@
     queue_timeout_s: float = QUEUE_TIMEOUT_S
     n_returns: int = 0
     return_s: float = 0.6
+    rank: int | None = None
 
 
 @attrs.define
@@ -48,7 +50,7 @@
     """One admitted action; times are in seconds."""
 
     hop: int
-    rank: int
+    key: int | str
     began_s: float
     deadline_s: float
     share: float
@@ -65,7 +67,7 @@
         n_first_hops: Number of first hops; an action enters at a random one.
         is_by_progress: Whether calls of actions with completed calls start first.
         slots: Slots of the upstream.
-        kinds: Calls of the actions of each rank.
+        kinds: Calls of the actions of each kind, by its rank or another key.
         switches: Mechanisms that are switched off.
     """
 
@@ -101,42 +103,45 @@
         return self
 
     def schedule(self, per_s, start_s, end_s):
-        for rank, rate in per_s.items():
+        for key, rate in per_s.items():
             at_s = start_s
             while (at_s := at_s + self.rng.expovariate(rate)) < end_s:
-                self.time.at(at_s, lambda rank=rank: self.arrive(rank))
+                self.time.at(at_s, lambda key=key: self.arrive(key))
 
-    def arrive(self, rank):
-        self.arrived.append((self.time.now_s(), rank))
-        self.enter(rank, self.time.now_s(), self.kinds[rank].n_returns)
+    def rank_of(self, key):
+        kind = self.kinds[key]
+        return key if kind.rank is None else kind.rank
 
-    def enter(self, rank, began_s, n_returns):
+    def arrive(self, key):
+        self.arrived.append((self.time.now_s(), key))
+        self.enter(key, self.time.now_s(), self.kinds[key].n_returns)
+
+    def enter(self, key, began_s, n_returns):
         hop = self.rng.randrange(len(self.throttles))
         share = 1.0
         if self.is_throttled:
-            share = self.throttles[hop].admit(f"r{rank}", rank)
+            share = self.throttles[hop].admit(f"r{key}", self.rank_of(key))
         if share is not None:
             deadline_s = self.time.now_s() + TIMEOUT_S
-            self.call(_Action(hop, rank, began_s, deadline_s, share))
+            self.call(_Action(hop, key, began_s, deadline_s, share))
         elif n_returns:
             self.time.after(
-                self.rng.uniform(0.1, self.kinds[rank].return_s),
-                lambda: self.enter(rank, began_s, n_returns - 1),
+                self.rng.uniform(0.1, self.kinds[key].return_s),
+                lambda: self.enter(key, began_s, n_returns - 1),
             )
 
     def call(self, action):
-        kind = self.kinds[action.rank]
+        kind = self.kinds[action.key]
         if action.n_done == kind.n_calls:
-            self.served.append((action.began_s, action.rank))
+            self.served.append((action.began_s, action.key))
             self.end(action)
             return
-        group = f"call{action.rank}"
+        group = f"call{action.key}"
+        rank = self.rank_of(action.key)
         is_first = action.n_done == 0
-        self.room.note_offer(
-            action.rank, group, kind.queue_timeout_s, action.share, is_first
-        )
+        self.room.note_offer(rank, group, kind.queue_timeout_s, action.share, is_first)
         call = QueuedCall(
-            action.rank,
+            rank,
             group,
             action.deadline_s,
             kind.queue_timeout_s,
@@ -151,15 +156,15 @@
 
     def start(self, action):
         if action.n_done == 0:
-            self.room.note_start(action.rank)
+            self.room.note_start(self.rank_of(action.key))
         work_s = self.work_s(action) * self.rng.uniform(0.5, 1.5)
         self.time.after(work_s, lambda: self.finish(action))
 
     def work_s(self, action):
-        return self.kinds[action.rank].call_s * self.slow(self.time.now_s())
+        return self.kinds[action.key].call_s * self.slow(self.time.now_s())
 
     def finish(self, action):
-        self.queue.finish(f"call{action.rank}", self.work_s(action))
+        self.queue.finish(f"call{action.key}", self.work_s(action))
         action.n_done += 1
         self.call(action)
 
@@ -168,12 +173,13 @@
         self.end(action)
 
     def end(self, action):
-        rooms = [self.room.share_for(action.rank)]
-        self.throttles[action.hop].note_end(f"r{action.rank}", rooms, action.rank)
+        rank = self.rank_of(action.key)
+        rooms = [self.room.share_for(rank)]
+        self.throttles[action.hop].note_end(f"r{action.key}", rooms, rank)
 
-    def share(self, rank, start_s, end_s):
-        arrived = sum(start_s <= t < end_s and r == rank for t, r in self.arrived)
-        served = sum(start_s <= t < end_s and r == rank for t, r in self.served)
+    def share(self, key, start_s, end_s):
+        arrived = sum(start_s <= t < end_s and r == key for t, r in self.arrived)
+        served = sum(start_s <= t < end_s and r == key for t, r in self.served)
         return served / arrived
 
     def n_served(self, start_s, end_s):
--- a/tests/savoryroute/coordination/test_call_queue.py
+++ b/tests/savoryroute/coordination/test_call_queue.py
@@ -39,6 +39,14 @@
             self.queue.finish("route", 0.1)
         self.assertEqual(self.started, ["a", "b", "d", "c", "e"])
 
+    def test_calls_of_a_rank_start_in_the_order_in_which_their_waits_end(self):
+        for name, seconds in (("a", 1.0), ("b", 1.0), ("c", 1.0), ("d", 0.4)):
+            self.queue.offer(self.call(name, queue_timeout_s=seconds))
+        self.queue.offer(self.call("e", rank=2, queue_timeout_s=0.3))
+        for _ in range(3):
+            self.queue.finish("route", 0.1)
+        self.assertEqual(self.started, ["a", "b", "d", "c", "e"])
+
     def test_call_with_too_long_expected_wait_is_refused_at_once(self):
         self.queue.finish("route", None)
         self.queue = CallQueue(1, lambda: self.now_s)
--- a/tests/savoryroute/coordination/test_rank_shares.py
+++ b/tests/savoryroute/coordination/test_rank_shares.py
@@ -84,6 +84,28 @@
             self.assertGreater(replay.share(CHECK, 8.0, 10.0), 0.8)
 
 
+class SameRankTest(unittest.TestCase):
+    def test_calls_that_cannot_wait_for_long_get_the_share_of_their_rank(self):
+        """Guards against bookings that are refused behind the longer waits of views.
+
+        Both have the lowest rank. A view makes four calls, which wait for 150 ms; a
+        booking makes one, which waits for 45 ms.
+        """
+        kinds = {
+            "order": ActionKind(4, 0.03, 0.15, 1, rank=0),
+            "view": ActionKind(4, 0.03, 0.15, 1, rank=2),
+            "booking": ActionKind(1, 0.096, 0.045, 1, rank=2),
+        }
+        for seed in range(3):
+            replay = ChainReplay(seed, True, slots=138, kinds=kinds)
+            replay.time.at(6.0, lambda queue=replay.queue: setattr(queue, "slots", 46))
+            replay.schedule({"order": 150.0, "view": 550.0, "booking": 54.0}, 0.0, 30.0)
+            replay.time.run()
+            views = replay.share("view", 10.0, 29.0)
+            self.assertGreater(replay.share("booking", 10.0, 29.0), 0.75 * views)
+            self.assertGreater(replay.share("order", 10.0, 29.0), views)
+
+
 class GrantsByLeastShareTest(unittest.TestCase):
     def grants(self, offered, budget, served_shares):
         return grants_by_least_share(
