--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -257,17 +257,22 @@
 class Connection:
     """A client's kept connection to the daemon of its machine."""
 
+    # Four fifths of the idle timeout of the configuration.
+    IDLE_MAX_S = 12.0
+
     def __init__(self, fleet, index: int) -> None:
         self._fleet = fleet
         self._index = index
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
+        self._used_s = 0.0
 
     async def open(self) -> None:
         async with asyncio.timeout(1.0):
             self.reader, self.writer = await asyncio.open_connection(
                 self._fleet.ip(self._index), self._fleet.port
             )
+        self._used_s = time.monotonic()
 
     def close(self) -> None:
         if self.writer is not None:
@@ -285,6 +290,8 @@
     ) -> tuple[int, dict, bytes]:
         """Send a request and return its answer; (0, {}, reason) without one."""
         try:
+            if time.monotonic() - self._used_s > self.IDLE_MAX_S:
+                self.close()
             if self.writer is None:
                 await self.open()
             length = f"Content-Length: {len(body)}\r\n" if body else ""
@@ -296,6 +303,7 @@
             self.writer.write(text.encode() + body)
             async with asyncio.timeout(deadline_ms / 1000 + 0.5):
                 line, headers, answer = await read_message(self.reader)
+            self._used_s = time.monotonic()
             if headers.get("connection") == "close":
                 self.close()
             return int(line.split(" ")[1]), headers, answer
