--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -22,6 +22,7 @@
 from ..state.mesh_settings import MeshSettings
 from ..state.metrics import Metrics
 from ..state.organisations import Organisations
+from ..state.process_memory import resident_bytes
 from ..state.quarantine import Quarantine
 from ..state.revision import era_of, revision_in_era
 from ..state.route_table import CallerLimits, RouteTable
@@ -119,11 +120,14 @@
         )
         switches = Switches(frozenset(settings.switched_off))
         self._queue = CallQueue(SLOTS_DEFAULT, time.monotonic, switches)
+        self._answer_bodies = BodyBudget(
+            int(settings.memory_bytes * BODIES_MEMORY_SHARE)
+        )
         self._pool = HttpPool(
             settings.upstream.ip,
             settings.upstream.port,
             names.request_id,
-            BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE)),
+            self._answer_bodies,
         )
         self._repeat_budget = RepeatBudget(settings.retry_ratio, time.monotonic)
         self._repeats = RepeatAdmission(
@@ -503,6 +507,9 @@
             "repeats_left": {self._settings.service: self._repeats.left},
             "body_bytes_held": self._bodies.held_bytes,
             "bodies_refused": self._bodies.n_refused,
+            "answer_bytes_held": self._answer_bodies.held_bytes,
+            "answers_refused": self._answer_bodies.n_refused,
+            "resident_bytes": resident_bytes(),
             "links_open": len(self._links.open_connections),
             "routes_version": synchronizer.version,
             "routes_defects": 0
