--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import os
 import pathlib
 import signal
 import subprocess
-import sys
 import tempfile
 
 from savoryroute_lab.wiring import free_ports
+from tests.savoryroute_platform.process_fleet import spawn_daemon
 from tests.savoryroute_platform.stand_ins import (
     StoreStandIn,
     UpstreamStandIn,
@@ -24,8 +22,6 @@
 
 __all__ = ["RETRY_RATIO", "RETRY_SLACK", "SoakFleet"]
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-PROGRAM = ROOT / "platform" / "main.py"
 STOP_TIMEOUT_S = 10.0
 RETRY_RATIO = 0.2
 RETRY_SLACK = 10.0
@@ -141,17 +137,6 @@
             "grace_s": "6s",
             "memory_mb": 300,
         }
-        file = pathlib.Path(self.folder.name, f"settings-{index}.json")
-        file.write_text(json.dumps(settings))
-        packages = [ROOT / "packages" / "savoryroute", ROOT / "platform"]
-        environment = {
-            **os.environ,
-            "PYTHONPATH": os.pathsep.join(map(str, packages)),
-        }
-        with self.logs[index].open("ab") as log:
-            return subprocess.Popen(
-                [sys.executable, str(PROGRAM), str(file)],
-                stdout=log,
-                stderr=subprocess.STDOUT,
-                env=environment,
-            )
+        return spawn_daemon(
+            settings, self.folder.name, self.logs[index], f"settings-{index}"
+        )
