http client: an answer is bounded by the daemon's memory, and its parsing by a share of time

Callers of every service on the machine got no answer or a late refusal: the daemon beside an upstream that sends an answer without end was ended for its memory, up to three times in 5 s, or parsed for seconds without serving anyone else.

Cause: bytes of others are held before they are counted, for less than they cost, or after they were released. - One answer could have 64 MiB whatever the memory, and any length if it was alone. Now the limit of all answers, 15% of the memory, also bounds one; a request's body alone may be twice its limit. - Pieces of a body were objects of their own, some 40 bytes for one. Now one bytearray. - Trailers were stored as headers, and a long body gave credit for any length of them, also for a line that the parser gathers without a callback. Now they are not stored, and 64 KiB may pass since the last byte of a body, of heads and trailers alike. Answers to other requests are counted. - A connection that was given up kept what it had read, in a cycle with its parser, until the collector ran. Now it drops both when it is lost. - One read was up to 256 KiB and as many followed as the kernel had. Now a read has 16 KiB, and a connection whose input took 2 ms waits; all that wait share a quarter of the time. - The end of a stray answer finished the exchange with nothing (AttributeError; the call held its slot to its deadline).

test_body_that_grows_in_small_steps asserted that a single body may have any length, which is a part of the cause; it now asserts the bound from both sides.

--- a/packages/savoryroute/savoryroute/state/body_budget.py
+++ b/packages/savoryroute/savoryroute/state/body_budget.py
@@ -16,6 +16,9 @@
 
 __all__ = ["SMALL_BODY_BYTES", "BodyBudget"]
 
+# A single body may be this many times as long as all bodies together may be otherwise,
+# since the platform may allow long ones.
+SINGLE_BODY_FACTOR = 2
 # Shorter bodies are never refused: requests without an upload must not suffer from
 # uploads, and the number of connections bounds them well enough.
 SMALL_BODY_BYTES = 16 * 1024
@@ -33,6 +36,11 @@
     _held_bytes: int = attrs.field(init=False, default=0)
     _n_refused: int = attrs.field(init=False, default=0)
 
+    @property
+    def limit_bytes(self) -> int:
+        """Bytes above which long bodies are refused."""
+        return self._limit_bytes
+
     @property
     def held_bytes(self) -> int:
         """Bytes of all bodies that are held or announced."""
@@ -46,8 +54,8 @@
     def try_reserve(self, n_bytes: int, before_bytes: int = 0) -> bool:
         """Reserve memory for a body; return whether it may be held.
 
-        A body longer than the limit is accepted when no other one is held, since the
-        platform may allow longer ones.
+        A body longer than the limit is accepted when no other one is held, up to
+        ``SINGLE_BODY_FACTOR`` times the limit.
 
         Args:
             n_bytes: Bytes to reserve.
@@ -56,13 +64,23 @@
         """
         total_bytes = self._held_bytes + n_bytes
         is_small = before_bytes + n_bytes <= SMALL_BODY_BYTES
-        has_others = self._held_bytes > before_bytes
-        if not is_small and has_others and total_bytes > self._limit_bytes:
+        limit_bytes = self._limit_bytes
+        if self._held_bytes <= before_bytes:
+            limit_bytes *= SINGLE_BODY_FACTOR
+        if not is_small and total_bytes > limit_bytes:
             self._n_refused += 1
             return False
         self._held_bytes = total_bytes
         return True
 
+    def hold(self, n_bytes: int) -> None:
+        """Count bytes that are in memory already, whatever the limit.
+
+        Args:
+            n_bytes: Bytes of a complete body whose earlier reservation has ended.
+        """
+        self._held_bytes += n_bytes
+
     def release(self, n_bytes: int) -> None:
         """Return the memory of a body."""
         self._held_bytes -= n_bytes
--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -10,9 +10,10 @@
 import httptools
 from result import Err, Ok, Result
 
-from ..state.body_budget import BodyBudget
+from ..state.body_budget import SMALL_BODY_BYTES, BodyBudget
 from .exchange_outcome import ExchangeFailure, FailureKind, HttpAnswer
-from .keepalive import enable_keepalive
+from .input_pacer import InputPacer, PacedInput
+from .keepalive import enable_keepalive, limit_unacked
 
 __all__ = ["HttpPool", "PendingExchange"]
 
@@ -26,10 +27,15 @@
 # only reuses a connection that was idle for at most this long.
 NON_IDEMPOTENT_IDLE_S = 1.5
 ANSWER_BYTES_MAX = 64 * 1024 * 1024
+# Bytes of one read. They are parsed at once, and in chunks of one byte each body byte
+# takes a microsecond.
+READ_BYTES = 16 * 1024
 # Bytes of an answer beside its body: heads, trailers, and the framing of chunks. A body
 # in chunks of one byte has five for each of its bytes.
 FRAMING_BYTES_MAX = 64 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Late answers to earlier requests of a connection that may precede the expected one.
+STRAY_ANSWERS_MAX = 16
 # Failed exchanges of one connection whose identities are remembered.
 FAILED_IDS_MAX = 256
 
@@ -64,7 +70,9 @@
         self.body = body
         self.expected_id = expected_id
         self.is_head = is_head
-        self.on_done = on_done
+        # None once it has ended: the handler refers to the caller's state, which refers
+        # to this exchange.
+        self.on_done: DoneHandler | None = on_done
         self._connection: _PooledConnection | None = None
         self._is_done = False
 
@@ -87,6 +95,8 @@
         if self._is_done:
             return
         self._is_done = True
+        self.on_done = None
+        self.data = self.body = b""
         if self._connection is not None:
             self._connection.abort()
 
@@ -95,23 +105,31 @@
         if self._is_done:
             return
         self._is_done = True
-        self.on_done(outcome)
+        on_done, self.on_done = self.on_done, None
+        on_done(outcome)
 
 
-class _PooledConnection(asyncio.Protocol):
+class _PooledConnection(asyncio.BufferedProtocol):
     """Connection of a pool; it carries one exchange at a time."""
 
     def __init__(self, pool: HttpPool) -> None:
         self._pool = pool
         self._transport: asyncio.Transport | None = None
+        self._input: PacedInput | None = None
+        # Refers to this connection; None once it is lost, to break the cycle.
+        self._parser: httptools.HttpResponseParser | None
         self._parser = httptools.HttpResponseParser(self)
         self._pending: PendingExchange | None = None
         self._can_reuse = True
+        self._is_unacked_limited = True
         self._is_message_open = False
         self._ends_with_close = False
         self._answer: HttpAnswer | None = None
         self._framing_bytes = 0
-        self._body_bytes = 0
+        # Of these, the bytes since the last byte of a body.
+        self._barren_bytes = 0
+        self._n_strays = 0
+        self._reserved_bytes = 0
         self._failed_ids: set[bytes] = set()
         self.idle_since_s = time.monotonic()
         self.idle_max_s = IDLE_DEFAULT_S
@@ -119,8 +137,8 @@
 
     def _reset_message(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._release_body()
+        self._is_head_complete = False
+        self._drop_body()
         self._has_length = False
         self._ends_with_close = False
 
@@ -141,8 +159,13 @@
     def start(self, pending: PendingExchange) -> None:
         """Start an exchange on this connection."""
         self._pending = pending
-        self._framing_bytes = 0
+        self._framing_bytes = self._barren_bytes = self._n_strays = 0
+        self._input.begin_message()
         pending.attach(self)
+        if len(pending.body) > SMALL_BODY_BYTES:
+            # The server may pause its reading; the deadline of the exchange applies.
+            limit_unacked(self._transport, False)
+            self._is_unacked_limited = False
         # Two buffers, so that a long body is not copied; neither is needed afterwards.
         self._transport.writelines([pending.data, pending.body])
         pending.data = pending.body = b""
@@ -151,19 +174,22 @@
         """Close the connection at once and drop its exchange."""
         self._can_reuse = False
         self._pending = None
-        self._release_body()
+        self._drop_body()
         if self._transport is not None:
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
+        self._input = PacedInput(self._pool.pacer, transport)
         enable_keepalive(transport)
         self._pool.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         self._can_reuse = False
         self._pool.discard(self)
-        self._release_body()
+        self._input.close()
+        self._reset_message()
+        self._parser = None
         pending, self._pending = self._pending, None
         if pending is not None:
             detail = "the connection was lost before the complete answer arrived"
@@ -173,25 +199,52 @@
         self._can_reuse = False
         if self._is_message_open and self._ends_with_close:
             self._store_answer()
-            self._finish()
+            if self._answer is not None:
+                self._finish()
         return False
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._pool.read_buffer
+
+    def buffer_updated(self, n_bytes: int) -> None:
         if self._pending is None:
             # No exchange is in progress, so the bytes belong to no request.
             self.abort()
             return
-        self._framing_bytes += len(data)
+        began_s = time.perf_counter()
+        self._framing_bytes += n_bytes
+        self._barren_bytes += n_bytes
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(self._pool.read_buffer[:n_bytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._can_reuse = False
             if self._answer is None:
                 self._fail(f"invalid HTTP response: {type(error).__name__}")
         if self._answer is not None:
             self._finish()
-        elif self._framing_bytes > FRAMING_BYTES_MAX:
+        else:
+            self._check_length()
+        self._input.note(time.perf_counter() - began_s)
+
+    def _check_length(self) -> None:
+        """Reserve memory for what was read of an answer, or give the answer up."""
+        if self._pending is None:
+            return
+        bodies = self._pool.bodies
+        n_new_bytes = len(self._body) - self._reserved_bytes
+        if len(self._body) > self._pool.answer_bytes_max:
+            self._fail(self._too_long())
+        elif not bodies.try_reserve(n_new_bytes, self._reserved_bytes):
+            self._fail(f"no memory: answer bodies take up {bodies.held_bytes} bytes")
+        elif max(self._framing_bytes, self._barren_bytes) > FRAMING_BYTES_MAX:
             self._fail(f"more than {FRAMING_BYTES_MAX} bytes beside the answer's body")
+        elif self._n_strays > STRAY_ANSWERS_MAX:
+            self._fail(f"more than {STRAY_ANSWERS_MAX} answers to other requests")
+        else:
+            self._reserved_bytes += n_new_bytes
+
+    def _too_long(self) -> str:
+        return f"the answer body is longer than {self._pool.answer_bytes_max} bytes"
 
     def on_message_begin(self) -> None:
         self._reset_message()
@@ -200,6 +253,9 @@
             self._can_reuse = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._is_head_complete:
+            # Trailers are not forwarded.
+            return
         name = name.lower()
         self._headers.append((name, value))
         if name == b"content-length" or name == b"transfer-encoding":
@@ -210,6 +266,7 @@
                 self.idle_max_s = max(0.0, int(stated[1]) - IDLE_MARGIN_S)
 
     def on_headers_complete(self) -> None:
+        self._is_head_complete = True
         status = self._parser.get_status_code()
         has_body = status >= 200 and status not in (204, 304)
         self._ends_with_close = has_body and not self._has_length
@@ -221,19 +278,14 @@
         if self._pending is None:
             # The rest of what was read when the exchange failed.
             return
-        bodies = self._pool.bodies
-        if self._body_bytes + len(body) > ANSWER_BYTES_MAX:
-            self._fail(f"the answer body is longer than {ANSWER_BYTES_MAX} bytes")
-        elif not bodies.try_reserve(len(body), self._body_bytes):
-            self._fail(f"no memory: answer bodies take up {bodies.held_bytes} bytes")
-        else:
-            self._body_bytes += len(body)
-            self._framing_bytes -= len(body) * (1 + FRAMING_BYTES_PER_BODY_BYTE)
-            self._body.append(body)
+        self._framing_bytes -= len(body) * (1 + FRAMING_BYTES_PER_BODY_BYTE)
+        self._barren_bytes = 0
+        self._body += body
 
-    def _release_body(self) -> None:
-        self._pool.bodies.release(self._body_bytes)
-        self._body_bytes = 0
+    def _drop_body(self) -> None:
+        self._body = bytearray()
+        self._pool.bodies.release(self._reserved_bytes)
+        self._reserved_bytes = 0
 
     def on_message_complete(self) -> None:
         self._is_message_open = False
@@ -258,6 +310,7 @@
                 self._can_reuse = False
                 if echoed_id is not None:
                     # A late copy of an earlier answer; the expected one follows.
+                    self._n_strays += 1
                     return
         self._is_message_open = False
         status = self._parser.get_status_code()
@@ -265,13 +318,16 @@
             self._failed_ids.add(pending.expected_id)
             if len(self._failed_ids) >= FAILED_IDS_MAX:
                 self._can_reuse = False
-        self._answer = HttpAnswer(status, self._headers, b"".join(self._body))
+        self._answer = HttpAnswer(status, self._headers, bytes(self._body))
 
     def _finish(self) -> None:
         """Release or close the connection, then finish the exchange."""
         answer, self._answer = self._answer, None
         pending, self._pending = self._pending, None
-        self._release_body()
+        self._reset_message()
+        if not self._is_unacked_limited:
+            limit_unacked(self._transport, True)
+            self._is_unacked_limited = True
         if self._transport.get_write_buffer_size():
             # The server answered before the complete request was written.
             self._can_reuse = False
@@ -320,11 +376,19 @@
         self._port = port
         self.id_header = id_header
         self.bodies = BodyBudget(ANSWER_BYTES_MAX) if bodies is None else bodies
+        self.pacer = InputPacer()
+        # Shared by the connections: what was read is parsed before the next read.
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.connections: set[_PooledConnection] = set()
         self._idle: list[_PooledConnection] = []
         self._n_opened = 0
         self._tasks: set[asyncio.Task] = set()
 
+    @property
+    def answer_bytes_max(self) -> int:
+        """Length in bytes of the longest accepted body of an answer."""
+        return min(ANSWER_BYTES_MAX, self.bodies.limit_bytes)
+
     @property
     def n_opened(self) -> int:
         """Number of connections opened so far."""
--- /dev/null
+++ b/packages/savoryroute/savoryroute/transport/input_pacer.py
@@ -0,0 +1,86 @@
+"""Bound on the share of the event loop that the input of busy connections gets.
+
+Load pattern: an upstream in trouble sends an answer without end, in chunks of one byte.
+Each read takes milliseconds to parse and the next one is ready at once, so that timers
+and other connections wait for seconds. A connection whose input has taken up a slice of
+time is not read for a while; all such connections together get a fixed share of the
+time.
+
+Source: deficit round robin (Shreedhar and Varghese, 1995), with time in place of bytes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+__all__ = ["InputPacer", "PacedInput"]
+
+# Seconds of parsing after which a connection waits for its next turn.
+SLICE_S = 0.002
+# Share of the time that the input of all waiting connections gets.
+INPUT_SHARE = 0.25
+
+
+class InputPacer:
+    """Turns of the connections whose input takes long to parse."""
+
+    def __init__(self) -> None:
+        self._next_turn_s = 0.0
+
+    def delay_after(self, spent_s: float) -> float:
+        """Return the seconds until the next turn of a connection.
+
+        Args:
+            spent_s: Seconds that its input has taken in this turn.
+        """
+        now_s = time.monotonic()
+        pause_s = spent_s * (1.0 / INPUT_SHARE - 1.0)
+        self._next_turn_s = max(self._next_turn_s, now_s) + pause_s
+        return self._next_turn_s - now_s
+
+
+class PacedInput:
+    """Input of one connection; reading is paused between its turns.
+
+    Args:
+        pacer: Turns, shared with other connections.
+        transport: Transport of the connection.
+    """
+
+    def __init__(self, pacer: InputPacer, transport: asyncio.ReadTransport) -> None:
+        self._pacer = pacer
+        self._transport = transport
+        self._spent_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether reading is paused until the next turn."""
+        return self._timer is not None
+
+    def begin_message(self) -> None:
+        """Start a slice; short messages never use one up."""
+        self._spent_s = 0.0
+
+    def note(self, spent_s: float) -> None:
+        """Count seconds spent on input, and pause reading after a slice."""
+        self._spent_s += spent_s
+        if self._spent_s < SLICE_S or self._timer or self._transport.is_closing():
+            return
+        self._transport.pause_reading()
+        delay_s = self._pacer.delay_after(self._spent_s)
+        self._spent_s = 0.0
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._resume)
+
+    def close(self) -> None:
+        """End the turns of a connection that was lost."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _resume(self) -> None:
+        self._timer = None
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
--- a/packages/savoryroute/savoryroute/transport/keepalive.py
+++ b/packages/savoryroute/savoryroute/transport/keepalive.py
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 
-__all__ = ["enable_keepalive"]
+__all__ = ["enable_keepalive", "limit_unacked"]
 
 # A silent peer is detected after the idle time and the intervals of all probes, about
 # three seconds. The platform requires a host that fell behind to follow its changes
@@ -34,3 +34,20 @@
         # Some sockets lack some options; timeouts of higher layers apply there.
         with contextlib.suppress(OSError):
             sock.setsockopt(level, name, value)
+
+
+def limit_unacked(transport: asyncio.BaseTransport, is_limited: bool) -> None:
+    """Set whether the kernel closes a connection whose data stays unacknowledged.
+
+    Linux also closes a connection of which the peer keeps its receive window closed.
+
+    Args:
+        transport: Transport of the connection.
+        is_limited: Whether ``UNACKED_MS`` applies, or the much longer default.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    timeout_ms = UNACKED_MS if is_limited else 0
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
--- a/tests/savoryroute/state/test_body_budget.py
+++ b/tests/savoryroute/state/test_body_budget.py
@@ -28,6 +28,21 @@
         self.assertTrue(budget.try_reserve(2 * LONG))
         self.assertFalse(budget.try_reserve(LONG))
 
+    def test_single_body_of_any_length_would_take_all_memory(self):
+        budget = BodyBudget(LONG)
+        self.assertFalse(budget.try_reserve(2 * LONG + 1))
+        n_bytes = 0
+        while budget.try_reserve(1000, n_bytes):
+            n_bytes += 1000
+        self.assertLessEqual(budget.held_bytes, 2 * LONG)
+
+    def test_bytes_that_are_held_already_count_whatever_the_limit(self):
+        budget = BodyBudget(LONG)
+        budget.hold(3 * LONG)
+        self.assertFalse(budget.try_reserve(LONG))
+        budget.release(3 * LONG)
+        self.assertTrue(budget.try_reserve(LONG))
+
     def test_body_that_grows_in_small_steps_is_refused_at_the_limit(self):
         budget = BodyBudget(LONG)
         budget.try_reserve(SMALL_BODY_BYTES)
@@ -36,7 +51,8 @@
             n_bytes += 1000
         self.assertLessEqual(budget.held_bytes, LONG)
         budget.release(SMALL_BODY_BYTES)
-        self.assertTrue(budget.try_reserve(2 * LONG, n_bytes))
+        self.assertTrue(budget.try_reserve(2 * LONG - n_bytes, n_bytes))
+        self.assertFalse(budget.try_reserve(1, 2 * LONG))
 
     @given(st.lists(st.integers(0, 3 * LONG)))
     def test_released_bodies_leave_nothing_held(self, sizes):
