calls: what an ended request holds is freed without the collector

Cause: a request, its exchange, its call and the handlers of these refer to each other, and nothing broke the cycles at its end. Bodies stayed until 20,000 allocations, while the budget had released them. Change: an exchange drops its handler when it ends, a call its handler, its place in the queue, its timer and its body.

--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -61,7 +61,8 @@
         self.call = call
         # Dropped once it is sent, so that a long body is not held twice.
         self.body = body
-        self.on_answer = on_answer
+        # Cleared once it is over, as it and the queued call refer back to this call.
+        self.on_answer: AnswerHandler | None = on_answer
         self.queued_call: QueuedCall | None = None
         self.pending: PendingExchange | None = None
         self.started_s = 0.0
@@ -534,6 +535,7 @@
     def _answer(self, local: LocalCall, answer: MeshAnswer) -> None:
         if local.is_over:
             return
+        on_answer = local.on_answer
         self._close(local)
         queue = self._queue
         answer.n_reported = queue.n_running + queue.n_waiting
@@ -545,11 +547,14 @@
         answer.work_time = queue.times.factor
         answer.repeat_share = self._repeats.share_left(local.call.route)
         answer.wait_ms = int(queue.expected_wait_s(queue.n_waiting) * 1000)
-        local.on_answer(answer)
+        on_answer(answer)
 
     def _close(self, local: LocalCall) -> None:
         local.is_over = True
         self._waiting.discard(local)
         self.n_open -= 1
+        local.on_answer = local.queued_call = None
+        local.body = b""
         if local.timer is not None:
             local.timer.cancel()
+            local.timer = None
--- a/packages/savoryroute/savoryroute/transport/caller_exchange.py
+++ b/packages/savoryroute/savoryroute/transport/caller_exchange.py
@@ -110,6 +110,7 @@
         if self._is_done:
             return
         self._is_done = True
+        self.on_abort = None
         self._connection.answer(self.request, status, head, body)
 
     def abort(self) -> None:
@@ -117,5 +118,6 @@
         if self._is_done:
             return
         self._is_done = True
-        if self.on_abort is not None:
-            self.on_abort()
+        on_abort, self.on_abort = self.on_abort, None
+        if on_abort is not None:
+            on_abort()
