--- a/packages/savoryroute/savoryroute/protocol/upstream_http.py
+++ b/packages/savoryroute/savoryroute/protocol/upstream_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import aiohttp
 import attrs
@@ -11,6 +12,7 @@
 from yarl import URL
 
 from ..state.settings import Address
+from ..transport.bounded_read import read_body
 from ..verdict import Reason, Refusal, Verdict
 from . import headers
 from .request import Response, pairs
@@ -20,6 +22,7 @@
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_S = 20.0
 HEALTH_TIMEOUT_S = 1.0
+HEALTH_BYTES_MAX = 64 * 1024
 
 
 @attrs.frozen
@@ -132,7 +135,8 @@
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT_S):
                 async with self._session.get(f"{self._base}/health") as answer:
-                    report = await answer.json(content_type=None)
+                    body = await read_body(answer, HEALTH_BYTES_MAX)
+            report = None if body is None else json.loads(body)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
             return ProbeResult(is_reachable=False, is_leaving=False)
         is_leaving = isinstance(report, dict) and report.get("status") == "leaving"
@@ -147,7 +151,7 @@
             data=request.body or None,
             allow_redirects=False,
         ) as answer:
-            body = await _read_complete(answer, request.answer_bytes)
+            body = await read_body(answer, request.answer_bytes)
             if body is None:
                 detail = f"the answer body is longer than {request.answer_bytes} bytes"
                 return _may_have_run(Reason.BAD_ANSWER, detail)
@@ -170,19 +174,5 @@
     return fields
 
 
-async def _read_complete(answer: aiohttp.ClientResponse, limit: int) -> bytes | None:
-    """Return the complete body, or None if it is longer than ``limit`` bytes."""
-    if answer.content_length is not None:
-        if answer.content_length > limit:
-            return None
-        return await answer.read()
-    body = bytearray()
-    async for chunk in answer.content.iter_any():
-        body += chunk
-        if len(body) > limit:
-            return None
-    return bytes(body)
-
-
 def _may_have_run(reason: Reason, detail: str) -> Err[Refusal]:
     return Err(Refusal(Verdict.MAY_HAVE_RUN, reason, detail))
--- a/packages/savoryroute/savoryroute/transport/platform_client.py
+++ b/packages/savoryroute/savoryroute/transport/platform_client.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from ..errors import PlatformError
+from .bounded_read import read_body
 
 __all__ = ["HttpPlatform", "MemoryPlatform", "PlatformReader", "PlatformValue"]
 
@@ -128,10 +129,10 @@
     revision = int(response.headers.get("X-Revision", "-1"))
     if revision < 0:
         return Err(PlatformError("the answer has no valid revision"))
-    if (response.content_length or 0) > VALUE_BYTES_MAX:
+    body = await read_body(response, VALUE_BYTES_MAX)
+    if body is None:
         return Err(PlatformError(f"the value is longer than {VALUE_BYTES_MAX} bytes"))
-    text = await response.text()
-    return Ok(PlatformValue(text, revision))
+    return Ok(PlatformValue(body.decode(), revision))
 
 
 class MemoryPlatform:
