--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -247,15 +247,23 @@
         return not self._is_leaving and self._synchronizer.table is not None
 
     async def start(self) -> None:
-        """Open all ports and start the periodic checks."""
+        """Open all ports and start the periodic checks.
+
+        Raises:
+            OSError: A port cannot be listened on; none is then.
+        """
         settings = self._settings
-        await self._link_server.start(settings.links.ip, settings.links.port)
-        await self._callers.start(settings.callers.ip, settings.callers.port)
-        await self._readiness.start(settings.readiness.ip, settings.readiness.port)
-        if settings.metrics.port:
-            await self._metrics_listener.start(
-                settings.metrics.ip, settings.metrics.port
-            )
+        try:
+            await self._link_server.start(settings.links.ip, settings.links.port)
+            await self._callers.start(settings.callers.ip, settings.callers.port)
+            await self._readiness.start(settings.readiness.ip, settings.readiness.port)
+            if settings.metrics.port:
+                await self._metrics_listener.start(
+                    settings.metrics.ip, settings.metrics.port
+                )
+        except OSError:
+            self._stop_listening()
+            raise
         self._sweeper = asyncio.create_task(self._sweep())
         self._log.change(
             "started",
@@ -308,15 +316,20 @@
         """Stop at once; requests in flight are aborted."""
         if self._sweeper is not None:
             self._sweeper.cancel()
+        self._stop_listening()
         for listener in (self._callers, self._readiness, self._metrics_listener):
-            listener.stop_listening()
             listener.sweep(0.0)
-        self._link_server.close()
         await asyncio.sleep(0)
         self._links.close()
         self._pool.close()
         self._log.flush()
 
+    def _stop_listening(self) -> None:
+        """Accept no further connections on any port."""
+        for listener in (self._callers, self._readiness, self._metrics_listener):
+            listener.stop_listening()
+        self._link_server.close()
+
     async def _sweep(self) -> None:
         """Check timeouts, links and connections until the task is cancelled."""
         n_ticks = 0
--- a/packages/savoryroute/savoryroute/state/event_log.py
+++ b/packages/savoryroute/savoryroute/state/event_log.py
@@ -4,17 +4,20 @@
 
 import contextlib
 import json
+import logging
 import os
 import time
 from collections.abc import Callable
 
-__all__ = ["EventLog"]
+__all__ = ["EventLog", "EventLogHandler"]
 
 # Maximum lines per second for each event about requests. One event at this rate takes
 # 0.2% of a core.
 LINES_PER_SECOND = 100
 # Maximum bytes buffered for a slow reader; further lines are dropped and counted.
 BACKLOG_BYTES_MAX = 256 * 1024
+# Longest text of a record of a library.
+MESSAGE_LENGTH_MAX = 400
 
 
 class EventLog:
@@ -107,3 +110,27 @@
             line["left_out"] = n_left_out
         text = json.dumps(line, separators=(",", ":"), default=str)
         self._backlog += text.encode() + b"\n"
+
+
+class EventLogHandler(logging.Handler):
+    """Passes records of libraries to an event log.
+
+    By default they go to standard error, where a reader that has stopped reading
+    blocks the whole process.
+    """
+
+    def __init__(self, log: EventLog) -> None:
+        super().__init__(logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        self._log.request(
+            "library",
+            "",
+            logger=record.name,
+            message=record.getMessage()[:MESSAGE_LENGTH_MAX],
+            error=repr(record.exc_info[1])[:MESSAGE_LENGTH_MAX]
+            if record.exc_info
+            else "",
+        )
--- a/tests/savoryroute_platform/process_fleet.py
+++ b/tests/savoryroute_platform/process_fleet.py
@@ -106,7 +106,7 @@
         )
         async with asyncio.timeout(20.0):
             for index in range(len(self.SERVICES)):
-                while not await self._is_ready(index):
+                while not await self.is_ready(index):
                     await asyncio.sleep(0.05)
         # Instances are known a moment after the routes.
         await asyncio.sleep(1.0)
@@ -185,7 +185,7 @@
                 self.daemons[index] = self._spawn(index)
             await asyncio.sleep(MEMORY_CHECK_S)
 
-    async def _is_ready(self, index: int) -> bool:
+    async def is_ready(self, index: int) -> bool:
         try:
             reader, writer = await asyncio.open_connection(
                 self.ip(index), self.ready_port
