http server: callers' input, requests sent ahead and unread answers are bounded

Cause: bytes of others are held uncounted, and one connection's input can take the daemon. - Unread answers were not counted. Now they are, with the answers that are being read, and the next request of the connection waits. While they fill the memory for answers, routes whose recent answers were long refuse new requests before they run. - A line of a head or trailer was gathered by the parser without limit. Now max-header-bytes and one read may pass without progress, then 431. - Heads of requests sent ahead counted as 512 bytes each. Now as their length and 2 KiB. - An answer started the next waiting request within its own call (RecursionError). Now a loop starts them. - The parser stops after an offer of an upgrade and reads no body. Now the head is parsed again without the offer, so the request also keeps its body. - A connection and its parser referred to each other. Now the parser goes with the loss. - An answer of a leaving host closed the connection with read requests behind it. Now the last of them does. Reads have 16 KiB and are paced as those from upstreams.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -13,11 +13,13 @@
 from ..protocol.header_names import HeaderNames
 from ..protocol.mesh_frames import AttemptKind, MeshAnswer, MeshCall
 from ..protocol.request_head import RequestHead, read_request_head, with_organisation
+from ..state.body_budget import BodyBudget
 from ..state.fleet_view import FleetView
 from ..state.quarantine import Quarantine, fingerprint
 from ..state.route_table import RouteTable, TableRoute, WeightedRoundRobin
 from ..transport.caller_exchange import CallerRequest, Exchange
 from ..verdict import Reason, Verdict
+from .answer_lengths import AnswerLengths
 from .attempt_choice import choose_instance
 from .caller_check import CallerCheck
 from .caller_identity import CallerIdentity
@@ -76,6 +78,7 @@
         revocation_s: Seconds after which a revoked key must not be used, None if
             revocation has no such bound.
         quotas: Quotas of organisations.
+        answers: Memory of answers.
         switches: Mechanisms that are switched off.
     """
 
@@ -96,6 +99,7 @@
         proof_age_s: Callable[[], float],
         revocation_s: float | None,
         quotas: Quotas,
+        answers: BodyBudget,
         switches: Switches,
     ) -> None:
         self._service = service
@@ -114,6 +118,8 @@
         # Requests that need the key of an organisation and were not answered yet.
         self._of_organisations: set[ForwardedRequest] = set()
         self._quotas = quotas
+        self._answers = answers
+        self._answer_lengths = AnswerLengths()
         self._switches = switches
         self._rejections_max = switches.pick("rejected_again", REJECTIONS_MAX, 0)
         self._is_suspect = switches.pick(
@@ -175,6 +181,13 @@
             detail = "no memory for the body: other bodies take up too much"
             self._give_up(forwarded, Reason.OVERLOAD, detail)
             return
+        if self._answers.is_spent and self._answer_lengths.is_long(route.name):
+            detail = (
+                "no memory for the answer: answers that callers have not read take up"
+                f" {self._answers.held_bytes} bytes"
+            )
+            self._give_up(forwarded, Reason.OVERLOAD, detail)
+            return
         call = forwarded.call
         if forwarded.parent is None:
             if forwarded.deadline_s > self._stops_s:
@@ -489,6 +502,7 @@
     def _return_answer(self, forwarded: ForwardedRequest, answer: MeshAnswer) -> None:
         forwarded.timer.cancel()
         is_failure = answer.status >= 500
+        self._answer_lengths.note(forwarded.route.name, len(answer.body))
         self._note_end(forwarded, is_failure and answer.is_load, not is_failure)
         self._records.answered(forwarded, answer)
         forwarded.exchange.respond(answer.status, answer.head, answer.body)
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -222,10 +222,15 @@
             proof_age_s,
             settings.revocation_s,
             self._quotas,
+            self._answer_bodies,
             switches,
         )
         self._callers = CallersListener(
-            self._first_hop.handle, self._limits, self._on_bad_request, self._bodies
+            self._first_hop.handle,
+            self._limits,
+            self._on_bad_request,
+            self._bodies,
+            self._answer_bodies,
         )
         self._readiness = CallersListener(
             self._serve_readiness, CallerLimits, self._on_bad_request
--- a/packages/savoryroute/savoryroute/state/body_budget.py
+++ b/packages/savoryroute/savoryroute/state/body_budget.py
@@ -46,6 +46,11 @@
         """Bytes of all bodies that are held or announced."""
         return self._held_bytes
 
+    @property
+    def is_spent(self) -> bool:
+        """Whether no long body may be added."""
+        return self._held_bytes >= self._limit_bytes
+
     @property
     def n_refused(self) -> int:
         """Number of bodies that were refused."""
--- a/packages/savoryroute/savoryroute/transport/caller_exchange.py
+++ b/packages/savoryroute/savoryroute/transport/caller_exchange.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-__all__ = ["CallerRequest", "Exchange", "format_answer"]
+__all__ = ["CallerRequest", "Exchange", "answer_parts", "format_answer"]
 
 _REASONS = {
     200: b"OK",
@@ -68,6 +68,13 @@
         close: Whether the connection is closed after the answer.
         is_head: Whether the method of the request was HEAD.
     """
+    return b"".join(answer_parts(status, head, body, close, is_head))
+
+
+def answer_parts(
+    status: int, head: bytes, body: bytes, close: bool, is_head: bool
+) -> tuple[bytes, bytes]:
+    """Return the complete head and the body of an answer, as for ``format_answer``."""
     reason = _REASONS.get(status, b"Status")
     parts = [b"HTTP/1.1 %d %b\r\n" % (status, reason), head]
     if status not in _BODILESS:
@@ -75,9 +82,8 @@
     if close:
         parts.append(b"Connection: close\r\n")
     parts.append(b"\r\n")
-    if not is_head and status not in _BODILESS:
-        parts.append(body)
-    return b"".join(parts)
+    has_body = not is_head and status not in _BODILESS
+    return b"".join(parts), body if has_body else b""
 
 
 class AnswerWriter(Protocol):
--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -15,14 +15,19 @@
 
 import httptools
 
-from ..state.body_budget import BodyBudget
+from ..state.body_budget import SMALL_BODY_BYTES, BodyBudget
 from ..state.route_table import CallerLimits
-from .caller_exchange import CallerRequest, Exchange, format_answer
+from .caller_exchange import CallerRequest, Exchange, answer_parts, format_answer
+from .input_pacer import InputPacer, PacedInput
 
 __all__ = ["CallersListener"]
 
 # Reading from a connection is paused while its waiting pipelined requests exceed this.
 READ_AHEAD_BYTES_MAX = 256 * 1024
+# Memory of a waiting request beside its body and head.
+REQUEST_OVERHEAD_BYTES = 2048
+# Bytes of one read, which are parsed at once.
+READ_BYTES = 16 * 1024
 LISTEN_BACKLOG = 1024
 # The connection of a caller that does not read its answer for this long is closed.
 WRITE_STALL_S = 20.0
@@ -34,18 +39,26 @@
 LINGER_S = 1.0
 
 
-class _CallerConnection(asyncio.Protocol):
+class _CallerConnection(asyncio.BufferedProtocol):
     """Connection of a caller; pipelined requests are handled one at a time."""
 
     def __init__(self, listener: CallersListener) -> None:
         self._listener = listener
         self._transport: asyncio.Transport | None = None
+        self._input: PacedInput | None = None
+        # Refers to this connection; None once it is lost, to break the cycle.
+        self._parser: httptools.HttpRequestParser | None
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: deque[CallerRequest] = deque()
+        self._waiting_bytes = 0
+        self._is_serving_waiting = False
+        # Bytes since the last one of a body, or since a head or message was complete.
+        self._barren_bytes = 0
+        # Written answers that wait for the caller to read.
+        self._unwritten_bytes = 0
         self._exchange: Exchange | None = None
         self._is_closing = False
         self._is_message_open = False
-        self._is_paused = False
         # Status and detail of a refusal that follows the answers in progress.
         self._pending_refusal: tuple[int, str] | None = None
         self._stalled_since_s: float | None = None
@@ -57,7 +70,7 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._reserved_bytes = 0
         self._is_skipping_body = False
@@ -68,12 +81,18 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
+        self._input = PacedInput(self._listener.pacer, transport)
         self._listener.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         self._listener.connections.discard(self)
         self._is_closing = True
+        self._input.close()
         self._release_reserved()
+        self._reset_message()
+        self._parser = None
+        self._listener.answers.release(self._unwritten_bytes)
+        self._unwritten_bytes = 0
         while self._waiting:
             self._release(self._waiting.popleft())
         exchange, self._exchange = self._exchange, None
@@ -90,25 +109,61 @@
 
     def resume_writing(self) -> None:
         self._stalled_since_s = None
+        self._count_unwritten()
+        self._serve_waiting()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._listener.read_buffer
 
-    def data_received(self, data: bytes) -> None:
+    def buffer_updated(self, n_bytes: int) -> None:
         if self._is_closing or self._pending_refusal is not None:
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400, "upgrades are not supported")
-        except httptools.HttpParserError as error:
-            if not self._is_closing:
-                self._refuse(400, f"malformed HTTP request: {error}")
-        if self._exchange is not None and self._waiting:
-            self._limit_read_ahead()
+        began_s = time.perf_counter()
+        self._barren_bytes += n_bytes
+        self._parse(self._listener.read_buffer[:n_bytes])
+        if self._is_message_open:
+            self._reserve_body(self._body_bytes)
+        # Counted apart, as the parser gathers a line of any length.
+        if self._barren_bytes > self._listener.limits().header_bytes_max + READ_BYTES:
+            self._refuse(431, "the request has too many bytes beside its body")
+        if self._waiting_bytes > READ_AHEAD_BYTES_MAX:
+            self._input.stop()
+        self._input.note(time.perf_counter() - began_s)
+
+    def _parse(self, data: memoryview) -> None:
+        while not self._is_closing and self._pending_refusal is None:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                head = self._head_without_upgrade()
+                data = memoryview(head + bytes(data[upgrade.args[0] :]))
+                self._parser = httptools.HttpRequestParser(self)
+            except httptools.HttpParserError as error:
+                if not self._is_closing:
+                    self._refuse(400, f"malformed HTTP request: {error}")
+                return
+
+    def _head_without_upgrade(self) -> bytes:
+        """Return the head of the open message, without its offer of an upgrade.
+
+        The offer is ignored (RFC 9110, section 7.8). The parser reads no body after it.
+        """
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self._parser.get_method(), self._target, version)]
+        lines += [
+            b"%b: %b" % (name, value)
+            for name, value in self._headers
+            if name != b"upgrade"
+        ]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
 
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
         self._reset_message()
         self._is_message_open = True
+        self._input.begin_message()
         self.since_s = time.monotonic()
 
     def on_url(self, url: bytes) -> None:
@@ -120,6 +175,13 @@
         self._count_header(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
+        self._barren_bytes = 0
+        if self._parser.get_method() == b"CONNECT":
+            self._refuse(400, "tunnels are not supported")
+            return
+        if self._parser.should_upgrade():
+            # The head is parsed again without the offer.
+            return
         self._is_continue_expected = any(
             name == b"expect" and value.lower() == b"100-continue"
             for name, value in self._headers
@@ -131,15 +193,19 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
+        self._barren_bytes = 0
         self._body_bytes += len(body)
         if self._is_reading_body:
-            self._body.append(body)
-            self._reserve_body(self._body_bytes)
+            self._body += body
 
     def on_message_complete(self) -> None:
+        if self._parser.should_upgrade():
+            return
+        self._barren_bytes = 0
         self._is_message_open = False
+        self._reserve_body(self._body_bytes)
         if self._is_reading_body:
-            self._accept(b"".join(self._body))
+            self._accept(bytes(self._body))
 
     @property
     def is_busy(self) -> bool:
@@ -180,12 +246,11 @@
             reserved_bytes=self._reserved_bytes,
             is_body_skipped=self._is_skipping_body,
         )
-        self._body = []
+        self._body = bytearray()
         self._reserved_bytes = 0
-        if self._exchange is None:
-            self._start(request)
-        else:
-            self._waiting.append(request)
+        self._waiting.append(request)
+        self._waiting_bytes += _waiting_cost(request)
+        self._serve_waiting()
 
     # Exchanges.
 
@@ -198,31 +263,33 @@
         self._release(request)
         if self._transport is None or self._transport.is_closing():
             return
-        close = not request.keep_alive or self._listener.is_leaving
-        self._transport.write(
-            format_answer(status, head, body, close, request.method == b"HEAD")
-        )
+        # What was read while the host leaves is answered before the close.
+        is_last = not self._waiting and not self._is_message_open
+        close = not request.keep_alive or (self._listener.is_leaving and is_last)
+        parts = answer_parts(status, head, body, close, request.method == b"HEAD")
+        if len(body) <= SMALL_BODY_BYTES:
+            self._transport.write(b"".join(parts))
+        else:
+            self._transport.writelines(parts)
+        self._count_unwritten()
         self.since_s = time.monotonic()
         if close:
             self._close()
             return
-        if self._is_paused:
-            self._is_paused = False
-            self._transport.resume_reading()
-        if self._waiting:
-            self._start(self._waiting.popleft())
-        elif self._pending_refusal is not None:
-            self._refuse(*self._pending_refusal)
+        if self._listener.is_leaving and not self._is_message_open:
+            self._input.stop()
+        self._serve_waiting()
 
     def sweep(self, now_s: float, limits: CallerLimits, idle_s: float) -> None:
         """Close the connection on a late request head, a stalled write or idleness."""
+        self._count_unwritten()
         if (
             self._stalled_since_s is not None
             and now_s - self._stalled_since_s > WRITE_STALL_S
         ):
             self._is_closing = True
             self._transport.abort()
-        if self._exchange is not None or self._is_closing:
+        if self._exchange is not None or self._waiting or self._is_closing:
             return
         age_s = now_s - self.since_s
         # A complete head counts as late too until the first byte of its body arrives.
@@ -241,12 +308,49 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _serve_waiting(self) -> None:
+        """Start waiting requests, one after the other, while they end at once.
+
+        None is started while the caller does not read the answers before it.
+        """
+        if self._is_serving_waiting:
+            # The request that the loop below has started has ended already.
+            return
+        self._is_serving_waiting = True
+        try:
+            while (
+                self._waiting
+                and self._exchange is None
+                and not self._is_closing
+                and self._stalled_since_s is None
+            ):
+                request = self._waiting.popleft()
+                self._waiting_bytes -= _waiting_cost(request)
+                self._start(request)
+        finally:
+            self._is_serving_waiting = False
+        if self._exchange is not None or self._waiting or self._is_closing:
+            return
+        if self._pending_refusal is not None:
+            self._refuse(*self._pending_refusal)
+        elif not self._listener.is_leaving:
+            self._input.go_on()
+
     def _start(self, request: CallerRequest) -> None:
         exchange = Exchange(self, request)
         self._exchange = exchange
         self._listener.n_open += 1
         self._listener.handle(exchange)
 
+    def _count_unwritten(self) -> None:
+        """Update the memory of answers that the caller has not read."""
+        n_bytes = self._transport.get_write_buffer_size()
+        if n_bytes > self._unwritten_bytes:
+            self._listener.answers.hold(n_bytes - self._unwritten_bytes)
+        else:
+            self._listener.answers.release(self._unwritten_bytes - n_bytes)
+        self._unwritten_bytes = n_bytes
+
     def _count_header(self, n_bytes: int) -> None:
         self._header_bytes += n_bytes
         if self._header_bytes > self._listener.limits().header_bytes_max:
@@ -282,7 +386,7 @@
         """
         if self._is_closing:
             return
-        if self._exchange is not None:
+        if self._exchange is not None or self._waiting:
             self._pending_refusal = (status, detail)
             return
         # A request whose body is skipped was answered before its body had arrived.
@@ -302,11 +406,11 @@
         else:
             self._transport.close()
 
-    def _limit_read_ahead(self) -> None:
-        n_bytes = sum(len(request.body) + 512 for request in self._waiting)
-        if n_bytes > READ_AHEAD_BYTES_MAX and not self._is_paused:
-            self._is_paused = True
-            self._transport.pause_reading()
+
+def _waiting_cost(request: CallerRequest) -> int:
+    """Return the memory in bytes of a request that waits."""
+    n_bytes = len(request.target) + len(request.body) + REQUEST_OVERHEAD_BYTES
+    return n_bytes + sum(len(name) + len(value) for name, value in request.headers)
 
 
 class CallersListener:
@@ -318,6 +422,8 @@
         on_bad_request: Called with status and detail of a request that was not
             accepted.
         bodies: Memory for request bodies; without limit if None.
+        answers: Memory of answers, to count those that callers have not read; without
+            limit if None.
     """
 
     def __init__(
@@ -326,11 +432,16 @@
         limits: Callable[[], CallerLimits],
         on_bad_request: Callable[[int, str], None],
         bodies: BodyBudget | None = None,
+        answers: BodyBudget | None = None,
     ) -> None:
         self.handle = handle
         self.limits = limits
         self.on_bad_request = on_bad_request
         self.bodies = BodyBudget(sys.maxsize) if bodies is None else bodies
+        self.answers = BodyBudget(sys.maxsize) if answers is None else answers
+        self.pacer = InputPacer()
+        # Shared by the connections: what was read is parsed before the next read.
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.connections: set[_CallerConnection] = set()
         self.n_open = 0
         self.is_leaving = False
--- a/packages/savoryroute/savoryroute/transport/input_pacer.py
+++ b/packages/savoryroute/savoryroute/transport/input_pacer.py
@@ -52,12 +52,20 @@
         self._pacer = pacer
         self._transport = transport
         self._spent_s = 0.0
+        self._is_stopped = False
         self._timer: asyncio.TimerHandle | None = None
 
-    @property
-    def is_waiting(self) -> bool:
-        """Whether reading is paused until the next turn."""
-        return self._timer is not None
+    def stop(self) -> None:
+        """Read nothing until ``go_on``, whatever the turns."""
+        if not self._is_stopped and self._timer is None:
+            self._transport.pause_reading()
+        self._is_stopped = True
+
+    def go_on(self) -> None:
+        """Read again, in the next turn if one is waited for."""
+        if self._is_stopped and self._timer is None:
+            self._transport.resume_reading()
+        self._is_stopped = False
 
     def begin_message(self) -> None:
         """Start a slice; short messages never use one up."""
@@ -68,7 +76,8 @@
         self._spent_s += spent_s
         if self._spent_s < SLICE_S or self._timer or self._transport.is_closing():
             return
-        self._transport.pause_reading()
+        if not self._is_stopped:
+            self._transport.pause_reading()
         delay_s = self._pacer.delay_after(self._spent_s)
         self._spent_s = 0.0
         loop = asyncio.get_running_loop()
@@ -82,5 +91,5 @@
 
     def _resume(self) -> None:
         self._timer = None
-        if not self._transport.is_closing():
+        if not self._is_stopped and not self._transport.is_closing():
             self._transport.resume_reading()
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from savoryroute.state.body_budget import BodyBudget
 from savoryroute.state.route_table import CallerLimits
 from savoryroute.transport.caller_exchange import format_answer
 from savoryroute.transport.http_server import CallersListener
@@ -142,6 +143,138 @@
         self.assertTrue(text.endswith(b"x"))
 
 
+class AnsweringListenerTest(unittest.IsolatedAsyncioTestCase):
+    """A handler that answers each request at once, with the request's target."""
+
+    answer_bytes = 0
+
+    async def asyncSetUp(self):
+        self.targets = []
+        self.answers = BodyBudget(1 << 20)
+        self.listener = CallersListener(
+            self.handle,
+            lambda: CallerLimits(16_384, 1 << 20, 5.0, 5.0),
+            lambda status, detail: None,
+            answers=self.answers,
+        )
+        await self.listener.start("127.0.0.1", 0)
+        self.address = self.listener._server.sockets[0].getsockname()
+        self.reader, self.writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(self.listener.abort)
+        self.addCleanup(self.writer.close)
+
+    def handle(self, exchange):
+        self.targets.append(exchange.request.target)
+        body = exchange.request.target + b"a" * self.answer_bytes
+        exchange.respond(200, b"", body)
+
+    async def read_answer(self):
+        async with asyncio.timeout(2):
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            length = int(head.split(b"Content-Length: ")[1].split(b"\r\n")[0])
+            return int(head.split()[1]), await self.reader.readexactly(length)
+
+    async def test_offered_upgrade_gets_one_answer_and_the_next_request_its_own(self):
+        self.writer.write(
+            b"GET /a HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+            b"POST /b HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+            b"Content-Length: 2\r\n\r\nok"
+            b"GET /c HTTP/1.1\r\n\r\n"
+        )
+        for target in (b"/a", b"/b", b"/c"):
+            self.assertEqual(await self.read_answer(), (200, target))
+
+    async def test_tunnel_is_refused_and_not_served(self):
+        self.writer.write(b"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n")
+        self.assertEqual((await self.read_answer())[0], 400)
+        self.assertEqual(self.targets, [])
+
+    async def test_many_requests_sent_ahead_that_end_at_once_are_answered(self):
+        """Each answer started the next request within its own call."""
+        n_requests = 2000
+        self.writer.writelines(
+            b"GET /%d HTTP/1.1\r\n\r\n" % number for number in range(n_requests)
+        )
+        for number in range(n_requests):
+            self.assertEqual(await self.read_answer(), (200, b"/%d" % number))
+
+    async def test_body_in_chunks_of_one_byte(self):
+        head = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.writer.write(head + b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n")
+        self.assertEqual(await self.read_answer(), (200, b"/a"))
+
+    async def test_lines_without_end_are_refused(self):
+        chunked = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        body = b"1000\r\n" + b"a" * 4096 + b"\r\n"
+        for begin in (
+            b"GET /a HTTP/1.1\r\nA: ",
+            b"GET /",
+            chunked + b"1;",
+            chunked + body * 100 + b"0\r\nA: ",
+        ):
+            with self.subTest(begin[:40]):
+                reader, writer = await asyncio.open_connection(*self.address)
+                self.addCleanup(writer.close)
+                writer.write(begin)
+                writer.write(b"a" * 100_000)
+                line = await asyncio.wait_for(reader.readline(), 2)
+                self.assertIn(line.split()[1], (b"400", b"431"))
+        self.assertEqual(self.targets, [])
+
+    async def test_heads_sent_ahead_are_bounded(self):
+        held = []
+        self.listener.handle = held.append
+        request = b"GET /a HTTP/1.1\r\nA: " + b"a" * 10_000 + b"\r\n\r\n"
+        self.writer.write(request * 400)
+        await asyncio.sleep(0.3)
+        (connection,) = self.listener.connections
+        self.assertLess(len(connection._waiting), 40)
+        self.listener.handle = self.handle
+        held[0].respond(200, b"", b"first")
+        self.assertEqual(await self.read_answer(), (200, b"first"))
+        for _ in range(399):
+            self.assertEqual(await self.read_answer(), (200, b"/a"))
+
+    async def test_request_sent_ahead_while_the_host_leaves_is_answered(self):
+        held = []
+        self.listener.handle = held.append
+        self.writer.write(b"GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n")
+        async with asyncio.timeout(2):
+            while not held:
+                await asyncio.sleep(0.005)
+        self.listener.is_leaving = True
+        held[0].respond(200, b"", b"/a")
+        held[1].respond(200, b"", b"/b")
+        text = await asyncio.wait_for(self.reader.read(), 2)
+        self.assertEqual(text.count(b"HTTP/1.1 200"), 2)
+        self.assertEqual(text.count(b"Connection: close"), 1)
+
+    async def test_requests_wait_while_their_caller_does_not_read(self):
+        """Its answers are counted until it has read them."""
+        self.answer_bytes = 10_000_000
+        for number in range(20):
+            self.writer.write(b"GET /%d HTTP/1.1\r\n\r\n" % number)
+        await asyncio.sleep(0.3)
+        self.assertLess(len(self.targets), 4)
+        self.assertTrue(self.answers.is_spent)
+        for _ in range(20):
+            self.assertEqual((await self.read_answer())[0], 200)
+        async with asyncio.timeout(2):
+            while self.answers.held_bytes:
+                self.listener.sweep()
+                await asyncio.sleep(0.01)
+
+    async def test_unread_answers_of_a_caller_that_leaves_are_released(self):
+        self.answer_bytes = 10_000_000
+        self.writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await asyncio.sleep(0.2)
+        self.assertTrue(self.answers.is_spent)
+        self.writer.transport.abort()
+        async with asyncio.timeout(2):
+            while self.answers.held_bytes:
+                await asyncio.sleep(0.01)
+
+
 class FormatTest(unittest.TestCase):
     def test_head_answers_have_length_but_no_body(self):
         text = format_answer(200, b"A: b\r\n", b"body", False, is_head=True)
--- a/tests/savoryroute_platform/test_process_start.py
+++ b/tests/savoryroute_platform/test_process_start.py
@@ -63,7 +63,7 @@
             while not ignores_hangup(process.pid):
                 await asyncio.sleep(0.0005)
         maps = pathlib.Path(f"/proc/{process.pid}/maps").read_text()
-        self.assertNotIn("uvloop", maps)
+        self.assertFalse("uvloop" in maps)
 
     async def test_port_that_an_ending_process_still_uses(self):
         killed = self.fleet.daemons[1]
