links: long answers travel in pieces, and a frame has 4 MiB at most

Daemons of the caller's side were ended for their memory by whole, sound answers of 15 MB, and refused calls of others as their links stood still.

Cause: an answer was one frame of up to 80 MiB, held several times over while it was encoded, sent, received and decoded, and copied again with each read; no budget counted it. Change: an answer above 16 KiB follows its frame in pieces, as request bodies do; both sides count it until it is sent on. Without memory the call ends as may have run. Received bytes are gathered in one buffer. A failing handler is logged and affects no other call. All daemons of a fleet must have this version: the frame of an answer has a field more. The mock of test_call_whose_answer_cannot_be_read takes the new argument.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -155,7 +155,7 @@
             switches,
         )
         self._bodies = BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE))
-        self._peer_calls = PeerCalls(self._upstream, self._bodies)
+        self._peer_calls = PeerCalls(self._upstream, self._bodies, self._answer_bodies)
         self._synchronizer = ViewSynchronizer(
             decode_routes,
             log,
@@ -172,7 +172,9 @@
             time.monotonic,
             switches,
         )
-        self._links = PeerLinks(settings.links.port, log, self._on_control_frame)
+        self._links = PeerLinks(
+            settings.links.port, log, self._on_control_frame, self._answer_bodies
+        )
         self._metrics = Metrics(self._gauges)
         self._organisations: Organisations | None = None
         self._organisation_counters = OrganisationCounters()
@@ -315,7 +317,8 @@
     def _n_unfinished(self) -> int:
         """Return how many requests and answers the end of the process would cut off."""
         n_links = sum(link.has_unwritten for link in self._accepted_links)
-        return self._callers.n_busy + self._upstream.n_open + n_links
+        n_answers = self._callers.n_busy + self._peer_calls.n_sending
+        return n_answers + self._upstream.n_open + n_links
 
     async def close(self) -> None:
         """Stop at once; requests in flight are aborted."""
--- a/packages/savoryroute/savoryroute/coordination/peer_calls.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_calls.py
@@ -5,7 +5,7 @@
 import time
 from typing import Any
 
-from ..protocol.body_transfer import IncomingBodies
+from ..protocol.body_transfer import BodySender, IncomingBodies, inline_body
 from ..protocol.mesh_frames import FrameKind, MeshAnswer, MeshCall
 from ..state.body_budget import BodyBudget
 from ..transport.frame_link import FrameLink
@@ -26,14 +26,24 @@
     Args:
         upstream: The upstream on this host.
         bodies: Memory for request bodies.
+        answers: Memory for the bodies of answers, which are held until they are sent.
     """
 
-    def __init__(self, upstream: LocalUpstream, bodies: BodyBudget) -> None:
+    def __init__(
+        self, upstream: LocalUpstream, bodies: BodyBudget, answers: BodyBudget
+    ) -> None:
         self._upstream = upstream
         self._bodies = bodies
+        self._answers = answers
+        self._senders: dict[FrameLink, BodySender] = {}
         self._incoming = IncomingBodies()
         self._running: dict[_Key, LocalCall] = {}
 
+    @property
+    def n_sending(self) -> int:
+        """Answers of which a part is unsent."""
+        return sum(map(len, self._senders.values()))
+
     def on_frame(self, link: FrameLink, frame: list[Any]) -> bool:
         """Handle a frame; return whether it was one about calls.
 
@@ -59,6 +69,9 @@
         for key in [*self._running, *self._incoming.keys()]:
             if key[0] is link:
                 self._cancel(key)
+        sender = self._senders.pop(link, None)
+        if sender is not None:
+            sender.stop_all()
 
     def sweep(self) -> None:
         """Refuse the calls whose bodies are incomplete at their deadline."""
@@ -94,13 +107,30 @@
         def answer(answer: MeshAnswer) -> None:
             self._running.pop(key, None)
             self._bodies.release(call.body_bytes)
-            link.send(answer.to_frame())
+            self._send_answer(link, answer)
 
         local = self._upstream.run(call, body, answer)
         if not local.is_over:
             self._running[key] = local
 
+    def _send_answer(self, link: FrameLink, answer: MeshAnswer) -> None:
+        """Send an answer, with a long body in pieces."""
+        body = answer.body
+        inline = inline_body(body)
+        link.send(answer.to_frame(inline))
+        if len(inline) == len(body) or not link.is_open:
+            return
+        sender = self._senders.get(link)
+        if sender is None:
+            sender = self._senders[link] = BodySender(link)
+        self._answers.hold(len(body))
+        n_bytes = len(body)
+        sender.start(answer.id, body, lambda: self._answers.release(n_bytes))
+
     def _cancel(self, key: _Key) -> None:
+        sender = self._senders.get(key[0])
+        if sender is not None:
+            sender.stop(key[1])
         local = self._running.pop(key, None)
         if local is not None:
             local.cancel()
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 import time
 from collections.abc import Callable
 from typing import Any
 
 import attrs
 
-from ..protocol.body_transfer import BodySender, inline_body
+from ..protocol.body_transfer import BodySender, IncomingAnswers, inline_body
 from ..protocol.mesh_frames import FrameKind, MeshAnswer, MeshCall
+from ..state.body_budget import BodyBudget
 from ..state.event_log import EventLog
 from ..transport.frame_link import FrameLink
 from ..verdict import Reason, Verdict
@@ -51,6 +53,7 @@
     Attributes:
         connection: The connection to the peer.
         bodies: Sends the long bodies of calls.
+        answers: Answers whose bodies are being received.
         pending: Answer handlers of the calls in flight by call number.
         next_id: Number of the next call on this link.
         pinged_s: Monotonic time of a ping that has not been answered, or None.
@@ -58,6 +61,7 @@
 
     connection: FrameLink
     bodies: BodySender
+    answers: IncomingAnswers = attrs.field(factory=IncomingAnswers)
     pending: dict[int, AnswerHandler] = attrs.field(factory=dict)
     next_id: int = 1
     pinged_s: float | None = None
@@ -71,6 +75,7 @@
         log: Event log.
         on_control_frame: Handles frames that are not about calls; gets the address of
             the peer, the connection and the frame.
+        answers: Memory for the bodies of answers; without limit if None.
     """
 
     def __init__(
@@ -78,10 +83,12 @@
         port: int,
         log: EventLog,
         on_control_frame: Callable[[str, FrameLink, list[Any]], None],
+        answers: BodyBudget | None = None,
     ) -> None:
         self._port = port
         self._log = log
         self._on_control_frame = on_control_frame
+        self._answers = BodyBudget(sys.maxsize) if answers is None else answers
         self._links: dict[str, _Link] = {}
         self._dialling: dict[str, asyncio.Task] = {}
         self._queued: dict[str, list[_QueuedCall]] = {}
@@ -168,6 +175,7 @@
         link = self._links.get(ip)
         if link is None or link.pending.pop(call.id, None) is None:
             return True
+        self._answers.release(link.answers.drop(call.id))
         is_incomplete = link.bodies.stop(call.id)
         link.connection.send([FrameKind.CANCEL.value, call.id])
         return not is_incomplete
@@ -276,15 +284,51 @@
                 return
             # Read first: a call whose answer cannot be read ends with its link.
             answer = MeshAnswer.from_frame(frame)
-            on_answer = link.pending.pop(answer.id, None)
             link.bodies.stop(answer.id)
-            if on_answer is not None:
-                on_answer(answer)
+            if answer.body_bytes == len(answer.body):
+                self._deliver(link, answer)
+            elif answer.id in link.pending:
+                self._await_body(link, answer)
+        elif frame[0] == FrameKind.BODY:
+            link = self._links.get(connection.peer_ip)
+            if link is None or link.connection is not connection:
+                return
+            answer = link.answers.add(frame[1], frame[2])
+            if answer is not None:
+                self._answers.release(answer.body_bytes)
+                self._deliver(link, answer)
         elif frame[0] == FrameKind.PING:
             connection.send([FrameKind.PONG.value])
         elif frame[0] != FrameKind.PONG:
             self._on_control_frame(connection.peer_ip, connection, frame)
 
+    def _await_body(self, link: _Link, answer: MeshAnswer) -> None:
+        """Receive the body of an answer, if there is memory for it."""
+        if self._answers.try_reserve(answer.body_bytes):
+            link.answers.begin(answer)
+            return
+        link.connection.send([FrameKind.CANCEL.value, answer.id])
+        answer.verdict = Verdict.MAY_HAVE_RUN
+        answer.reason = Reason.BAD_ANSWER
+        answer.detail = (
+            f"no memory for an answer of {answer.body_bytes} bytes: answers take up"
+            f" {self._answers.held_bytes} bytes"
+        )
+        self._deliver(link, answer)
+
+    def _deliver(self, link: _Link, answer: MeshAnswer) -> None:
+        """Pass an answer to the call that waits for it, if one does."""
+        on_answer = link.pending.pop(answer.id, None)
+        if on_answer is not None:
+            self._call_handler(on_answer, answer)
+
+    def _call_handler(self, on_answer: AnswerHandler, answer: MeshAnswer) -> None:
+        """Call the handler of an answer; its failure must not affect other calls."""
+        try:
+            on_answer(answer)
+        except Exception as error:
+            self._log.request("answer_failed", "", error=repr(error)[:200])
+
     def _on_lost(self, connection: FrameLink) -> None:
         link = self._links.get(connection.peer_ip)
         if link is None or link.connection is not connection:
@@ -293,9 +337,11 @@
         self._log.change(
             "peer_lost", peer=connection.peer_ip, n_calls=len(link.pending)
         )
+        self._answers.release(link.answers.drop_all())
         pending, link.pending = link.pending, {}
         for call_id, on_answer in pending.items():
-            on_answer(_lost(connection.peer_ip, link.bodies.stop(call_id)))
+            lost = _lost(connection.peer_ip, link.bodies.stop(call_id))
+            self._call_handler(on_answer, lost)
 
     def _on_bad(self, detail: str) -> None:
         self._log.change("peer_sent_bad_frame", detail=detail)
--- a/packages/savoryroute/savoryroute/protocol/mesh_frames.py
+++ b/packages/savoryroute/savoryroute/protocol/mesh_frames.py
@@ -179,7 +179,8 @@
         was_sent: Whether the request was sent to the upstream.
         status: HTTP status of the upstream, 0 if none.
         head: Header lines of the upstream's answer.
-        body: The complete body.
+        body: The complete body. In the frame only if it is short; a long one follows in
+            further frames (``body_transfer``).
         n_reported: Calls running and waiting at the upstream when it answered.
         limit: Number of slots of the upstream.
         wait_ms: Milliseconds that a new call would wait for a slot.
@@ -191,6 +192,7 @@
         repeat_share: Share of the repeats left to the upstream and further downstream.
         work_time: Factor by which work takes longer at the upstream now than usual,
             as far as the daemon beside it sees that confirmed by service times.
+        body_bytes: Length of the body.
     """
 
     id: int
@@ -209,9 +211,15 @@
     is_leaving: bool = False
     repeat_share: float = 1.0
     work_time: float = 1.0
+    body_bytes: int = 0
 
-    def to_frame(self) -> list[Any]:
-        """Return the frame."""
+    def to_frame(self, inline_body: bytes = b"") -> list[Any]:
+        """Return the frame.
+
+        Args:
+            inline_body: The complete body, or an empty string if it follows in further
+                frames.
+        """
         return [
             FrameKind.ANSWER.value,
             self.id,
@@ -221,7 +229,7 @@
             self.was_sent,
             self.status,
             self.head,
-            self.body,
+            inline_body,
             self.n_reported,
             self.limit,
             self.wait_ms,
@@ -230,6 +238,7 @@
             self.is_leaving,
             round(self.repeat_share, 3),
             round(self.work_time, 2),
+            len(self.body),
         ]
 
     @classmethod
@@ -245,6 +254,8 @@
         answer = cls(*frame[1:])
         if min(answer.n_reported, answer.limit, answer.wait_ms) < 0:
             raise ValueError("a figure of the load is negative")
+        if len(answer.body) not in (0, answer.body_bytes):
+            raise ValueError("the body of an answer is not as long as stated")
         if answer.work_time <= 0.0:
             raise ValueError("a work time is not above 0")
         answer.verdict = _VERDICTS[frame[2]]
--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -19,8 +19,8 @@
 
 __all__ = ["FrameHandler", "FrameLink", "FrameLinkServer"]
 
-# Above the longest answer body, ``http_client.ANSWER_BYTES_MAX``.
-FRAME_BYTES_MAX = 80 * 1024 * 1024
+# Above the longest value of the platform. Long bodies travel in pieces.
+FRAME_BYTES_MAX = 4 * 1024 * 1024
 LISTEN_BACKLOG = 1024
 # Bytes that wait to be written above which no further piece of a body is added: they
 # delay all frames that are sent next.
@@ -50,7 +50,7 @@
         self._on_lost = on_lost
         self._on_bad_frame = on_bad_frame
         self._transport: asyncio.Transport | None = None
-        self._buffer = b""
+        self._buffer = bytearray()
         self._is_write_paused = False
         self.last_read_s = time.monotonic()
         self.peer_ip = ""
@@ -117,7 +117,8 @@
     def data_received(self, data: bytes) -> None:
         """Split the received bytes into frames."""
         self.last_read_s = time.monotonic()
-        buffer = self._buffer + data if self._buffer else data
+        buffer = self._buffer
+        buffer += data
         start, end = 0, len(buffer)
         try:
             while end - start >= _LENGTH.size:
@@ -127,7 +128,7 @@
                 if end - start - _LENGTH.size < length:
                     break
                 start += _LENGTH.size
-                frame = cbor2.loads(buffer[start : start + length])
+                frame = cbor2.loads(bytes(buffer[start : start + length]))
                 start += length
                 if not isinstance(frame, list) or not frame:
                     raise ValueError("frame is not a non-empty array")
@@ -137,7 +138,7 @@
             self._on_bad_frame(f"{self.peer_ip}: {error!r:.200}")
             self.abort()
             return
-        self._buffer = buffer[start:] if start else buffer
+        del buffer[:start]
 
 
 class FrameLinkServer:
--- a/tests/savoryroute_platform/test_operator_reports.py
+++ b/tests/savoryroute_platform/test_operator_reports.py
@@ -126,7 +126,7 @@
         """Guards against a caller that waits although its call was lost."""
         send = MeshAnswer.to_frame
         bad = mock.patch.object(
-            MeshAnswer, "to_frame", lambda s: [*send(s)[:-2], "", 1]
+            MeshAnswer, "to_frame", lambda s, body: [*send(s, body)[:-2], "", 1]
         )
         with bad:
             answer = await asyncio.wait_for(self.request(method="GET"), 1.0)
