first hop: failed answers that are kept during a retry are counted

Cause: the same class: a complete answer with a failure is kept until the retry has ended, under no budget. Change: it is held in the memory of answers and released when the request ends. Measured: AnswerBudgetTest: nothing is held after a failed retry, nor after the caller has left during one.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -465,7 +465,7 @@
             forwarded.may_have_run = True
         elif answer.verdict is Verdict.RAN:
             forwarded.may_have_run = True
-            forwarded.failed_answer = answer
+            self._keep_failed_answer(forwarded, answer)
         route = forwarded.route
         step = next_step(
             answer,
@@ -485,6 +485,16 @@
             self._records.placed_again(forwarded, answer)
             self._place(forwarded)
 
+    def _keep_failed_answer(
+        self, forwarded: ForwardedRequest, answer: MeshAnswer | None
+    ) -> None:
+        """Keep a complete answer with a failure during a retry; count its memory."""
+        if forwarded.failed_answer is not None:
+            self._answers.release(len(forwarded.failed_answer.body))
+        forwarded.failed_answer = answer
+        if answer is not None:
+            self._answers.hold(len(answer.body))
+
     def _try_retry(self, forwarded: ForwardedRequest, answer: MeshAnswer) -> NextStep:
         """Return ``RETRY`` if one is likely admitted, else how to end the request.
 
@@ -502,6 +512,7 @@
     def _return_answer(self, forwarded: ForwardedRequest, answer: MeshAnswer) -> None:
         forwarded.timer.cancel()
         is_failure = answer.status >= 500
+        self._keep_failed_answer(forwarded, None)
         self._answer_lengths.note(forwarded.route.name, len(answer.body))
         self._note_end(forwarded, is_failure and answer.is_load, not is_failure)
         self._records.answered(forwarded, answer)
@@ -610,6 +621,7 @@
         if forwarded.credit_wait is None:
             self._note_end(forwarded, False)
         self._records.caller_gone(forwarded)
+        self._keep_failed_answer(forwarded, None)
         self._cancel_attempt(forwarded)
         self._end_quota(forwarded)
 
--- a/tests/savoryroute_platform/test_released_memory.py
+++ b/tests/savoryroute_platform/test_released_memory.py
@@ -105,3 +105,27 @@
             await asyncio.sleep(0.1)
             caller.close()
         await self.assert_nothing_left()
+
+
+class AnswerBudgetTest(PathTest):
+    """Every way in which a request ends returns the memory of its answers."""
+
+    async def test_failed_answers_kept_during_a_retry(self):
+        failed = LONG_ANSWER.replace(b"200 OK", b"500 Failed")
+        budget = self.fleet.nodes[0]._answer_bodies
+        for is_left in (False, True):
+            for planner in self.planners:
+                planner.script += [failed]
+                planner.delay_s = 0.2 if is_left else 0.0
+            caller = await self.fleet.caller(0)
+            caller.write("/planner/x")
+            if is_left:
+                await asyncio.sleep(0.3)
+                caller.close()
+            else:
+                self.assertTrue((await caller.read()).is_complete)
+            for planner in self.planners:
+                planner.script.clear()
+            await self.fleet.wait_until(lambda: not budget.held_bytes)
+        for node in self.fleet.nodes:
+            self.assertEqual(node._answer_bodies.held_bytes, 0)
