tests: stand-ins that keep up beside long answers, links open before the play

Cause: the stand-in of the sound upstream stated four slots and shares its process with a reader that copied a long answer with each piece, so daemons refused requests for it (503, true) when the machine was busy; a first link took longer than 0.6 s to open at a load of 13. What is asserted is as before.

--- a/tests/savoryroute_platform/process_fleet.py
+++ b/tests/savoryroute_platform/process_fleet.py
@@ -21,6 +21,7 @@
 PROGRAM = ROOT / "platform" / "main.py"
 ENDLESS_UPSTREAM = pathlib.Path(__file__).with_name("endless_upstream.py")
 MEMORY_CHECK_S = 0.02
+SLOTS = 32
 MB = 1_000_000
 
 
@@ -90,9 +91,10 @@
         for index, service in enumerate(self.SERVICES):
             if index != faulty:
                 upstream = UpstreamStandIn(f"i-{index}", delay_s=0.02)
+                upstream.slots = SLOTS
                 await upstream.start(self.ip(index), self.app_port)
                 self.upstreams.append(upstream)
-            value = entry(service, self.ip(index), self.app_port, slots=32)
+            value = entry(service, self.ip(index), self.app_port, slots=SLOTS)
             self.store.put(f"servers/i-{index}", value)
             self.daemons.append(self._spawn(index))
             self._guards.append(asyncio.create_task(self._guard(index)))
--- a/tests/savoryroute_platform/test_endless_answers.py
+++ b/tests/savoryroute_platform/test_endless_answers.py
@@ -24,6 +24,16 @@
         self.idle = {index: [] for index in OTHERS_PER_S}
         self.addAsyncCleanup(self.close_callers)
         self.statuses = Counter()
+        await self.open_links()
+
+    async def open_links(self):
+        """Send requests until the links between the daemons are open."""
+        async with asyncio.timeout(10):
+            for index in OTHERS_PER_S:
+                statuses = Counter()
+                while not statuses[200]:
+                    await self.send(index, "/steady/x", statuses)
+                    await asyncio.sleep(0.1)
 
     async def close_callers(self):
         for idle in self.idle.values():
