links: the frames of one link take turns with all else

Cause: a read was handled to its last frame, and the next one was ready at once. Unlike the connections of callers and upstreams a link gets no fixed share of the time: all calls of a sound peer come over it. A lost link drops its unread bytes and what refers to it. The receivers of test_frames_are_reassembled_from_any_pieces and of test_body_transfer take all their turns before the frames are compared as before.

--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -3,6 +3,10 @@
 WebSocket framing by the library costs more than the rest of a hop at the call rates of
 services deep in the call chain (docs/design/platform.md). Frames therefore have only a
 length prefix.
+
+Load pattern: a peer in trouble sends small frames without end. One read holds tens of
+thousands, which would be handled before anyone else is served. The links take turns
+instead. Their share of the time has no bound, since sound peers may need all of it.
 """
 
 from __future__ import annotations
@@ -15,6 +19,7 @@
 
 import cbor2
 
+from .input_pacer import SLICE_S
 from .keepalive import enable_keepalive
 
 __all__ = ["FrameHandler", "FrameLink", "FrameLinkServer"]
@@ -54,6 +59,9 @@
         self._on_bad_frame = on_bad_frame
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
+        # Whether complete frames wait for the next iteration of the loop.
+        self._has_turn = False
+        self._is_lost = False
         self._is_write_paused = False
         self.last_read_s = time.monotonic()
         self.peer_ip = ""
@@ -104,8 +112,10 @@
         enable_keepalive(transport)
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Call ``on_lost``."""
-        self._on_lost(self)
+        """Call ``on_lost`` once the frames that were received are handled."""
+        self._is_lost = True
+        if not self._has_turn:
+            self._end()
 
     def pause_writing(self) -> None:
         """Note that the write buffer is full."""
@@ -120,9 +130,39 @@
     def data_received(self, data: bytes) -> None:
         """Split the received bytes into frames."""
         self.last_read_s = time.monotonic()
+        self._buffer += data
+        if not self._has_turn:
+            self._handle_frames()
+
+    def _end(self) -> None:
+        """Drop what refers to this link or takes up memory."""
+        self._buffer = bytearray()
+        self._on_lost(self)
+        self.on_writable = None
+
+    def _take_turn(self) -> None:
+        """Go on with the received frames, and then read again."""
+        self._has_turn = False
+        self._handle_frames()
+        if self._has_turn:
+            return
+        if self._is_lost:
+            self._end()
+        elif self.is_open:
+            self._transport.resume_reading()
+
+    def _wait_for_turn(self) -> None:
+        """Handle further frames in the next iteration of the loop; read no more."""
+        self._has_turn = True
+        if self.is_open:
+            self._transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._take_turn)
+
+    def _handle_frames(self) -> None:
+        """Handle the complete frames, as many as fit into a turn."""
         buffer = self._buffer
-        buffer += data
         start, end = 0, len(buffer)
+        ends_s = time.monotonic() + SLICE_S
         try:
             while end - start >= _LENGTH.size:
                 (length,) = _LENGTH.unpack_from(buffer, start)
@@ -130,6 +170,9 @@
                     raise ValueError(f"frame of {length} bytes is too long")
                 if end - start - _LENGTH.size < length:
                     break
+                if start and time.monotonic() > ends_s:
+                    self._wait_for_turn()
+                    break
                 start += _LENGTH.size
                 encoded = bytes(buffer[start : start + length])
                 start += length
@@ -142,6 +185,7 @@
         except Exception as error:
             # Whatever a frame causes must not reach the event loop or other links.
             self._on_bad_frame(f"{self.peer_ip}: {error!r:.200}")
+            self._buffer = bytearray()
             self.abort()
             return
         del buffer[:start]
--- a/tests/savoryroute/protocol/test_body_transfer.py
+++ b/tests/savoryroute/protocol/test_body_transfer.py
@@ -96,6 +96,8 @@
             lambda _, frame: frames.append(frame), lambda _: None, lambda _: None
         )
         receiver.data_received(self.transport.delivered)
+        while receiver._has_turn:
+            receiver._take_turn()
         return frames
 
     async def test_ping_behind_an_upload_is_not_late_on_a_narrow_link(self):
--- a/tests/savoryroute/transport/test_frame_link.py
+++ b/tests/savoryroute/transport/test_frame_link.py
@@ -1,6 +1,8 @@
 """Tests of connections with length-prefixed frames."""
 
+import asyncio
 import struct
+import time
 import tracemalloc
 import unittest
 
@@ -9,12 +11,20 @@
 from hypothesis import strategies as st
 
 from savoryroute.transport.frame_link import FRAME_BYTES_MAX, ITEMS_MAX, FrameLink
+from savoryroute.transport.input_pacer import SLICE_S
 
 
 class FakeTransport:
     def __init__(self):
         self.data = b""
         self.is_aborted = False
+        self.is_reading = True
+
+    def pause_reading(self):
+        self.is_reading = False
+
+    def resume_reading(self):
+        self.is_reading = True
 
     def get_extra_info(self, name):
         return None
@@ -44,6 +54,12 @@
     return link, transport, frames, bad
 
 
+async def receive(link, data):
+    link.data_received(data)
+    while link._has_turn:
+        await asyncio.sleep(0)
+
+
 class FrameLinkTest(unittest.TestCase):
     @given(
         st.lists(st.lists(st.integers() | st.binary(max_size=40), min_size=1)),
@@ -56,7 +72,7 @@
         receiver, _, frames, bad = connect()
         data = wire.data
         for cut in [*cuts, len(data)]:
-            receiver.data_received(data[:cut])
+            asyncio.run(receive(receiver, data[:cut]))
             data = data[cut:]
         self.assertEqual(frames, sent)
         self.assertEqual(bad, [])
@@ -105,3 +121,48 @@
         link, _, frames, bad = connect()
         link.data_received(wire.data)
         self.assertEqual((frames, bad), ([[b"x" * 70_000, item]], []))
+
+
+class TurnsTest(unittest.IsolatedAsyncioTestCase):
+    """One read of small frames held the loop until all of them were handled."""
+
+    def setUp(self):
+        self.numbers, self.events = [], []
+        lost = self.events.append
+        self.link = FrameLink(self.take, lambda _: lost("lost"), self.events.append)
+        self.transport = FakeTransport()
+        self.link.connection_made(self.transport)
+        self.data = b"".join(pack(cbor2.dumps([number])) for number in range(50))
+
+    def take(self, link, frame):
+        time.sleep(SLICE_S / 4)
+        self.numbers.append(frame[0])
+
+    async def wait_for_frames(self):
+        for _ in range(200):
+            await asyncio.sleep(0)
+
+    async def test_others_are_served_between_the_frames_of_one_read(self):
+        self.link.data_received(self.data[:-1])
+        self.assertLess(len(self.numbers), 10)
+        self.assertFalse(self.transport.is_reading)
+        await self.wait_for_frames()
+        self.assertTrue(self.transport.is_reading)
+        self.link.data_received(self.data[-1:])
+        self.assertEqual((self.numbers, self.events), (list(range(50)), []))
+
+    async def test_frames_received_before_the_loss_are_handled_first(self):
+        self.link.data_received(self.data)
+        self.transport.is_aborted = True
+        self.link.connection_lost(None)
+        self.assertEqual(self.events, [])
+        await self.wait_for_frames()
+        self.assertEqual((self.numbers, self.events), (list(range(50)), ["lost"]))
+
+    async def test_bad_frame_between_turns_ends_the_link_once(self):
+        self.link.data_received(self.data + pack(b"\xff") + self.data)
+        await self.wait_for_frames()
+        self.assertTrue(self.transport.is_aborted)
+        self.link.connection_lost(None)
+        await self.wait_for_frames()
+        self.assertEqual((len(self.numbers), self.events[1:]), (50, ["lost"]))
