links: frames in part and unread frames are counted, for all links together

Cause: what a link had received of a frame, or written without its peer reading, was under no budget. Trials with uvloop: 60 peers with a partial frame of 4 MiB each took 241 MB; one that asks for frames of 150 kB and reads 10 kB/s took 447 MB within 3 s. The limit on unacknowledged data does not end a peer that reads a little. Change: frames may take up a tenth of the memory; a link that would exceed it is cut off. The first 64 KiB of each link are not counted, so that links with short frames go on. Two metrics show it. Ruled out: not to read from a peer that does not read, as two daemons could wait for each other. Measured: MemoryTest passes.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -76,6 +76,9 @@
 # answers that the local upstream is sending. While a body is copied or sent,
 # up to three times as much is in use.
 BODIES_MEMORY_SHARE = 0.15
+# Share of the memory that frames may take up which are partly received from peers, or
+# which peers have not read.
+FRAMES_MEMORY_SHARE = 0.1
 # Margin in seconds before the end of the grace period, when the process is killed.
 LEAVE_MARGIN_S = 0.4
 QUOTA_FRAMES = (
@@ -172,8 +175,13 @@
             time.monotonic,
             switches,
         )
+        self._frames = BodyBudget(int(settings.memory_bytes * FRAMES_MEMORY_SHARE))
         self._links = PeerLinks(
-            settings.links.port, log, self._on_control_frame, self._answer_bodies
+            settings.links.port,
+            log,
+            self._on_control_frame,
+            self._answer_bodies,
+            self._frames,
         )
         self._metrics = Metrics(self._gauges)
         self._organisations: Organisations | None = None
@@ -530,6 +538,8 @@
             "bodies_refused": self._bodies.n_refused,
             "answer_bytes_held": self._answer_bodies.held_bytes,
             "answers_refused": self._answer_bodies.n_refused,
+            "frame_bytes_held": self._frames.held_bytes,
+            "links_cut_for_memory": self._frames.n_refused,
             "resident_bytes": resident_bytes(),
             "links_open": len(self._links.open_connections),
             "routes_version": synchronizer.version,
@@ -556,7 +566,9 @@
     # Links that peers opened.
 
     def _make_link(self) -> FrameLink:
-        return FrameLink(self._on_frame, self._on_link_lost, self._on_bad_frame)
+        return FrameLink(
+            self._on_frame, self._on_link_lost, self._on_bad_frame, self._frames
+        )
 
     def _on_frame(self, link: FrameLink, frame: list[Any]) -> None:
         if frame[0] == FrameKind.PING:
--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -76,6 +76,7 @@
         on_control_frame: Handles frames that are not about calls; gets the address of
             the peer, the connection and the frame.
         answers: Memory for the bodies of answers; without limit if None.
+        frames: Memory for frames on their way; without limit if None.
     """
 
     def __init__(
@@ -84,11 +85,13 @@
         log: EventLog,
         on_control_frame: Callable[[str, FrameLink, list[Any]], None],
         answers: BodyBudget | None = None,
+        frames: BodyBudget | None = None,
     ) -> None:
         self._port = port
         self._log = log
         self._on_control_frame = on_control_frame
         self._answers = BodyBudget(sys.maxsize) if answers is None else answers
+        self._frames = frames
         self._links: dict[str, _Link] = {}
         self._dialling: dict[str, asyncio.Task] = {}
         self._queued: dict[str, list[_QueuedCall]] = {}
@@ -238,7 +241,9 @@
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: FrameLink(self._on_frame, self._on_lost, self._on_bad),
+                    lambda: FrameLink(
+                        self._on_frame, self._on_lost, self._on_bad, self._frames
+                    ),
                     ip,
                     self._port,
                 )
--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -13,12 +13,14 @@
 
 import asyncio
 import struct
+import sys
 import time
 from collections.abc import Callable
 from typing import Any
 
 import cbor2
 
+from ..state.body_budget import BodyBudget
 from .input_pacer import SLICE_S
 from .keepalive import enable_keepalive
 
@@ -30,6 +32,9 @@
 # takes up some 70 bytes. A list of 1,000 instances has some 10,000.
 ITEMS_MAX = 64 * 1024
 LISTEN_BACKLOG = 1024
+# Bytes that each link may hold uncounted, so that links with short frames go on while
+# others take up the memory.
+UNCOUNTED_BYTES = 64 * 1024
 # Bytes that wait to be written above which no further piece of a body is added: they
 # delay all frames that are sent next.
 WRITE_BUFFER_BYTES = 32 * 1024
@@ -45,7 +50,10 @@
     Args:
         on_frame: Handles each frame.
         on_lost: Called when the connection is closed or lost.
-        on_bad_frame: Called with the error in a frame before the connection is aborted.
+        on_bad_frame: Called with the error in a frame, or the lack of memory, before
+            the connection is aborted.
+        memory: Memory for frames that are partly received or not written, shared with
+            other links; without limit if None.
     """
 
     def __init__(
@@ -53,7 +61,10 @@
         on_frame: FrameHandler,
         on_lost: Callable[[FrameLink], None],
         on_bad_frame: Callable[[str], None],
+        memory: BodyBudget | None = None,
     ) -> None:
+        self._memory = BodyBudget(sys.maxsize) if memory is None else memory
+        self._counted_bytes = 0
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._on_bad_frame = on_bad_frame
@@ -91,6 +102,7 @@
             return
         data = cbor2.dumps(frame)
         self._transport.write(_LENGTH.pack(len(data)) + data)
+        self._count_memory()
 
     def close(self) -> None:
         """Close the connection once all sent frames are written."""
@@ -124,6 +136,7 @@
     def resume_writing(self) -> None:
         """Note that the write buffer has drained."""
         self._is_write_paused = False
+        self._count_memory()
         if self.on_writable is not None:
             self.on_writable()
 
@@ -133,10 +146,30 @@
         self._buffer += data
         if not self._has_turn:
             self._handle_frames()
+        self._count_memory()
+
+    def _count_memory(self) -> None:
+        """Count what the link holds; abort it if there is no memory for that."""
+        if not self.is_open:
+            return
+        n_bytes = len(self._buffer) + self._transport.get_write_buffer_size()
+        if n_bytes <= UNCOUNTED_BYTES:
+            n_bytes = 0
+        added = n_bytes - self._counted_bytes
+        if added < 0:
+            self._memory.release(-added)
+        elif added and not self._memory.try_reserve(added, self._counted_bytes):
+            held = f"it holds {n_bytes} bytes, all links {self._memory.held_bytes}"
+            self._on_bad_frame(f"{self.peer_ip}: no memory for the link: {held}")
+            self.abort()
+            return
+        self._counted_bytes = n_bytes
 
     def _end(self) -> None:
         """Drop what refers to this link or takes up memory."""
         self._buffer = bytearray()
+        self._memory.release(self._counted_bytes)
+        self._counted_bytes = 0
         self._on_lost(self)
         self.on_writable = None
 
@@ -149,6 +182,7 @@
         if self._is_lost:
             self._end()
         elif self.is_open:
+            self._count_memory()
             self._transport.resume_reading()
 
     def _wait_for_turn(self) -> None:
--- a/tests/savoryroute/protocol/test_body_transfer.py
+++ b/tests/savoryroute/protocol/test_body_transfer.py
@@ -30,6 +30,9 @@
         self.delivered = b""
         self.link = None
 
+    def get_write_buffer_size(self):
+        return len(self.waiting)
+
     def get_extra_info(self, name):
         return None
 
--- a/tests/savoryroute/transport/test_frame_link.py
+++ b/tests/savoryroute/transport/test_frame_link.py
@@ -10,7 +10,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from savoryroute.transport.frame_link import FRAME_BYTES_MAX, ITEMS_MAX, FrameLink
+from savoryroute.state.body_budget import BodyBudget
+from savoryroute.transport.frame_link import (
+    FRAME_BYTES_MAX,
+    ITEMS_MAX,
+    UNCOUNTED_BYTES,
+    FrameLink,
+)
 from savoryroute.transport.input_pacer import SLICE_S
 
 
@@ -26,6 +32,9 @@
     def resume_reading(self):
         self.is_reading = True
 
+    def get_write_buffer_size(self):
+        return len(self.data)
+
     def get_extra_info(self, name):
         return None
 
@@ -46,9 +55,11 @@
     return struct.pack(">I", len(encoded)) + encoded
 
 
-def connect():
+def connect(memory=None):
     frames, bad = [], []
-    link = FrameLink(lambda _, frame: frames.append(frame), lambda _: None, bad.append)
+    link = FrameLink(
+        lambda _, frame: frames.append(frame), lambda _: None, bad.append, memory
+    )
     transport = FakeTransport()
     link.connection_made(transport)
     return link, transport, frames, bad
@@ -166,3 +177,64 @@
         self.link.connection_lost(None)
         await self.wait_for_frames()
         self.assertEqual((len(self.numbers), self.events[1:]), (50, ["lost"]))
+
+
+class MemoryTest(unittest.TestCase):
+    """Frames that peers send in part, or do not read, took up any memory."""
+
+    def setUp(self):
+        self.memory = BodyBudget(10**6)
+        self.links = [connect(self.memory) for _ in range(60)]
+
+    def assert_bounded(self):
+        held = [
+            len(link._buffer) + len(transport.data)
+            for link, transport, _, _ in self.links
+            if link.is_open
+        ]
+        counted = sum(item for item in held if item > UNCOUNTED_BYTES)
+        self.assertEqual(self.memory.held_bytes, counted)
+        self.assertLess(sum(held), 2 * 10**6 + len(held) * UNCOUNTED_BYTES)
+
+    def lose_all(self):
+        for link, _, _, _ in self.links:
+            link.connection_lost(None)
+        self.assertEqual(self.memory.held_bytes, 0)
+
+    def test_partial_frames_on_many_links(self):
+        head = struct.pack(">I", FRAME_BYTES_MAX)
+        for link, transport, _, bad in self.links:
+            for piece in (head, *[b"x" * 200_000] * 6):
+                if link.is_open:
+                    link.data_received(piece)
+            if transport.is_aborted:
+                self.assertIn("no memory", bad[0])
+                link.connection_lost(None)
+        self.assert_bounded()
+        self.assertTrue(self.links[0][0].is_open)
+        # Short frames are read all the same.
+        last, _, frames, _ = self.links[-1] = connect(self.memory)
+        last.data_received(pack(cbor2.dumps([b"x" * 20_000])))
+        self.assertEqual(len(frames), 1)
+        self.lose_all()
+
+    def test_peers_that_do_not_read(self):
+        for _ in range(10):
+            for link, transport, _, _ in self.links:
+                link.send([b"x" * 30_000])
+                if transport.is_aborted and link._counted_bytes:
+                    link.connection_lost(None)
+        self.assert_bounded()
+        self.lose_all()
+
+    def test_memory_returns_when_frames_are_complete_or_written(self):
+        link, transport, frames, bad = self.links[0]
+        data = pack(cbor2.dumps([b"x" * 900_000]))
+        for start in range(0, len(data), 50_000):
+            link.data_received(data[start : start + 50_000])
+        self.assertEqual((len(frames), bad, self.memory.held_bytes), (1, [], 0))
+        link.send(frames[0])
+        self.assertEqual(self.memory.held_bytes, len(data))
+        transport.data = b""
+        link.resume_writing()
+        self.assertEqual(self.memory.held_bytes, 0)
