--- a/tests/savoryroute/coordination/test_peer_calls.py
+++ b/tests/savoryroute/coordination/test_peer_calls.py
@@ -1,7 +1,9 @@
 """Tests of calls between two daemons when frames, cancellations and losses mix."""
 
 import asyncio
+import gc
 import unittest
+import weakref
 from unittest import mock
 
 import attrs
@@ -95,7 +97,8 @@
             local = self.running.pop(index % len(self.running))
             body = local.call.request_id[:1] * n_bytes
             answer = MeshAnswer(local.call.id, Verdict.RAN, body=body, status=200)
-            local.on_answer(answer)
+            on_answer, local.on_answer = local.on_answer, None
+            on_answer(answer)
 
 
 class Pair:
@@ -241,6 +244,36 @@
 
         asyncio.run(play())
 
+    async def test_stopping_host_waits_for_the_last_piece(self):
+        pair = Pair()
+        pair.call(0)
+        await pair.pass_on(10**6)
+        pair.upstream.answer(0, 8 * LONG)
+        while not pair.answers[1]:
+            n_left = pair.calls.n_sending + pair.accepted.link.has_unwritten
+            self.assertGreater(n_left, 0)
+            await pair.pass_on(20_000)
+        self.assertEqual(len(pair.answers[1][0].body), 8 * LONG)
+        self.assertEqual(pair.calls.n_sending, 0)
+
+    async def test_lost_links_are_freed_without_the_collector(self):
+        pair = Pair()
+        for n_bytes in (0, LONG):
+            pair.call(n_bytes)
+        await pair.pass_on(10**6)
+        pair.upstream.answer(0, 4 * LONG)
+        await pair.pass_on(30_000)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        wires = (pair.dialled, pair.accepted)
+        links = [weakref.ref(wire.link) for wire in wires]
+        pair.lose()
+        await pair.settle()
+        pair.upstream.running.clear()
+        for wire in wires:
+            wire.link = None
+        self.assertEqual([link() for link in links], [None, None])
+
     async def test_small_calls_and_long_heads_are_bounded(self):
         """A peer that sent calls without end took up any memory."""
         pair = Pair(limit_bytes=200_000)
