--- a/packages/savoryroute/savoryroute/coordination/peer_links.py
+++ b/packages/savoryroute/savoryroute/coordination/peer_links.py
@@ -76,6 +76,7 @@
         on_control_frame: Handles frames that are not about calls; gets the address of
             the peer, the connection and the frame.
         answers: Memory for the bodies of answers; without limit if None.
+        frames: Memory for frames on their way; without limit if None.
     """
 
     def __init__(
@@ -84,11 +85,13 @@
         log: EventLog,
         on_control_frame: Callable[[str, FrameLink, list[Any]], None],
         answers: BodyBudget | None = None,
+        frames: BodyBudget | None = None,
     ) -> None:
         self._port = port
         self._log = log
         self._on_control_frame = on_control_frame
         self._answers = BodyBudget(sys.maxsize) if answers is None else answers
+        self._frames = frames
         self._links: dict[str, _Link] = {}
         self._dialling: dict[str, asyncio.Task] = {}
         self._queued: dict[str, list[_QueuedCall]] = {}
@@ -238,17 +241,22 @@
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: FrameLink(self._on_frame, self._on_lost, self._on_bad),
+                    lambda: FrameLink(
+                        self._on_frame, self._on_lost, self._on_bad, self._frames
+                    ),
                     ip,
                     self._port,
                 )
+            if not connection.is_open:
+                # Its loss came before the link was known, and is not reported again.
+                raise ConnectionResetError("the connection was lost at once")
         except (OSError, TimeoutError) as error:
             self._unreachable_until_s[ip] = time.monotonic() + REDIAL_DELAY_S
             self._log.change("peer_unreachable", peer=ip, error=repr(error)[:120])
             detail = f"cannot open a link to {ip}: {error!r:.80}"
             self._queued_frames.pop(ip, None)
             for queued in self._queued.pop(ip, []):
-                queued.on_answer(_unreachable(detail))
+                self._call_handler(queued.on_answer, _unreachable(detail))
             return
         connection.peer_ip = ip
         replaced = self._links.get(ip)
@@ -284,6 +292,8 @@
                 return
             # Read first: a call whose answer cannot be read ends with its link.
             answer = MeshAnswer.from_frame(frame)
+            if answer.id in link.answers:
+                raise ValueError(f"call {answer.id} is answered twice")
             link.bodies.stop(answer.id)
             if answer.body_bytes == len(answer.body):
                 self._deliver(link, answer)
--- a/tests/savoryroute/protocol/test_body_transfer.py
+++ b/tests/savoryroute/protocol/test_body_transfer.py
@@ -30,6 +30,9 @@
         self.delivered = b""
         self.link = None
 
+    def get_write_buffer_size(self):
+        return len(self.waiting)
+
     def get_extra_info(self, name):
         return None
 
@@ -96,6 +99,8 @@
             lambda _, frame: frames.append(frame), lambda _: None, lambda _: None
         )
         receiver.data_received(self.transport.delivered)
+        while receiver._has_turn:
+            receiver._take_turn()
         return frames
 
     async def test_ping_behind_an_upload_is_not_late_on_a_narrow_link(self):
