http server: the memory of a refused body is released when a further message begins

Callers could use up the memory for request bodies for good: uploads of all others were then refused until the daemon was restarted.

A request that is refused within its body, for its trailers or its length, keeps its reservation until the connection is lost. The parser goes on to the end of the read, and the first byte of a further message there set the reservation to 0 without releasing it. Change: a message that begins releases what the one before it had reserved.

--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -161,6 +161,8 @@
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
+        # Of a message that was refused; the parser goes on to the end of the read.
+        self._release_reserved()
         self._reset_message()
         self._is_message_open = True
         self._input.begin_message()
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -221,6 +221,22 @@
                 self.assertIn(line.split()[1], (b"400", b"431"))
         self.assertEqual(self.targets, [])
 
+    async def test_memory_of_a_refused_body_is_released(self):
+        """The start of a further request is in the read that refuses the body."""
+        chunk = b"9c40\r\n" + b"a" * 40_000 + b"\r\n"
+        trailer = b"0\r\nA: " + b"a" * 9000 + b"\r\n\r\nGET /b"
+        self.writer.write(b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n")
+        self.writer.write(b"A: " + b"a" * 9000 + b"\r\n\r\n" + chunk)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.listener.bodies.held_bytes, 40_000)
+        self.writer.write(trailer)
+        self.assertEqual((await self.read_answer())[0], 431)
+        self.writer.close()
+        async with asyncio.timeout(2):
+            while self.listener.connections:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.listener.bodies.held_bytes, 0)
+
     async def test_heads_sent_ahead_are_bounded(self):
         held = []
         self.listener.handle = held.append
