http client: the rest of an upload that was answered already is dropped

An upstream that answers uploads at once and never reads their bodies filled the memory of the daemon beside it, with no budget that showed it.

With the answer the memory of the request's body is released, but the connection was closed only once the rest of the body was written, or 2.5 s later by TCP_USER_TIMEOUT. Change: the connection is aborted, as nginx does: the complete answer was read, and nothing needs the rest.

--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -329,9 +329,11 @@
             limit_unacked(self._transport, True)
             self._is_unacked_limited = True
         if self._transport.get_write_buffer_size():
-            # The server answered before the complete request was written.
+            # The server answered before the complete request was written. It may never
+            # read the rest, which is in memory until then.
             self._can_reuse = False
-        if self._can_reuse:
+            self._transport.abort()
+        elif self._can_reuse:
             self.idle_since_s = time.monotonic()
             self._pool.release(self)
         else:
--- a/tests/savoryroute/transport/test_http_client.py
+++ b/tests/savoryroute/transport/test_http_client.py
@@ -222,6 +222,25 @@
         self.assertEqual(bodies.held_bytes, 0)
         self.assertGreaterEqual(bodies.n_refused, 7)
 
+    async def test_rest_of_an_answered_upload_is_dropped(self):
+        """The server answers at once and never reads the body."""
+
+        async def answer(reader, writer):
+            writer.transport.pause_reading()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await asyncio.Event().wait()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        pool = HttpPool("127.0.0.1", server.sockets[0].getsockname()[1])
+        self.addCleanup(pool.close)
+        outcome = asyncio.get_running_loop().create_future()
+        head = b"POST / HTTP/1.1\r\nContent-Length: 20000000\r\n\r\n"
+        pool.send(head, outcome.set_result, body=b"x" * 20_000_000)
+        self.assertEqual((await asyncio.wait_for(outcome, 2)).status, 200)
+        await asyncio.sleep(0.05)
+        self.assertEqual(pool.connections, set())
+
     async def test_long_body_in_chunks_of_one_byte_is_complete(self):
         n_bytes = 200_000
         self.begin = CHUNKED + b"1\r\na\r\n" * n_bytes + b"0\r\n\r\n"
