input pacer: processor time is counted, not the time that others have the processor

On a busy machine small requests over kept connections waited for each other's turns.

Cause: a slice was measured by wall-clock time and, at the server, includes the handling of the request that was read. A thread that loses the processor in between used up the slice of the connection that happened to be read; the turns of all such connections add up. Change: the processor time of the thread counts.

--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -211,7 +211,7 @@
             # No exchange is in progress, so the bytes belong to no request.
             self.abort()
             return
-        began_s = time.perf_counter()
+        began_s = time.thread_time()
         self._framing_bytes += n_bytes
         self._barren_bytes += n_bytes
         try:
@@ -224,7 +224,7 @@
             self._finish()
         else:
             self._check_length()
-        self._input.note(time.perf_counter() - began_s)
+        self._input.note(time.thread_time() - began_s)
 
     def _check_length(self) -> None:
         """Reserve memory for what was read of an answer, or give the answer up."""
--- a/packages/savoryroute/savoryroute/transport/input_pacer.py
+++ b/packages/savoryroute/savoryroute/transport/input_pacer.py
@@ -16,7 +16,7 @@
 
 __all__ = ["InputPacer", "PacedInput"]
 
-# Seconds of parsing after which a connection waits for its next turn.
+# Seconds of processor time after which a connection waits for its next turn.
 SLICE_S = 0.002
 # Share of the time that the input of all waiting connections gets.
 INPUT_SHARE = 0.25
@@ -32,7 +32,7 @@
         """Return the seconds until the next turn of a connection.
 
         Args:
-            spent_s: Seconds that its input has taken in this turn.
+            spent_s: Seconds of processor time that its input has taken in this turn.
         """
         now_s = time.monotonic()
         pause_s = spent_s * (1.0 / INPUT_SHARE - 1.0)
@@ -72,7 +72,14 @@
         self._spent_s = 0.0
 
     def note(self, spent_s: float) -> None:
-        """Count seconds spent on input, and pause reading after a slice."""
+        """Count processor time spent on input, and pause reading after a slice.
+
+        Wall-clock time would also count what other processes take of the processor, and
+        charge it to the connection that happens to be read.
+
+        Args:
+            spent_s: Seconds of processor time of this thread.
+        """
         self._spent_s += spent_s
         if self._spent_s < SLICE_S or self._timer or self._transport.is_closing():
             return
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server for callers over its asyncio protocol."""
 
 import asyncio
+import time
 import unittest
 
 from hypothesis import given, settings
@@ -221,6 +222,19 @@
                 self.assertIn(line.split()[1], (b"400", b"431"))
         self.assertEqual(self.targets, [])
 
+    async def test_time_of_other_processes_is_not_charged_to_a_connection(self):
+        """The thread sleeps, as it does while others have the processor."""
+
+        def handle(exchange):
+            time.sleep(0.02)
+            self.handle(exchange)
+
+        self.listener.handle = handle
+        self.writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await self.read_answer()
+        (connection,) = self.listener.connections
+        self.assertIsNone(connection._input._timer)
+
     async def test_memory_of_a_refused_body_is_released(self):
         """The start of a further request is in the read that refuses the body."""
         chunk = b"9c40\r\n" + b"a" * 40_000 + b"\r\n"
