http: memory of heads with many short headers is counted

Callers and upstreams could fill a daemon's memory with heads that are within their limits.

A header of three bytes takes up some 120. A request sent ahead with 3,200 of them counted as 5 kB and took up 400; an open head, and the head of an answer of up to 64 KiB, were not counted at all. Change: a header counts with 160 bytes beside its texts. What a head costs above 16 KiB is reserved: of the memory for request bodies, else 503, or of that for answers, else the answer is given up.

--- a/packages/savoryroute/savoryroute/state/body_budget.py
+++ b/packages/savoryroute/savoryroute/state/body_budget.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-__all__ = ["SMALL_BODY_BYTES", "BodyBudget"]
+__all__ = ["HEADER_OVERHEAD_BYTES", "SMALL_BODY_BYTES", "BodyBudget"]
 
 # A single body may be this many times as long as all bodies together may be otherwise,
 # since the platform may allow long ones.
@@ -22,6 +22,8 @@
 # Shorter bodies are never refused: requests without an upload must not suffer from
 # uploads, and the number of connections bounds them well enough.
 SMALL_BODY_BYTES = 16 * 1024
+# Memory of a header beside the texts of its name and value.
+HEADER_OVERHEAD_BYTES = 160
 
 
 @attrs.define
--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -10,7 +10,7 @@
 import httptools
 from result import Err, Ok, Result
 
-from ..state.body_budget import SMALL_BODY_BYTES, BodyBudget
+from ..state.body_budget import HEADER_OVERHEAD_BYTES, SMALL_BODY_BYTES, BodyBudget
 from .exchange_outcome import ExchangeFailure, FailureKind, HttpAnswer
 from .input_pacer import InputPacer, PacedInput
 from .keepalive import enable_keepalive, limit_unacked
@@ -137,6 +137,7 @@
 
     def _reset_message(self) -> None:
         self._headers: list[tuple[bytes, bytes]] = []
+        self._headers_bytes = 0
         self._is_head_complete = False
         self._drop_body()
         self._has_length = False
@@ -231,11 +232,13 @@
         if self._pending is None:
             return
         bodies = self._pool.bodies
-        n_new_bytes = len(self._body) - self._reserved_bytes
+        # Usual heads have room beside each answer, as short bodies do.
+        n_bytes = len(self._body) + max(0, self._headers_bytes - SMALL_BODY_BYTES)
+        n_new_bytes = n_bytes - self._reserved_bytes
         if len(self._body) > self._pool.answer_bytes_max:
             self._fail(self._too_long())
         elif not bodies.try_reserve(n_new_bytes, self._reserved_bytes):
-            self._fail(f"no memory: answer bodies take up {bodies.held_bytes} bytes")
+            self._fail(f"no memory: answers take up {bodies.held_bytes} bytes")
         elif max(self._framing_bytes, self._barren_bytes) > FRAMING_BYTES_MAX:
             self._fail(f"more than {FRAMING_BYTES_MAX} bytes beside the answer's body")
         elif self._n_strays > STRAY_ANSWERS_MAX:
@@ -258,6 +261,7 @@
             return
         name = name.lower()
         self._headers.append((name, value))
+        self._headers_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         if name == b"content-length" or name == b"transfer-encoding":
             self._has_length = True
         elif name == b"keep-alive":
--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from ..state.body_budget import SMALL_BODY_BYTES, BodyBudget
+from ..state.body_budget import HEADER_OVERHEAD_BYTES, SMALL_BODY_BYTES, BodyBudget
 from ..state.route_table import CallerLimits
 from .caller_exchange import CallerRequest, Exchange, answer_parts, format_answer
 from .input_pacer import InputPacer, PacedInput
@@ -70,6 +70,8 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
+        # The part of the reserved memory that is for headers.
+        self._reserved_header_bytes = 0
         self._body = bytearray()
         self._body_bytes = 0
         self._reserved_bytes = 0
@@ -175,6 +177,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.append((name.lower(), value))
         self._count_header(len(name) + len(value) + 4)
+        self._reserve_headers()
 
     def on_headers_complete(self) -> None:
         self._barren_bytes = 0
@@ -249,7 +252,7 @@
             is_body_skipped=self._is_skipping_body,
         )
         self._body = bytearray()
-        self._reserved_bytes = 0
+        self._reserved_bytes = self._reserved_header_bytes = 0
         self._waiting.append(request)
         self._waiting_bytes += _waiting_cost(request)
         self._serve_waiting()
@@ -358,15 +361,28 @@
         if self._header_bytes > self._listener.limits().header_bytes_max:
             self._refuse(431, "the request head is too long")
 
+    def _reserve_headers(self) -> None:
+        """Reserve memory for more headers than usual, or refuse the request."""
+        n_bytes = self._header_bytes + len(self._headers) * HEADER_OVERHEAD_BYTES
+        n_new_bytes = n_bytes - SMALL_BODY_BYTES - self._reserved_header_bytes
+        if n_new_bytes <= 0 or not self._is_reading_body:
+            return
+        if self._listener.bodies.try_reserve(n_new_bytes, self._reserved_bytes):
+            self._reserved_header_bytes += n_new_bytes
+            self._reserved_bytes += n_new_bytes
+        else:
+            self._refuse(503, "no memory for the request's headers")
+
     def _reserve_body(self, n_bytes: int) -> None:
         """Reserve memory for the first ``n_bytes`` of a body, or refuse the request."""
         before_bytes = self._reserved_bytes
-        if n_bytes <= before_bytes or not self._is_reading_body:
+        n_new_bytes = n_bytes + self._reserved_header_bytes - before_bytes
+        if n_new_bytes <= 0 or not self._is_reading_body:
             return
         if n_bytes > self._listener.limits().body_bytes_max:
             self._refuse(413, "the request body is too long")
-        elif self._listener.bodies.try_reserve(n_bytes - before_bytes, before_bytes):
-            self._reserved_bytes = n_bytes
+        elif self._listener.bodies.try_reserve(n_new_bytes, before_bytes):
+            self._reserved_bytes += n_new_bytes
         else:
             self._release_reserved()
             self._is_skipping_body = True
@@ -374,7 +390,7 @@
 
     def _release_reserved(self) -> None:
         self._listener.bodies.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._reserved_bytes = self._reserved_header_bytes = 0
 
     def _release(self, request: CallerRequest) -> None:
         """Release the memory of a request that was answered or given up."""
@@ -412,6 +428,7 @@
 def _waiting_cost(request: CallerRequest) -> int:
     """Return the memory in bytes of a request that waits."""
     n_bytes = len(request.target) + len(request.body) + REQUEST_OVERHEAD_BYTES
+    n_bytes += len(request.headers) * HEADER_OVERHEAD_BYTES
     return n_bytes + sum(len(name) + len(value) for name, value in request.headers)
 
 
--- a/tests/savoryroute/transport/test_http_client.py
+++ b/tests/savoryroute/transport/test_http_client.py
@@ -241,6 +241,15 @@
         await asyncio.sleep(0.05)
         self.assertEqual(pool.connections, set())
 
+    async def test_head_of_many_headers_is_counted(self):
+        """It takes up some forty times its length, until its exchange ends."""
+        self.begin = b"HTTP/1.1 200 OK\r\n" + b"A:\r\n" * 12_000
+        self.repeated = b""
+        bodies = BodyBudget(500_000)
+        (outcome,) = await self.fetch(bodies)
+        self.assertIn("no memory", outcome.detail)
+        self.assertEqual(bodies.held_bytes, 0)
+
     async def test_long_body_in_chunks_of_one_byte_is_complete(self):
         n_bytes = 200_000
         self.begin = CHUNKED + b"1\r\na\r\n" * n_bytes + b"0\r\n\r\n"
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -265,6 +265,22 @@
         for _ in range(399):
             self.assertEqual(await self.read_answer(), (200, b"/a"))
 
+    async def test_heads_of_many_headers_are_counted(self):
+        """Each takes up some forty times its length."""
+        head = b"GET /a HTTP/1.1\r\n" + b"A:\r\n" * 3000
+        self.listener.handle = self.targets.append
+        self.writer.write((head + b"\r\n") * 100)
+        await asyncio.sleep(0.3)
+        (connection,) = self.listener.connections
+        self.assertLess(len(connection._waiting), 4)
+        self.listener.bodies = BodyBudget(1_000_000)
+        for _ in range(8):
+            reader, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.close)
+            writer.write(head)
+        line = await asyncio.wait_for(reader.readline(), 2)
+        self.assertEqual(line.split()[1], b"503")
+
     async def test_request_sent_ahead_while_the_host_leaves_is_answered(self):
         held = []
         self.listener.handle = held.append
