mesh node: requests at the ports for readiness and metrics have bounded bodies

Whoever reached these ports could end the daemon with uploads.

Both listeners had the default limits of callers, 64 MiB a body, and no memory budget. Change: they share the budgets of callers, and a body has 16 KiB at most.

--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -16,7 +16,7 @@
     ViewRequest,
     ViewUpdate,
 )
-from ..state.body_budget import BodyBudget
+from ..state.body_budget import SMALL_BODY_BYTES, BodyBudget
 from ..state.event_log import EventLog
 from ..state.fleet_view import FleetView, Instance
 from ..state.mesh_settings import MeshSettings
@@ -78,6 +78,8 @@
 BODIES_MEMORY_SHARE = 0.15
 # Margin in seconds before the end of the grace period, when the process is killed.
 LEAVE_MARGIN_S = 0.4
+# Requests for readiness and metrics have no body.
+OPERATORS_LIMITS = CallerLimits(body_bytes_max=SMALL_BODY_BYTES)
 QUOTA_FRAMES = (
     FrameKind.QUOTA_REQUEST,
     FrameKind.QUOTA_GRANT,
@@ -234,11 +236,15 @@
             self._bodies,
             self._answer_bodies,
         )
-        self._readiness = CallersListener(
-            self._serve_readiness, CallerLimits, self._on_bad_request
-        )
-        self._metrics_listener = CallersListener(
-            self._serve_metrics, CallerLimits, self._on_bad_request
+        self._readiness, self._metrics_listener = (
+            CallersListener(
+                serve,
+                lambda: OPERATORS_LIMITS,
+                self._on_bad_request,
+                self._bodies,
+                self._answer_bodies,
+            )
+            for serve in (self._serve_readiness, self._serve_metrics)
         )
         self._link_server = FrameLinkServer(self._make_link)
         self._sweeper: asyncio.Task | None = None
--- a/tests/savoryroute_platform/test_endless_answers.py
+++ b/tests/savoryroute_platform/test_endless_answers.py
@@ -91,6 +91,18 @@
         faulty = await self.check(*SOUND)
         self.assertGreater(faulty[200], 0)
 
+    async def test_long_bodies_at_the_ports_of_operators(self):
+        """Connections of which each holds all but the last byte of a body."""
+        head = b"POST /api/ready HTTP/1.1\r\nContent-Length: 40000000\r\n\r\n"
+        for port in (self.fleet.ready_port, self.fleet.metrics_port):
+            for _ in range(8):
+                reader, writer = await asyncio.open_connection(self.fleet.ip(1), port)
+                self.addCleanup(writer.close)
+                writer.write(head + b"a" * 39_999_999)
+                line = await asyncio.wait_for(reader.readline(), ANSWER_TIMEOUT_S)
+                self.assertEqual(line.split()[1], b"413")
+        self.assertEqual(self.fleet.ends, [])
+
     async def test_every_fault_at_once(self):
         await self.check(*FAULTS)
 
