http server: a closing connection whose caller never reads is aborted

A close waits until all answers are written. With less unread than the high-water mark the write is not paused, and only paused ones were aborted: the connection, its descriptor and its answers stayed as long as the caller liked, and a stop of the host waited for them to the end of its grace period. Measured: a trial with a caller that stops reading, 14 kB unread, and a limit of 2 s: closed by its idleness, it was still there after 8 s and counted as busy. The new test fails before and passes (one run each); test_http_server passes.

--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -62,6 +62,7 @@
         # Status and detail of a refusal that follows the answers in progress.
         self._pending_refusal: tuple[int, str] | None = None
         self._stalled_since_s: float | None = None
+        self._closing_since_s: float | None = None
         # Start of the current request, or of the idle time before it.
         self.since_s = time.monotonic()
         self._reset_message()
@@ -288,10 +289,10 @@
     def sweep(self, now_s: float, limits: CallerLimits, idle_s: float) -> None:
         """Close the connection on a late request head, a stalled write or idleness."""
         self._count_unwritten()
-        if (
-            self._stalled_since_s is not None
-            and now_s - self._stalled_since_s > WRITE_STALL_S
-        ):
+        # A close waits for the caller to read, also if little enough is left for
+        # the connection to count as writable.
+        stalled_since_s = self._stalled_since_s or self._closing_since_s
+        if stalled_since_s is not None and now_s - stalled_since_s > WRITE_STALL_S:
             self._is_closing = True
             self._transport.abort()
         if self._exchange is not None or self._waiting or self._is_closing:
@@ -418,6 +419,7 @@
     def _close(self) -> None:
         """Close the connection, after the rest of a request that is still arriving."""
         self._is_closing = True
+        self._closing_since_s = time.monotonic()
         if self._is_message_open and self._transport.can_write_eof():
             self._transport.write_eof()
             asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -1,14 +1,17 @@
 """Tests of the HTTP server for callers over its asyncio protocol."""
 
 import asyncio
+import socket
 import time
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from savoryroute.state.body_budget import BodyBudget
 from savoryroute.state.route_table import CallerLimits
+from savoryroute.transport import http_server
 from savoryroute.transport.caller_exchange import format_answer
 from savoryroute.transport.http_server import CallersListener
 
@@ -310,6 +313,26 @@
                 self.listener.sweep()
                 await asyncio.sleep(0.01)
 
+    async def test_closing_connection_whose_caller_never_reads_is_aborted(self):
+        """Too little is left for its writing to be paused."""
+        self.answer_bytes = 30_000
+        with (
+            socket.socket() as sock,
+            mock.patch.object(http_server, "WRITE_STALL_S", 0.2),
+        ):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(self.address)
+            self.writer.close()
+            async with asyncio.timeout(10):
+                while not self.answers.held_bytes:
+                    sock.send(b"GET /a HTTP/1.1\r\n\r\n")
+                    await asyncio.sleep(0.002)
+                self.listener.sweep(idle_s=0.0)
+                while self.listener.connections:
+                    self.listener.sweep()
+                    await asyncio.sleep(0.05)
+        self.assertEqual(self.answers.held_bytes, 0)
+
     async def test_unread_answers_of_a_caller_that_leaves_are_released(self):
         self.answer_bytes = 10_000_000
         self.writer.write(b"GET /a HTTP/1.1\r\n\r\n")
