request head: a time left of hundreds of digits is ignored

One request held its connection for ever, and behind another one on its connection it failed the work of whoever answered that.

Python does not convert integers of more than 4,300 digits and cannot divide those above 10^308; the error came from the handler of a request, whose exchange then never ended. Change: a value of more than 15 digits is longer than any timeout and sets none.

--- a/packages/savoryroute/savoryroute/protocol/request_head.py
+++ b/packages/savoryroute/savoryroute/protocol/request_head.py
@@ -9,6 +9,9 @@
 
 __all__ = ["RequestHead", "read_request_head", "with_organisation"]
 
+# Digits of the time that a caller waits in milliseconds. Python converts no more than
+# some thousands, and fails to divide such numbers.
+TIME_LEFT_DIGITS_MAX = 15
 # Methods whose requests need no Content-Length when they have no body.
 _BODILESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE"})
 
@@ -71,12 +74,19 @@
     return RequestHead(
         host.decode("latin-1"),
         request_id,
-        int(time_left) / 1000 if time_left.isdigit() else None,
+        _read_time_left_s(time_left),
         credentials,
         b"".join(head),
     )
 
 
+def _read_time_left_s(value: bytes) -> float | None:
+    """Return a time in seconds, None if it is no number or longer than any timeout."""
+    if not value.isdigit() or len(value) > TIME_LEFT_DIGITS_MAX:
+        return None
+    return int(value) / 1000
+
+
 def with_organisation(head: bytes, names: HeaderNames, organisation: str) -> bytes:
     """Return a head with the header that names the caller's organisation."""
     return b"%b%b: %b\r\n" % (head, names.organisation, organisation.encode())
--- a/tests/savoryroute/protocol/test_request_head.py
+++ b/tests/savoryroute/protocol/test_request_head.py
@@ -55,5 +55,6 @@
         self.assertIn(b"content-length: 0\r\n", self.read([], b"POST").head)
 
     def test_invalid_time_left_is_ignored(self):
-        self.assertIsNone(self.read([(b"deadline-ms", b"soon")]).time_left_s)
+        for value in (b"soon", b"9" * 400, b"9" * 5000):
+            self.assertIsNone(self.read([(b"deadline-ms", value)]).time_left_s)
         self.assertIsNone(self.read([]).time_left_s)
