http server: a handler that fails ends its own request only

A request sent ahead is started within the answer to the one before it, so an error of its handler reached whoever answered that; its own exchange stayed open, and its connection was never swept. Change: the error is logged and the request answered 500, as the links between daemons do. Measured: test_failing_handler_ends_its_own_request_only fails before (ValueError raised by respond()) and passes; test_http_server passes.

--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -346,7 +346,12 @@
         exchange = Exchange(self, request)
         self._exchange = exchange
         self._listener.n_open += 1
-        self._listener.handle(exchange)
+        try:
+            self._listener.handle(exchange)
+        except Exception as error:
+            # It would reach whoever answered the request before this one.
+            self._listener.on_bad_request(500, f"the handler failed: {error!r:.200}")
+            exchange.respond(500, b"", b"")
 
     def _count_unwritten(self) -> None:
         """Update the memory of answers that the caller has not read."""
@@ -441,7 +446,7 @@
         handle: Handles each exchange; may answer it at any later time.
         limits: Returns the active limits.
         on_bad_request: Called with status and detail of a request that was not
-            accepted.
+            accepted, or whose handler failed.
         bodies: Memory for request bodies; without limit if None.
         answers: Memory of answers, to count those that callers have not read; without
             limit if None.
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -193,6 +193,26 @@
         self.assertEqual((await self.read_answer())[0], 400)
         self.assertEqual(self.targets, [])
 
+    async def test_failing_handler_ends_its_own_request_only(self):
+        held = []
+
+        def handle(exchange):
+            if exchange.request.target == b"/b":
+                raise ValueError("unreadable")
+            held.append(exchange)
+
+        self.listener.handle = handle
+        for target in (b"/a", b"/b", b"/c"):
+            self.writer.write(b"GET %b HTTP/1.1\r\n\r\n" % target)
+        for status in (200, 500, 200):
+            async with asyncio.timeout(2):
+                while status == 200 and not held:
+                    await asyncio.sleep(0.005)
+            if status == 200:
+                held.pop().respond(200, b"", b"")
+            self.assertEqual(await self.read_answer(), (status, b""))
+        self.assertEqual(self.listener.n_open, 0)
+
     async def test_many_requests_sent_ahead_that_end_at_once_are_answered(self):
         """Each answer started the next request within its own call."""
         n_requests = 2000
