configuration: descriptions of defects are bounded

A published value of 1 MB with entries that cannot be read had one or two sentences for each, which the table keeps. The time remains: the event loop stands still for as long.

--- a/tests/savoryroute_platform/test_configuration.py
+++ b/tests/savoryroute_platform/test_configuration.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from savoryroute_platform.configuration import (
     ATTEMPTS_DEFAULT,
+    DEFECTS_MAX,
     RANK_DEFAULT,
     TIMEOUT_DEFAULT_S,
     decode_routes,
@@ -75,6 +76,15 @@
         (defect,) = table.defects
         self.assertTrue(defect.startswith(f"{field}: found "), defect)
 
+    def test_descriptions_of_defects_are_bounded(self):
+        def add_unreadable(plain):
+            plain["virtual-hosts"] += [{}] * 2 * DEFECTS_MAX
+            plain["tenants"] = [{}] * 2 * DEFECTS_MAX
+
+        table = self.decode(change=add_unreadable)
+        self.assertEqual(len(table.defects), DEFECTS_MAX)
+        self.assertFalse(table.is_complete)
+
     def test_upload_is_known_and_not_idempotent(self):
         table = self.decode(path("/up/", "planner", "upload"))
         self.assertFalse(table.find(HOST, "/up/x").is_idempotent)
