--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from ..state.body_budget import SMALL_BODY_BYTES, BodyBudget
+from ..state.body_budget import HEADER_OVERHEAD_BYTES, SMALL_BODY_BYTES, BodyBudget
 from ..state.route_table import CallerLimits
 from .caller_exchange import CallerRequest, Exchange, answer_parts, format_answer
 from .input_pacer import InputPacer, PacedInput
@@ -62,6 +62,7 @@
         # Status and detail of a refusal that follows the answers in progress.
         self._pending_refusal: tuple[int, str] | None = None
         self._stalled_since_s: float | None = None
+        self._closing_since_s: float | None = None
         # Start of the current request, or of the idle time before it.
         self.since_s = time.monotonic()
         self._reset_message()
@@ -70,6 +71,8 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
+        # The part of the reserved memory that is for headers.
+        self._reserved_header_bytes = 0
         self._body = bytearray()
         self._body_bytes = 0
         self._reserved_bytes = 0
@@ -118,7 +121,7 @@
     def buffer_updated(self, n_bytes: int) -> None:
         if self._is_closing or self._pending_refusal is not None:
             return
-        began_s = time.perf_counter()
+        began_s = time.thread_time()
         self._barren_bytes += n_bytes
         self._parse(self._listener.read_buffer[:n_bytes])
         if self._is_message_open:
@@ -128,7 +131,7 @@
             self._refuse(431, "the request has too many bytes beside its body")
         if self._waiting_bytes > READ_AHEAD_BYTES_MAX:
             self._input.stop()
-        self._input.note(time.perf_counter() - began_s)
+        self._input.note(time.thread_time() - began_s)
 
     def _parse(self, data: memoryview) -> None:
         while not self._is_closing and self._pending_refusal is None:
@@ -161,6 +164,8 @@
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
+        # Of a message that was refused; the parser goes on to the end of the read.
+        self._release_reserved()
         self._reset_message()
         self._is_message_open = True
         self._input.begin_message()
@@ -173,6 +178,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.append((name.lower(), value))
         self._count_header(len(name) + len(value) + 4)
+        self._reserve_headers()
 
     def on_headers_complete(self) -> None:
         self._barren_bytes = 0
@@ -247,7 +253,7 @@
             is_body_skipped=self._is_skipping_body,
         )
         self._body = bytearray()
-        self._reserved_bytes = 0
+        self._reserved_bytes = self._reserved_header_bytes = 0
         self._waiting.append(request)
         self._waiting_bytes += _waiting_cost(request)
         self._serve_waiting()
@@ -283,10 +289,10 @@
     def sweep(self, now_s: float, limits: CallerLimits, idle_s: float) -> None:
         """Close the connection on a late request head, a stalled write or idleness."""
         self._count_unwritten()
-        if (
-            self._stalled_since_s is not None
-            and now_s - self._stalled_since_s > WRITE_STALL_S
-        ):
+        # A close waits for the caller to read, also if little enough is left for
+        # the connection to count as writable.
+        stalled_since_s = self._stalled_since_s or self._closing_since_s
+        if stalled_since_s is not None and now_s - stalled_since_s > WRITE_STALL_S:
             self._is_closing = True
             self._transport.abort()
         if self._exchange is not None or self._waiting or self._is_closing:
@@ -340,7 +346,12 @@
         exchange = Exchange(self, request)
         self._exchange = exchange
         self._listener.n_open += 1
-        self._listener.handle(exchange)
+        try:
+            self._listener.handle(exchange)
+        except Exception as error:
+            # It would reach whoever answered the request before this one.
+            self._listener.on_bad_request(500, f"the handler failed: {error!r:.200}")
+            exchange.respond(500, b"", b"")
 
     def _count_unwritten(self) -> None:
         """Update the memory of answers that the caller has not read."""
@@ -356,15 +367,28 @@
         if self._header_bytes > self._listener.limits().header_bytes_max:
             self._refuse(431, "the request head is too long")
 
+    def _reserve_headers(self) -> None:
+        """Reserve memory for more headers than usual, or refuse the request."""
+        n_bytes = self._header_bytes + len(self._headers) * HEADER_OVERHEAD_BYTES
+        n_new_bytes = n_bytes - SMALL_BODY_BYTES - self._reserved_header_bytes
+        if n_new_bytes <= 0 or not self._is_reading_body:
+            return
+        if self._listener.bodies.try_reserve(n_new_bytes, self._reserved_bytes):
+            self._reserved_header_bytes += n_new_bytes
+            self._reserved_bytes += n_new_bytes
+        else:
+            self._refuse(503, "no memory for the request's headers")
+
     def _reserve_body(self, n_bytes: int) -> None:
         """Reserve memory for the first ``n_bytes`` of a body, or refuse the request."""
         before_bytes = self._reserved_bytes
-        if n_bytes <= before_bytes or not self._is_reading_body:
+        n_new_bytes = n_bytes + self._reserved_header_bytes - before_bytes
+        if n_new_bytes <= 0 or not self._is_reading_body:
             return
         if n_bytes > self._listener.limits().body_bytes_max:
             self._refuse(413, "the request body is too long")
-        elif self._listener.bodies.try_reserve(n_bytes - before_bytes, before_bytes):
-            self._reserved_bytes = n_bytes
+        elif self._listener.bodies.try_reserve(n_new_bytes, before_bytes):
+            self._reserved_bytes += n_new_bytes
         else:
             self._release_reserved()
             self._is_skipping_body = True
@@ -372,7 +396,7 @@
 
     def _release_reserved(self) -> None:
         self._listener.bodies.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._reserved_bytes = self._reserved_header_bytes = 0
 
     def _release(self, request: CallerRequest) -> None:
         """Release the memory of a request that was answered or given up."""
@@ -400,6 +424,7 @@
     def _close(self) -> None:
         """Close the connection, after the rest of a request that is still arriving."""
         self._is_closing = True
+        self._closing_since_s = time.monotonic()
         if self._is_message_open and self._transport.can_write_eof():
             self._transport.write_eof()
             asyncio.get_running_loop().call_later(LINGER_S, self._transport.close)
@@ -410,6 +435,7 @@
 def _waiting_cost(request: CallerRequest) -> int:
     """Return the memory in bytes of a request that waits."""
     n_bytes = len(request.target) + len(request.body) + REQUEST_OVERHEAD_BYTES
+    n_bytes += len(request.headers) * HEADER_OVERHEAD_BYTES
     return n_bytes + sum(len(name) + len(value) for name, value in request.headers)
 
 
@@ -420,7 +446,7 @@
         handle: Handles each exchange; may answer it at any later time.
         limits: Returns the active limits.
         on_bad_request: Called with status and detail of a request that was not
-            accepted.
+            accepted, or whose handler failed.
         bodies: Memory for request bodies; without limit if None.
         answers: Memory of answers, to count those that callers have not read; without
             limit if None.
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -1,13 +1,17 @@
 """Tests of the HTTP server for callers over its asyncio protocol."""
 
 import asyncio
+import socket
+import time
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from savoryroute.state.body_budget import BodyBudget
 from savoryroute.state.route_table import CallerLimits
+from savoryroute.transport import http_server
 from savoryroute.transport.caller_exchange import format_answer
 from savoryroute.transport.http_server import CallersListener
 
@@ -189,6 +193,26 @@
         self.assertEqual((await self.read_answer())[0], 400)
         self.assertEqual(self.targets, [])
 
+    async def test_failing_handler_ends_its_own_request_only(self):
+        held = []
+
+        def handle(exchange):
+            if exchange.request.target == b"/b":
+                raise ValueError("unreadable")
+            held.append(exchange)
+
+        self.listener.handle = handle
+        for target in (b"/a", b"/b", b"/c"):
+            self.writer.write(b"GET %b HTTP/1.1\r\n\r\n" % target)
+        for status in (200, 500, 200):
+            async with asyncio.timeout(2):
+                while status == 200 and not held:
+                    await asyncio.sleep(0.005)
+            if status == 200:
+                held.pop().respond(200, b"", b"")
+            self.assertEqual(await self.read_answer(), (status, b""))
+        self.assertEqual(self.listener.n_open, 0)
+
     async def test_many_requests_sent_ahead_that_end_at_once_are_answered(self):
         """Each answer started the next request within its own call."""
         n_requests = 2000
@@ -221,6 +245,35 @@
                 self.assertIn(line.split()[1], (b"400", b"431"))
         self.assertEqual(self.targets, [])
 
+    async def test_time_of_other_processes_is_not_charged_to_a_connection(self):
+        """The thread sleeps, as it does while others have the processor."""
+
+        def handle(exchange):
+            time.sleep(0.02)
+            self.handle(exchange)
+
+        self.listener.handle = handle
+        self.writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+        await self.read_answer()
+        (connection,) = self.listener.connections
+        self.assertIsNone(connection._input._timer)
+
+    async def test_memory_of_a_refused_body_is_released(self):
+        """The start of a further request is in the read that refuses the body."""
+        chunk = b"9c40\r\n" + b"a" * 40_000 + b"\r\n"
+        trailer = b"0\r\nA: " + b"a" * 9000 + b"\r\n\r\nGET /b"
+        self.writer.write(b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n")
+        self.writer.write(b"A: " + b"a" * 9000 + b"\r\n\r\n" + chunk)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.listener.bodies.held_bytes, 40_000)
+        self.writer.write(trailer)
+        self.assertEqual((await self.read_answer())[0], 431)
+        self.writer.close()
+        async with asyncio.timeout(2):
+            while self.listener.connections:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.listener.bodies.held_bytes, 0)
+
     async def test_heads_sent_ahead_are_bounded(self):
         held = []
         self.listener.handle = held.append
@@ -235,6 +288,22 @@
         for _ in range(399):
             self.assertEqual(await self.read_answer(), (200, b"/a"))
 
+    async def test_heads_of_many_headers_are_counted(self):
+        """Each takes up some forty times its length."""
+        head = b"GET /a HTTP/1.1\r\n" + b"A:\r\n" * 3000
+        self.listener.handle = self.targets.append
+        self.writer.write((head + b"\r\n") * 100)
+        await asyncio.sleep(0.3)
+        (connection,) = self.listener.connections
+        self.assertLess(len(connection._waiting), 4)
+        self.listener.bodies = BodyBudget(1_000_000)
+        for _ in range(8):
+            reader, writer = await asyncio.open_connection(*self.address)
+            self.addCleanup(writer.close)
+            writer.write(head)
+        line = await asyncio.wait_for(reader.readline(), 2)
+        self.assertEqual(line.split()[1], b"503")
+
     async def test_request_sent_ahead_while_the_host_leaves_is_answered(self):
         held = []
         self.listener.handle = held.append
@@ -264,6 +333,26 @@
                 self.listener.sweep()
                 await asyncio.sleep(0.01)
 
+    async def test_closing_connection_whose_caller_never_reads_is_aborted(self):
+        """Too little is left for its writing to be paused."""
+        self.answer_bytes = 30_000
+        with (
+            socket.socket() as sock,
+            mock.patch.object(http_server, "WRITE_STALL_S", 0.2),
+        ):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(self.address)
+            self.writer.close()
+            async with asyncio.timeout(10):
+                while not self.answers.held_bytes:
+                    sock.send(b"GET /a HTTP/1.1\r\n\r\n")
+                    await asyncio.sleep(0.002)
+                self.listener.sweep(idle_s=0.0)
+                while self.listener.connections:
+                    self.listener.sweep()
+                    await asyncio.sleep(0.05)
+        self.assertEqual(self.answers.held_bytes, 0)
+
     async def test_unread_answers_of_a_caller_that_leaves_are_released(self):
         self.answer_bytes = 10_000_000
         self.writer.write(b"GET /a HTTP/1.1\r\n\r\n")
