http client: the rest of an answered upload is counted and written, for 5 s

Change: the rest counts as memory of answers and is written for 5 s; without memory, or after that time, it is dropped.

--- a/packages/savoryroute/savoryroute/transport/http_client.py
+++ b/packages/savoryroute/savoryroute/transport/http_client.py
@@ -34,6 +34,8 @@
 # in chunks of one byte has five for each of its bytes.
 FRAMING_BYTES_MAX = 64 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Seconds after its answer in which the rest of a request is written.
+REST_TIMEOUT_S = 5.0
 # Late answers to earlier requests of a connection that may precede the expected one.
 STRAY_ANSWERS_MAX = 16
 # Failed exchanges of one connection whose identities are remembered.
@@ -212,7 +214,7 @@
             # No exchange is in progress, so the bytes belong to no request.
             self.abort()
             return
-        began_s = time.thread_time()
+        began_s = self._input.begin_read(n_bytes)
         self._framing_bytes += n_bytes
         self._barren_bytes += n_bytes
         try:
@@ -225,7 +227,7 @@
             self._finish()
         else:
             self._check_length()
-        self._input.note(time.thread_time() - began_s)
+        self._input.end_read(began_s)
 
     def _check_length(self) -> None:
         """Reserve memory for what was read of an answer, or give the answer up."""
@@ -329,14 +331,14 @@
         answer, self._answer = self._answer, None
         pending, self._pending = self._pending, None
         self._reset_message()
-        if not self._is_unacked_limited:
+        has_rest = self._transport.get_write_buffer_size() > 0
+        if not self._is_unacked_limited and not has_rest:
             limit_unacked(self._transport, True)
             self._is_unacked_limited = True
-        if self._transport.get_write_buffer_size():
-            # The server answered before the complete request was written. It may never
-            # read the rest, which is in memory until then.
+        if has_rest:
+            # The server answered before the complete request was written.
             self._can_reuse = False
-            self._transport.abort()
+            self._write_rest()
         elif self._can_reuse:
             self.idle_since_s = time.monotonic()
             self._pool.release(self)
@@ -345,6 +347,21 @@
         if pending is not None:
             pending.finish(answer)
 
+    def _write_rest(self) -> None:
+        """Close the connection once the rest of an answered request is written.
+
+        The server may read it later. It counts as memory until then, and is dropped if
+        there is none or the server does not read it in time.
+        """
+        n_bytes = self._transport.get_write_buffer_size()
+        if self._pool.bodies.try_reserve(n_bytes):
+            self._reserved_bytes = n_bytes
+            self._transport.close()
+            loop = asyncio.get_running_loop()
+            loop.call_later(REST_TIMEOUT_S, self._transport.abort)
+        else:
+            self._transport.abort()
+
     def _echoed_id(self) -> bytes | None:
         """Return the identity in the answer, None if it has none."""
         id_header = self._pool.id_header
--- a/tests/savoryroute/transport/test_http_client.py
+++ b/tests/savoryroute/transport/test_http_client.py
@@ -5,10 +5,12 @@
 import struct
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import json5
 
 from savoryroute.state.body_budget import BodyBudget
+from savoryroute.transport import http_client
 from savoryroute.transport.exchange_outcome import ExchangeFailure, FailureKind
 from savoryroute.transport.http_client import ANSWER_BYTES_MAX, HttpPool
 
@@ -222,24 +224,51 @@
         self.assertEqual(bodies.held_bytes, 0)
         self.assertGreaterEqual(bodies.n_refused, 7)
 
-    async def test_rest_of_an_answered_upload_is_dropped(self):
-        """The server answers at once and never reads the body."""
+    async def upload_answered_at_once(self, bodies):
+        """Return a pool and the task of a server that reads the body later."""
+        read = asyncio.Event()
 
         async def answer(reader, writer):
-            writer.transport.pause_reading()
+            await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-            await asyncio.Event().wait()
+            await read.wait()
+            self.n_read = len(await reader.read())
 
+        self.n_read = -1
         server = await asyncio.start_server(answer, "127.0.0.1", 0)
         self.addCleanup(server.close)
-        pool = HttpPool("127.0.0.1", server.sockets[0].getsockname()[1])
+        port = server.sockets[0].getsockname()[1]
+        pool = HttpPool("127.0.0.1", port, bodies=bodies)
         self.addCleanup(pool.close)
         outcome = asyncio.get_running_loop().create_future()
         head = b"POST / HTTP/1.1\r\nContent-Length: 20000000\r\n\r\n"
         pool.send(head, outcome.set_result, body=b"x" * 20_000_000)
         self.assertEqual((await asyncio.wait_for(outcome, 2)).status, 200)
+        return pool, read
+
+    async def test_rest_of_an_answered_upload_is_counted_and_written(self):
+        """The server may read the rest of the body after its answer."""
+        bodies = BodyBudget(30_000_000)
+        _, read = await self.upload_answered_at_once(bodies)
+        self.assertGreater(bodies.held_bytes, 1_000_000)
+        read.set()
+        async with asyncio.timeout(3):
+            while self.n_read < 0 or bodies.held_bytes:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.n_read, 20_000_000)
+
+    async def test_rest_of_an_answered_upload_is_dropped_without_memory(self):
+        bodies = BodyBudget(1_000_000)
+        pool, _ = await self.upload_answered_at_once(bodies)
         await asyncio.sleep(0.05)
-        self.assertEqual(pool.connections, set())
+        self.assertEqual((pool.connections, bodies.held_bytes), (set(), 0))
+
+    async def test_rest_of_an_answered_upload_that_is_never_read_is_dropped(self):
+        bodies = BodyBudget(30_000_000)
+        with mock.patch.object(http_client, "REST_TIMEOUT_S", 0.1):
+            pool, _ = await self.upload_answered_at_once(bodies)
+        await asyncio.sleep(0.3)
+        self.assertEqual((pool.connections, bodies.held_bytes), (set(), 0))
 
     async def test_head_of_many_headers_is_counted(self):
         """It takes up some forty times its length, until its exchange ends."""
