--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -121,7 +121,7 @@
     def buffer_updated(self, n_bytes: int) -> None:
         if self._is_closing or self._pending_refusal is not None:
             return
-        began_s = time.thread_time()
+        began_s = self._input.begin_read(n_bytes)
         self._barren_bytes += n_bytes
         self._parse(self._listener.read_buffer[:n_bytes])
         if self._is_message_open:
@@ -131,7 +131,7 @@
             self._refuse(431, "the request has too many bytes beside its body")
         if self._waiting_bytes > READ_AHEAD_BYTES_MAX:
             self._input.stop()
-        self._input.note(time.thread_time() - began_s)
+        self._input.end_read(began_s)
 
     def _parse(self, data: memoryview) -> None:
         while not self._is_closing and self._pending_refusal is None:
--- a/packages/savoryroute/savoryroute/transport/input_pacer.py
+++ b/packages/savoryroute/savoryroute/transport/input_pacer.py
@@ -20,6 +20,8 @@
 SLICE_S = 0.002
 # Share of the time that the input of all waiting connections gets.
 INPUT_SHARE = 0.25
+# Shorter reads are not timed; a connection with more to read fills its buffer.
+LONG_READ_BYTES = 4 * 1024
 
 
 class InputPacer:
@@ -71,16 +73,23 @@
         """Start a slice; short messages never use one up."""
         self._spent_s = 0.0
 
-    def note(self, spent_s: float) -> None:
-        """Count processor time spent on input, and pause reading after a slice.
+    def begin_read(self, n_bytes: int) -> float | None:
+        """Return the time at which the handling of a read begins, None if it is short.
 
-        Wall-clock time would also count what other processes take of the processor, and
-        charge it to the connection that happens to be read.
+        Processor time of this thread in seconds: wall-clock time would also charge a
+        connection for what other processes take of the processor.
+        """
+        return time.thread_time() if n_bytes >= LONG_READ_BYTES else None
+
+    def end_read(self, began_s: float | None) -> None:
+        """Count the time spent on a read, and pause reading after a slice.
 
         Args:
-            spent_s: Seconds of processor time of this thread.
+            began_s: What ``begin_read`` returned.
         """
-        self._spent_s += spent_s
+        if began_s is None:
+            return
+        self._spent_s += time.thread_time() - began_s
         if self._spent_s < SLICE_S or self._timer or self._transport.is_closing():
             return
         if not self._is_stopped:
