quarantine: a single copy runs first when a quarantine ends

Cause: all daemons know the same end and told it to all callers; then every host let every copy through, until the first had crashed an upstream and the report had spread. Change: after its quarantine a request is on probation until a run of it completes. - Each host opens to it later, by a share of 0.3 of the quarantine's length that follows from a hash of the request and the host. All daemons can compute it. - A first hop sends it once, to the available instance that opened first. - The daemon beside the upstream keeps to the time too, and runs one such request at a time. It knows of the crash before it takes the next copy, so no report has to spread. - A call that waits for a slot when the quarantine begins is refused. A quarantined one is refused as such also while the upstream is down, and not placed elsewhere. - Retry-After is jittered and never before the end. Not covered: a probe whose caller leaves before the upstream crashes.

--- a/packages/savoryroute/savoryroute/coordination/first_hop.py
+++ b/packages/savoryroute/savoryroute/coordination/first_hop.py
@@ -14,7 +14,7 @@
 from ..protocol.mesh_frames import AttemptKind, MeshAnswer, MeshCall
 from ..protocol.request_head import RequestHead, read_request_head, with_organisation
 from ..state.body_budget import BodyBudget
-from ..state.fleet_view import FleetView
+from ..state.fleet_view import FleetView, Instance, ServiceInstances
 from ..state.quarantine import Quarantine, fingerprint
 from ..state.route_table import RouteTable, TableRoute, WeightedRoundRobin
 from ..transport.caller_exchange import CallerRequest, Exchange
@@ -388,19 +388,22 @@
                 forwarded, Reason.DEADLINE, "too little time left for an attempt"
             )
             return
-        suspicion = self._quarantine.check(forwarded.call.fingerprint)
+        suspect = forwarded.call.fingerprint
+        suspicion = self._quarantine.check(suspect)
         if suspicion is not None:
-            self._give_up(
-                forwarded,
-                Reason.QUARANTINED,
-                suspicion.detail,
-                suspicion.retry_after_s,
-            )
+            self._give_up_suspect(forwarded, suspicion.detail)
             return
         instances = self._view.of_service(forwarded.service)
-        instance = choose_instance(
-            forwarded, instances, self._selector, self._is_suspect
-        )
+        if self._quarantine.is_on_probation(suspect):
+            instance = self._choose_on_probation(forwarded, instances)
+            if instance is None:
+                detail = "no instance is open to a request that crashed upstreams"
+                self._give_up_suspect(forwarded, detail)
+                return
+        else:
+            instance = choose_instance(
+                forwarded, instances, self._selector, self._is_suspect
+            )
         if instance is None:
             detail = f"none of {len(instances)} instances is available"
             reason = Reason.NO_UPSTREAM
@@ -435,6 +438,54 @@
         else:
             self._links.call(instance.ip, call, body, on_answer)
 
+    def _choose_on_probation(
+        self, forwarded: ForwardedRequest, instances: ServiceInstances
+    ) -> Instance | None:
+        """Return the instance for the only attempt of a request after its quarantine.
+
+        Hosts open in an order that all daemons know, so that all copies meet at the
+        first one, where one of them runs at a time.
+
+        Args:
+            forwarded: The request.
+            instances: Instances of its service.
+        """
+        if forwarded.tried:
+            return None
+        suspect = forwarded.call.fingerprint
+        waits_s = {
+            item.id: self._quarantine.wait_s(suspect, item.ip) for item in instances
+        }
+        is_open = [item for item in instances if waits_s[item.id] <= 0]
+        for instance in sorted(is_open, key=lambda item: waits_s[item.id]):
+            only = ServiceInstances([instance])
+            if self._selector.choose(only, (), self._is_suspect) is not None:
+                return instance
+        return None
+
+    def _give_up_suspect(self, forwarded: ForwardedRequest, detail: str) -> None:
+        """Refuse a request that crashed upstreams.
+
+        Callers come back after the end of its quarantine, not all at once.
+
+        Args:
+            forwarded: The request.
+            detail: One sentence for a person.
+        """
+        suspect = forwarded.call.fingerprint
+        suspicion = self._quarantine.check(suspect)
+        if suspicion is not None:
+            wait_s = suspicion.retry_after_s
+        else:
+            instances = self._view.of_service(forwarded.service)
+            waits_s = (self._quarantine.wait_s(suspect, item.ip) for item in instances)
+            wait_s = min(waits_s, default=0.0)
+        retry_after_s = None
+        if wait_s > 0:
+            jitter_s = self._rng.uniform(0.0, self._quarantine.spread_s(suspect))
+            retry_after_s = wait_s + jitter_s
+        self._give_up(forwarded, Reason.QUARANTINED, detail, retry_after_s)
+
     def _is_organisation_gone(self, forwarded: ForwardedRequest) -> bool:
         """Return whether the organisation of a caller's request was removed since."""
         if forwarded not in self._of_organisations:
@@ -466,6 +517,8 @@
         elif answer.verdict is Verdict.RAN:
             forwarded.may_have_run = True
             forwarded.failed_answer = answer
+            if self._quarantine.is_on_probation(forwarded.call.fingerprint):
+                self._quarantine.note_success(forwarded.call.fingerprint)
         route = forwarded.route
         step = next_step(
             answer,
@@ -479,6 +532,8 @@
             step = self._try_retry(forwarded, answer)
         if step is NextStep.RETURN_ANSWER:
             self._return_answer(forwarded, answer)
+        elif answer.reason is Reason.QUARANTINED:
+            self._give_up_suspect(forwarded, answer.detail)
         elif step is NextStep.GIVE_UP:
             self._give_up(forwarded, answer.reason, answer.detail)
         else:
--- a/packages/savoryroute/savoryroute/coordination/local_upstream.py
+++ b/packages/savoryroute/savoryroute/coordination/local_upstream.py
@@ -27,6 +27,7 @@
 # Seconds after the deadline of a call for which the upstream's answer is awaited.
 ANSWER_GRACE_S = 0.1
 ORGANISATION_GONE = "the organisation of the request is gone from the configuration"
+_QUARANTINED = "upstreams crashed each time this request ran"
 _NO_REPEAT_LEFT = "the retry budget of the upstream or of one that it calls is spent"
 
 AnswerHandler = Callable[[MeshAnswer], None]
@@ -42,6 +43,7 @@
         "has_downstream_load_failure",
         "n_downstream_served",
         "_downstream_rooms",
+        "is_on_probation",
         "is_over",
         "queued_call",
         "on_answer",
@@ -71,6 +73,8 @@
         self.has_downstream_load_failure = False
         self.n_downstream_served = 0
         self.timer: asyncio.TimerHandle | None = None
+        # Whether it excludes others that would run after a quarantine.
+        self.is_on_probation = False
         self.is_over = False
 
     @property
@@ -133,6 +137,7 @@
         repeats: Decides which repeats the upstream gets.
         log: Log of decisions.
         switches: Mechanisms that are switched off.
+        host: Address of this host.
     """
 
     def __init__(
@@ -146,8 +151,10 @@
         repeats: RepeatAdmission,
         log: EventLog,
         switches: Switches = ALL_ON,
+        host: str = "",
     ) -> None:
         self._service = service
+        self._host = host
         self._pool = pool
         self._queue = queue
         self._names = names
@@ -216,6 +223,12 @@
         if refused is not None:
             self._refuse(local, *refused)
             return local
+        if call.fingerprint and self._quarantine.is_on_probation(call.fingerprint):
+            if not self._quarantine.try_start(call.fingerprint):
+                detail = "another request that crashed upstreams is tried first"
+                self._refuse(local, Reason.QUARANTINED, detail)
+                return local
+            local.is_on_probation = True
         if call.is_first_placement:
             # Later ones were counted where they were refused first.
             self._room.note_offer(
@@ -241,6 +254,8 @@
         reason = self._queue.offer(local.queued_call)
         if reason is Reason.RETRY_BUDGET:
             self._refuse(local, reason, _NO_REPEAT_LEFT)
+        elif reason is Reason.QUARANTINED:
+            self._refuse(local, reason, _QUARANTINED)
         elif reason is not None:
             detail = (
                 f"{self._queue.n_running} calls run and {self._queue.n_waiting} wait"
@@ -288,18 +303,28 @@
             return Reason.LEAVING, "the upstream is leaving"
         if self.is_last_resort and call.n_placements_left:
             return Reason.LEAVING, "the daemon stops, and other instances can run it"
+        if self._is_quarantined(call):
+            # First, as the other refusals let the call be placed elsewhere.
+            return Reason.QUARANTINED, _QUARANTINED
         if self._health.is_down:
             return Reason.UNREACHABLE, "the upstream recently refused a connection"
-        if call.fingerprint and self._quarantine.check(call.fingerprint) is not None:
-            return Reason.QUARANTINED, "upstreams crashed each time this request ran"
         if not self._repeats.may_start(call):
             return Reason.RETRY_BUDGET, _NO_REPEAT_LEFT
         return None
 
     def _admit(self, call: MeshCall) -> Reason | None:
         """Return why a call that gets a slot may not start, or None."""
+        if self._is_quarantined(call):
+            return Reason.QUARANTINED
         return None if self._repeats.try_start(call) else Reason.RETRY_BUDGET
 
+    def _is_quarantined(self, call: MeshCall) -> bool:
+        """Return whether this host does not run the request of a call now."""
+        fingerprint = call.fingerprint
+        return (
+            bool(fingerprint) and self._quarantine.wait_s(fingerprint, self._host) > 0
+        )
+
     def _refuse_waiting(self, local: LocalCall, reason: Reason) -> None:
         """Refuse a call whose wait has ended without a slot."""
         detail = f"waited too long for a slot{self._waiting_text(local.call)}"
@@ -308,6 +333,8 @@
             detail = f"would wait too long: work takes {factor:.2f} times as long now"
         elif reason is Reason.RETRY_BUDGET:
             detail = _NO_REPEAT_LEFT
+        elif reason is Reason.QUARANTINED:
+            detail = _QUARANTINED
         self._refuse(local, reason, detail)
 
     def _waiting_text(self, call: MeshCall) -> str:
@@ -553,6 +580,8 @@
         local.is_over = True
         self._waiting.discard(local)
         self.n_open -= 1
+        if local.is_on_probation:
+            self._quarantine.end(local.call.fingerprint)
         local.on_answer = local.queued_call = None
         local.body = b""
         if local.timer is not None:
--- a/packages/savoryroute/savoryroute/coordination/mesh_node.py
+++ b/packages/savoryroute/savoryroute/coordination/mesh_node.py
@@ -153,6 +153,7 @@
             self._repeats,
             log,
             switches,
+            settings.callers.ip,
         )
         self._bodies = BodyBudget(int(settings.memory_bytes * BODIES_MEMORY_SHARE))
         self._peer_calls = PeerCalls(self._upstream, self._bodies, self._answer_bodies)
--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -36,6 +36,9 @@
 # Each further crash doubles the length of a quarantine, up to this many times: the
 # crashes must be remembered for longer than the quarantine lasts.
 DOUBLINGS_MAX = 3
+# Hosts run a request again at different times after its quarantine. The last of them
+# follows the first within this share of the length of the quarantine.
+SPREAD_SHARE = 0.3
 
 # Fingerprint of a request and identity of a crash during which it was in flight.
 _Key = tuple[bytes, int]
@@ -99,7 +102,9 @@
     one suspect at a time, and a suspect that completes is cleared. After
     ``crashes_max`` crashes a suspect is refused until ``duration_s`` after the last
     crash. It then remains a suspect; one further crash renews the quarantine, for twice
-    as long each time.
+    as long each time. As with a circuit breaker that is half open, it is on probation
+    until a run of it completes: hosts open to it one after the other, in an order that
+    all daemons know.
     ``docs/design/poison.md`` states the resulting bound on crashes.
 
     Crashes are merged as a set of identities, so a crash that is reported twice
@@ -123,6 +128,8 @@
         self._with_one_event: OrderedDict[bytes, None] = OrderedDict()
         self._in_flight: Counter[bytes] = Counter()
         self._in_flight_lost: set[bytes] = set()
+        # Requests with crashes that completed after their quarantine.
+        self._passed: set[bytes] = set()
 
     def __len__(self) -> int:
         return len(self._events)
@@ -148,6 +155,8 @@
         """
         if self._is_quarantined(request):
             return
+        if self.has_crashed_enough(request):
+            self._passed.add(request)
         for crash_id in self._crash_ids.get(request, ()):
             event = self._events[request, crash_id]
             if not event.is_alone and not event.is_cleared:
@@ -162,9 +171,33 @@
             verdict=Verdict.NOT_RUN,
             reason=Reason.QUARANTINED,
             detail="upstreams crashed each time that this request ran",
-            retry_after_s=self._length_s(request) - self._last_age_s(request),
+            retry_after_s=self._left_s(request),
         )
 
+    def is_on_probation(self, request: bytes) -> bool:
+        """Return whether no run of a request completed here since its quarantine."""
+        return self.has_crashed_enough(request) and request not in self._passed
+
+    def wait_s(self, request: bytes, host: str) -> float:
+        """Return the seconds until a host may run a request, at most 0 if it may now.
+
+        Args:
+            request: Fingerprint of the request.
+            host: Address of the host.
+        """
+        if not self.has_crashed_enough(request):
+            return 0.0
+        wait_s = self._left_s(request)
+        if request not in self._passed:
+            digest = hashlib.blake2b(request + host.encode(), digest_size=8).digest()
+            share = int.from_bytes(digest, "big") / 2**64
+            wait_s += share * self.spread_s(request)
+        return wait_s
+
+    def spread_s(self, request: bytes) -> float:
+        """Return the seconds over which hosts open to a request on probation."""
+        return self._length_s(request) * SPREAD_SHARE
+
     def must_run_alone(self, request: bytes) -> bool:
         """Return whether the request must not run beside another suspect."""
         return request in self._in_flight_lost or bool(self._counted(request))
@@ -327,6 +360,7 @@
             self._remove(self._least_needed())
         self._events[request, crash_id] = event
         self._crash_ids.setdefault(request, set()).add(crash_id)
+        self._passed.discard(request)
         self._note_n_events(request)
         return True
 
@@ -372,6 +406,10 @@
             return False
         return self._last_age_s(request) < self._length_s(request)
 
+    def _left_s(self, request: bytes) -> float:
+        """Return the seconds left of the latest quarantine, negative after it."""
+        return self._length_s(request) - self._last_age_s(request)
+
     def _length_s(self, request: bytes) -> float:
         """Return the length of the latest quarantine of a request in seconds."""
         n_renewals = max(0, self.n_crashes(request) - self._crashes_max)
@@ -399,6 +437,7 @@
         crash_ids.discard(crash_id)
         if not crash_ids:
             del self._crash_ids[request]
+            self._passed.discard(request)
         self._note_n_events(request)
 
 
--- a/tests/savoryroute/state/test_quarantine.py
+++ b/tests/savoryroute/state/test_quarantine.py
@@ -74,6 +74,40 @@
             self.local.note_crash([POISON])
         self.assertAlmostEqual(self.local.check(POISON).retry_after_s, 480.0)
 
+    def test_hosts_open_one_after_the_other_after_a_quarantine(self):
+        remote = self.make()
+        hosts = [f"10.0.0.{i}" for i in range(8)]
+        for _ in range(2):
+            self.local.note_crash([POISON])
+        remote.merge(self.local.export())
+        waits_s = [self.local.wait_s(POISON, host) for host in hosts]
+        self.assertEqual(waits_s, [remote.wait_s(POISON, host) for host in hosts])
+        self.assertEqual(len(set(waits_s)), 8)
+        self.assertGreaterEqual(min(waits_s), 60.0)
+        self.assertLessEqual(max(waits_s), 60.0 + self.local.spread_s(POISON))
+        self.now_s += min(waits_s) + 0.001
+        n_open = sum(self.local.wait_s(POISON, host) <= 0 for host in hosts)
+        self.assertEqual(n_open, 1)
+        self.now_s += self.local.spread_s(POISON)
+        self.assertTrue(all(self.local.wait_s(POISON, host) <= 0 for host in hosts))
+
+    def test_probation_ends_with_a_success_and_starts_again_with_a_crash(self):
+        self.assertFalse(self.local.is_on_probation(POISON))
+        for _ in range(2):
+            self.local.note_crash([POISON])
+        self.local.note_success(POISON)
+        self.now_s += 61.0
+        self.assertTrue(self.local.is_on_probation(POISON))
+        self.assertTrue(self.local.try_start(POISON))
+        self.assertFalse(self.local.try_start(POISON))
+        self.local.end(POISON)
+        self.local.note_success(POISON)
+        self.assertFalse(self.local.is_on_probation(POISON))
+        self.assertLessEqual(self.local.wait_s(POISON, "10.0.0.1"), 0.0)
+        self.local.note_crash([POISON])
+        self.assertTrue(self.local.is_on_probation(POISON))
+        self.assertGreaterEqual(self.local.wait_s(POISON, "10.0.0.1"), 120.0)
+
     def test_success_clears_a_neighbour_on_all_daemons(self):
         remote = self.make()
         self.local.note_crash([POISON, NEIGHBOUR])
--- a/tests/savoryroute_platform/test_crashes.py
+++ b/tests/savoryroute_platform/test_crashes.py
@@ -165,6 +165,54 @@
         self.assertEqual(self.n_runs, 4)
 
 
+class CopiesAtTheEndTest(RepeatedCrashTest):
+    """Many copies of the request arrive at several daemons as its quarantine ends."""
+
+    services = ("front", "front", "front", "planner", "planner", "planner", "planner")
+
+    async def asyncSetUp(self):
+        patch = mock.patch.object(mesh_node, "QUARANTINE_S", 1.5)
+        patch.start()
+        self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+        await self.crash_three()
+        self.fleet.publish(2, kind="safe")
+        for upstream in self.planners:
+            upstream.delay_s = 0.03
+
+    async def send_copies(self, length_s):
+        """Send 20 copies a second at each of four daemons; return the answers."""
+        statuses = []
+
+        async def send(index):
+            caller = await self.fleet.caller(index)
+            answer = await caller.request("/planner/x", method="POST", body=b"poison")
+            statuses.append(answer.status)
+            caller.writer.close()
+            if answer.status == 503:
+                self.assertIn("retry-after", answer.headers)
+
+        ends_s = asyncio.get_running_loop().time() + length_s
+        async with asyncio.TaskGroup() as group:
+            while asyncio.get_running_loop().time() < ends_s:
+                for index in range(4):
+                    group.create_task(send(index))
+                await asyncio.sleep(0.05)
+        return statuses
+
+    async def test_one_copy_reaches_an_upstream(self):
+        statuses = await self.send_copies(2.5)
+        self.assertEqual(self.n_runs, 4)
+        self.assertEqual(statuses.count(502), 1)
+
+    async def test_request_that_crashes_no_more_is_served_again(self):
+        for upstream in self.planners:
+            upstream.poison = None
+        await self.send_copies(3.0)
+        statuses = await self.send_copies(0.5)
+        self.assertEqual(set(statuses), {200})
+
+
 class ReplacementTest(PathTest):
     """After a power loss, stale entries remain in the store beside their successors."""
 
