quarantine: a longer quarantine is not shortened as its first crashes are forgotten

A request that crashes each upstream and comes all the time reached a further upstream every two or three lengths of a first quarantine, not every eight.

Cause: crashes are forgotten 10 times the first length after they happened, each for itself. A quarantine of 8 times the length that was renewed late lost the crashes that made it long while it lasted, and became as short as a first one. Change: a crash that quarantines a request renews the evidence of its earlier ones.

--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -31,7 +31,8 @@
 NEW_EXPORTS_MAX = 8
 OLD_EVENTS_MAX = 2
 
-# A crash is remembered for this many times the length of a first quarantine.
+# A crash is remembered for this many times the length of a first quarantine, after the
+# last crash if the request is quarantined.
 MEMORY_FACTOR = 10
 # Each further crash doubles the length of a quarantine, up to this many times: the
 # crashes must be remembered for longer than the quarantine lasts.
@@ -66,7 +67,8 @@
     """One request that was in flight during one crash.
 
     Attributes:
-        at_s: Time of the crash on this daemon's clock, in seconds.
+        at_s: Time of the crash on this daemon's clock in seconds, or of a later
+            one that quarantined the request.
         is_alone: Whether no other request was in flight.
         is_cleared: Whether the request has since completed successfully.
         n_exports: How often the event was sent to peers in its present state.
@@ -362,8 +364,23 @@
         self._crash_ids.setdefault(request, set()).add(crash_id)
         self._passed.discard(request)
         self._note_n_events(request)
+        if self.has_crashed_enough(request):
+            self._renew(request)
         return True
 
+    def _renew(self, request: bytes) -> None:
+        """Remember the crashes of a quarantined request for as long as the last one.
+
+        Otherwise the first ones would be forgotten, and so the quarantine shortened,
+        while a longer one lasts.
+        """
+        counted = self._counted(request)
+        last_s = max(event.at_s for event in counted)
+        for event in counted:
+            event.at_s = last_s
+        for crash_id in self._crash_ids[request]:
+            self._events.move_to_end((request, crash_id))
+
     def _least_needed(self) -> _Key:
         """Return the event to evict when there are too many.
 
--- a/tests/savoryroute/state/test_quarantine.py
+++ b/tests/savoryroute/state/test_quarantine.py
@@ -1,5 +1,6 @@
 """Tests of the quarantine: bound on crashes, cleared neighbours, gossip from peers."""
 
+import itertools
 import random
 import unittest
 
@@ -108,6 +109,21 @@
         self.assertTrue(self.local.is_on_probation(POISON))
         self.assertGreaterEqual(self.local.wait_s(POISON, "10.0.0.1"), 120.0)
 
+    def test_renewed_quarantine_outlasts_the_memory_of_the_first_crashes(self):
+        remote = self.make()
+        crashed_s = []
+        for _ in range(2500):
+            if self.local.check(POISON) is None:
+                self.local.note_crash([POISON])
+                crashed_s.append(self.now_s)
+            self.now_s += 1.0
+            remote.merge(self.local.export())
+            self.assertEqual(remote.n_crashes(POISON), self.local.n_crashes(POISON))
+        gaps_s = [b - a for a, b in itertools.pairwise(crashed_s)]
+        self.assertEqual(gaps_s, [1.0, 60.0, 120.0, 240.0, 480.0, 480.0, 480.0, 480.0])
+        self.now_s += 60.0 * quarantines.MEMORY_FACTOR
+        self.assertEqual(self.local.n_crashes(POISON), 0)
+
     def test_success_clears_a_neighbour_on_all_daemons(self):
         remote = self.make()
         self.local.note_crash([POISON, NEIGHBOUR])
