--- a/packages/savoryroute/savoryroute/state/quarantine.py
+++ b/packages/savoryroute/savoryroute/state/quarantine.py
@@ -31,11 +31,15 @@
 NEW_EXPORTS_MAX = 8
 OLD_EVENTS_MAX = 2
 
-# A crash is remembered for this many times the length of a first quarantine.
+# A crash is remembered for this many times the length of a first quarantine, after the
+# last crash if the request is quarantined.
 MEMORY_FACTOR = 10
 # Each further crash doubles the length of a quarantine, up to this many times: the
 # crashes must be remembered for longer than the quarantine lasts.
 DOUBLINGS_MAX = 3
+# Hosts run a request again at different times after its quarantine. The last of them
+# follows the first within this share of the length of the quarantine.
+SPREAD_SHARE = 0.3
 
 # Fingerprint of a request and identity of a crash during which it was in flight.
 _Key = tuple[bytes, int]
@@ -63,7 +67,8 @@
     """One request that was in flight during one crash.
 
     Attributes:
-        at_s: Time of the crash on this daemon's clock, in seconds.
+        at_s: Time of the crash on this daemon's clock in seconds, or of a later
+            one that quarantined the request.
         is_alone: Whether no other request was in flight.
         is_cleared: Whether the request has since completed successfully.
         n_exports: How often the event was sent to peers in its present state.
@@ -99,7 +104,9 @@
     one suspect at a time, and a suspect that completes is cleared. After
     ``crashes_max`` crashes a suspect is refused until ``duration_s`` after the last
     crash. It then remains a suspect; one further crash renews the quarantine, for twice
-    as long each time.
+    as long each time. As with a circuit breaker that is half open, it is on probation
+    until a run of it completes: hosts open to it one after the other, in an order that
+    all daemons know.
     ``docs/design/poison.md`` states the resulting bound on crashes.
 
     Crashes are merged as a set of identities, so a crash that is reported twice
@@ -123,6 +130,8 @@
         self._with_one_event: OrderedDict[bytes, None] = OrderedDict()
         self._in_flight: Counter[bytes] = Counter()
         self._in_flight_lost: set[bytes] = set()
+        # Requests with crashes that completed after their quarantine.
+        self._passed: set[bytes] = set()
 
     def __len__(self) -> int:
         return len(self._events)
@@ -148,6 +157,8 @@
         """
         if self._is_quarantined(request):
             return
+        if self.has_crashed_enough(request):
+            self._passed.add(request)
         for crash_id in self._crash_ids.get(request, ()):
             event = self._events[request, crash_id]
             if not event.is_alone and not event.is_cleared:
@@ -162,9 +173,33 @@
             verdict=Verdict.NOT_RUN,
             reason=Reason.QUARANTINED,
             detail="upstreams crashed each time that this request ran",
-            retry_after_s=self._length_s(request) - self._last_age_s(request),
+            retry_after_s=self._left_s(request),
         )
 
+    def is_on_probation(self, request: bytes) -> bool:
+        """Return whether no run of a request completed here since its quarantine."""
+        return self.has_crashed_enough(request) and request not in self._passed
+
+    def wait_s(self, request: bytes, host: str) -> float:
+        """Return the seconds until a host may run a request, at most 0 if it may now.
+
+        Args:
+            request: Fingerprint of the request.
+            host: Address of the host.
+        """
+        if not self.has_crashed_enough(request):
+            return 0.0
+        wait_s = self._left_s(request)
+        if request not in self._passed:
+            digest = hashlib.blake2b(request + host.encode(), digest_size=8).digest()
+            share = int.from_bytes(digest, "big") / 2**64
+            wait_s += share * self.spread_s(request)
+        return wait_s
+
+    def spread_s(self, request: bytes) -> float:
+        """Return the seconds over which hosts open to a request on probation."""
+        return self._length_s(request) * SPREAD_SHARE
+
     def must_run_alone(self, request: bytes) -> bool:
         """Return whether the request must not run beside another suspect."""
         return request in self._in_flight_lost or bool(self._counted(request))
@@ -327,9 +362,25 @@
             self._remove(self._least_needed())
         self._events[request, crash_id] = event
         self._crash_ids.setdefault(request, set()).add(crash_id)
+        self._passed.discard(request)
         self._note_n_events(request)
+        if self.has_crashed_enough(request):
+            self._renew(request)
         return True
 
+    def _renew(self, request: bytes) -> None:
+        """Remember the crashes of a quarantined request for as long as the last one.
+
+        Otherwise the first ones would be forgotten, and so the quarantine shortened,
+        while a longer one lasts.
+        """
+        counted = self._counted(request)
+        last_s = max(event.at_s for event in counted)
+        for event in counted:
+            event.at_s = last_s
+        for crash_id in self._crash_ids[request]:
+            self._events.move_to_end((request, crash_id))
+
     def _least_needed(self) -> _Key:
         """Return the event to evict when there are too many.
 
@@ -372,6 +423,10 @@
             return False
         return self._last_age_s(request) < self._length_s(request)
 
+    def _left_s(self, request: bytes) -> float:
+        """Return the seconds left of the latest quarantine, negative after it."""
+        return self._length_s(request) - self._last_age_s(request)
+
     def _length_s(self, request: bytes) -> float:
         """Return the length of the latest quarantine of a request in seconds."""
         n_renewals = max(0, self.n_crashes(request) - self._crashes_max)
@@ -399,6 +454,7 @@
         crash_ids.discard(crash_id)
         if not crash_ids:
             del self._crash_ids[request]
+            self._passed.discard(request)
         self._note_n_events(request)
 
 
