--- a/tests/savoryroute_platform/endless_upstream.py
+++ b/tests/savoryroute_platform/endless_upstream.py
@@ -15,7 +15,7 @@
 BODY = b"b" * 65536
 CHUNK = b"10000\r\n" + BODY + b"\r\n"
 TRAILERS = b"A: b\r\n" * 10_000
-LONG_BYTES = 15_000_000
+ANSWER = HEAD + b"Content-Length: 19\r\n\r\nanswer to ID"
 # First bytes of an answer, and the bytes that follow until the connection is closed.
 FAULTS = {
     "header-line": (HEAD + b"A: ", BODY),
@@ -23,12 +23,12 @@
     "no-http": (b"", BODY),
     "informational": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1000),
     "chunk-extension": (CHUNKED + b"4;", BODY),
-    "after-the-answer": (HEAD + b"Content-Length: 2\r\n\r\nok", BODY),
+    "after-the-answer": (ANSWER, BODY),
     "other-answers": (
         b"",
         b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 2\r\n\r\nno" * 1000,
     ),
-    "many-answers": (b"", (HEAD + b"Content-Length: 2\r\n\r\nok") * 1000),
+    "many-answers": (b"", ANSWER * 1000),
     "body-without-length": (HEAD + b"\r\n", BODY),
     "body-of-900-GB": (HEAD + b"Content-Length: 900000000000\r\n\r\n", BODY),
     "chunks": (CHUNKED, CHUNK),
@@ -36,8 +36,19 @@
     "trailers-after-4-MB": (CHUNKED + CHUNK * 64 + b"0\r\n", TRAILERS),
     "trailer-line-after-8-MB": (CHUNKED + CHUNK * 128 + b"0\r\nA: ", BODY),
 }
-# Whole answers; their connections stay open.
-SOUND = {"long-answer": HEAD + b"Content-Length: %d\r\n\r\n" % LONG_BYTES}
+# Lengths in bytes of whole answers; their connections stay open.
+SOUND = {"long-answer": 15_000_000, "short-answer": 2}
+
+
+def endless_answer(name: str, request_id: bytes) -> tuple[bytes, bytes]:
+    """Return the first bytes of an answer and those that follow without end.
+
+    Args:
+        name: Name of the fault.
+        request_id: Identity of the request, of nine bytes as the tests' callers send.
+    """
+    first, repeated = FAULTS[name]
+    return first.replace(b"ID", request_id), repeated.replace(b"ID", request_id)
 
 
 def read_head(connection: socket.socket) -> bytes:
@@ -62,12 +73,13 @@
             request_id = fields["request-id"].encode()
             name = lines[0].split(" ")[1].rsplit("/", 1)[1]
             if name in SOUND:
-                connection.sendall(SOUND[name].replace(b"ID", request_id))
-                connection.sendall(b"b" * LONG_BYTES)
+                n_bytes = SOUND[name]
+                length = b"Content-Length: %d\r\n\r\n" % n_bytes
+                connection.sendall(HEAD.replace(b"ID", request_id) + length)
+                connection.sendall(b"b" * n_bytes)
                 continue
-            first, repeated = FAULTS[name]
-            connection.sendall(first.replace(b"ID", request_id))
-            repeated = repeated.replace(b"ID", request_id)
+            first, repeated = endless_answer(name, request_id)
+            connection.sendall(first)
             while True:
                 connection.sendall(repeated)
     except OSError:
--- a/tests/savoryroute_platform/test_endless_answers.py
+++ b/tests/savoryroute_platform/test_endless_answers.py
@@ -4,7 +4,7 @@
 import unittest
 from collections import Counter
 
-from .endless_upstream import FAULTS, SOUND
+from .endless_upstream import FAULTS
 from .mesh_fleet import Caller
 from .process_fleet import ProcessFleet
 
@@ -88,7 +88,7 @@
         return faulty
 
     async def test_long_sound_answers(self):
-        faulty = await self.check(*SOUND)
+        faulty = await self.check("long-answer")
         self.assertGreater(faulty[200], 0)
 
     async def test_every_fault_at_once(self):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,13 +11,18 @@
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
 import time
 
 from tests.retry_rule_count import worst_window
+from tests.savoryroute_platform import endless_upstream
 from tests.savoryroute_platform.mesh_fleet import Caller
+from tests.savoryroute_platform.process_fleet import MB
+from tests.savoryroute_platform.test_process_start import ignores_hangup
 
+from .callers import INPUTS, misbehave
 from .fleet import RETRY_RATIO, RETRY_SLACK, SoakFleet
 from .proxy import Fault
 
@@ -44,6 +49,10 @@
 UPLOAD_SHARE = 0.4
 ABANDONED_SHARE = 0.1
 UPLOAD_BYTES = (5_000, 90_000)
+# Share of requests to a service with a sound upstream and a daemon without faults of
+# its own, and seconds after which a disturbed daemon must serve them again.
+STEADY_SHARE = 0.25
+SETTLE_S = 3.0
 
 FAULTS = {}
 
@@ -145,6 +154,69 @@
     fleet.store.expire_history()
 
 
+@fault
+async def kill_all(fleet, index, rng):
+    for other in range(len(fleet.SERVICES)):
+        fleet.signal(other, signal.SIGKILL)
+    await asyncio.gather(*map(fleet.restart, range(len(fleet.SERVICES))))
+
+
+@fault
+async def hang_up(fleet, index, rng):
+    """Send hangups in series, at times from the first moment of a process."""
+    if rng.random() < 0.5:
+        await kill(fleet, index, rng)
+    for _ in range(rng.randint(10, 200)):
+        process = fleet.processes[index]
+        # Only the program can ignore them, not the interpreter's start.
+        if process.poll() is None and ignores_hangup(process.pid):
+            fleet.signal(index, signal.SIGHUP)
+        await asyncio.sleep(rng.uniform(0.0, 0.01))
+
+
+@fault
+async def prolong_answers(fleet, index, rng):
+    """Let several upstreams send answers without end at once."""
+    proxies = [fleet.upstream_proxies[other] for other in fleet.PLANNERS]
+    proxies = rng.sample(proxies, rng.randint(1, len(proxies)))
+    for proxy in proxies:
+        proxy.fault = Fault.ENDLESS
+    await asyncio.sleep(rng.uniform(0.2, 1.5))
+    for proxy in proxies:
+        proxy.fault = Fault.NONE
+        proxy.reset()
+
+
+@fault
+async def ask_for_endless_answers(fleet, index, rng):
+    """Send requests for answers without end or long ones, and read the answers."""
+    names = rng.choices([*sorted(endless_upstream.FAULTS), "long-answer"], k=6)
+    await asyncio.gather(
+        *(
+            ask(fleet.ip(rng.randrange(len(fleet.SERVICES))), fleet.port, name)
+            for name in names
+        )
+    )
+
+
+async def ask(ip, port, name):
+    """Send a request for a faulty or long answer."""
+    try:
+        caller = await Caller.connect(ip, port)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            await caller.request(f"/faulty/{name}")
+        caller.close()
+    except (OSError, TimeoutError):
+        pass
+
+
+@fault
+async def send_endless_input(fleet, index, rng):
+    ip = fleet.ip(rng.randrange(len(fleet.SERVICES)))
+    name = rng.choice(sorted(INPUTS))
+    await misbehave(ip, fleet.port, name, rng.randint(1, 16), rng.uniform(0.5, 3.0))
+
+
 class Soak:
     """One run of the soak test, with faults drawn from a seed."""
 
@@ -158,6 +230,7 @@
         self.problems: list[str] = []
         self.faults: list[str] = []
         self._is_finished = False
+        self._begun_s = time.monotonic()
 
     async def run(self, seconds: float) -> None:
         await self.fleet.start()
@@ -193,11 +266,12 @@
         tasks: dict[int, asyncio.Task] = {}
         while loop.time() < end_s:
             await asyncio.sleep(self.rng.uniform(0.1, FAULT_GAP_S))
-            index = self.rng.randrange(1, len(self.fleet.SERVICES))
+            index = self.rng.randrange(1, self.fleet.STEADY)
             if index in tasks and not tasks[index].done():
                 continue
             name = self.rng.choice(sorted(FAULTS))
-            self.faults.append(f"{name}({index})")
+            at_s = time.monotonic() - self._begun_s
+            self.faults.append(f"{at_s:.2f} {name}({index})")
             tasks[index] = asyncio.create_task(
                 FAULTS[name](self.fleet, index, self.rng)
             )
@@ -206,59 +280,97 @@
     async def _call(self, number: int) -> None:
         """Send requests until the run ends; reconnect when the connection closes."""
         caller = None
+        index = number % len(self.fleet.SERVICES)
         while not self._is_finished:
             await asyncio.sleep(CALLER_PAUSE_S)
-            try:
-                if caller is None:
-                    index = number % len(self.fleet.SERVICES)
-                    ip = self.fleet.ip(index)
-                    caller = await Caller.connect(ip, self.fleet.port)
-                if self.rng.random() >= ONCE_SHARE:
-                    caller = await self._exchange(caller, "/safe/x", "GET", b"")
-                elif self.rng.random() >= UPLOAD_SHARE:
-                    caller = await self._exchange(caller, "/once/x", "POST", b"body")
-                else:
-                    caller = await self._upload(caller)
-            except (OSError, TimeoutError):
+            if caller is None:
+                process = self.fleet.processes[index]
+                try:
+                    caller = await Caller.connect(self.fleet.ip(index), self.fleet.port)
+                except OSError:
+                    continue
+            if self.rng.random() < STEADY_SHARE:
+                request = ("/steady/x", "GET", b"")
+            elif self.rng.random() >= ONCE_SHARE:
+                request = ("/safe/x", "GET", b"")
+            elif self.rng.random() >= UPLOAD_SHARE:
+                request = ("/once/x", "POST", b"body")
+            else:
+                length = self.rng.randint(*UPLOAD_BYTES)
+                body = bytes([self.rng.randrange(256)]) * length
+                request = ("/upload/x", "POST", body)
+                if self.rng.random() < ABANDONED_SHARE:
+                    await self._abandon(caller, body)
+                    caller = None
+                    continue
+            if not await self._exchange(caller, index, process, *request):
+                caller.close()
                 caller = None
 
-    async def _upload(self, caller: Caller) -> Caller | None:
-        """Send a long body, or a part of it and leave."""
-        length = self.rng.randint(*UPLOAD_BYTES)
-        body = bytes([self.rng.randrange(256)]) * length
-        if self.rng.random() >= ABANDONED_SHARE:
-            return await self._exchange(caller, "/upload/x", "POST", body)
+    async def _abandon(self, caller: Caller, body: bytes) -> None:
+        """Send a part of a long body and leave."""
         caller.writer.write(
             b"POST /upload/abandoned HTTP/1.1\r\nHost: shop.example\r\n"
             b"Request-Id: abandoned\r\nContent-Length: %d\r\n\r\n%b"
-            % (length, body[: length // 2])
+            % (len(body), body[: len(body) // 2])
         )
         await asyncio.sleep(self.rng.uniform(0.0, 0.3))
         caller.close()
-        return None
 
     async def _exchange(
-        self, caller: Caller, target: str, method: str, body: bytes
-    ) -> Caller | None:
+        self,
+        caller: Caller,
+        index: int,
+        process: subprocess.Popen,
+        target: str,
+        method: str,
+        body: bytes,
+    ) -> bool:
+        """Send a request and check its answer; return whether the connection is kept.
+
+        Args:
+            caller: Connection of the caller.
+            index: Host of the daemon.
+            process: Process of the daemon when the connection was opened.
+            target: Target of the request.
+            method: Method of the request.
+            body: Body of the request.
+        """
+        sent_s = time.monotonic()
         request_id = caller.write(target, method=method, body=body)
         self.bodies[request_id] = body
-        self.sent_s.append(time.monotonic())
-        async with asyncio.timeout(ANSWER_TIMEOUT_S):
-            answer = await caller.read()
-        if not answer.is_complete:
+        is_steady = target.startswith("/steady/")
+        if not is_steady:
+            self.sent_s.append(sent_s)
+        seen = "connection closed"
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                answer = await caller.read()
+        except (OSError, TimeoutError) as error:
+            answer, seen = None, repr(error)
+        disturbed_s = self.fleet.disturbed_s[index]
+        if answer is None or not answer.is_complete:
             self.answers[request_id] = 0
-            caller.close()
-            return None
+            if not self.fleet.was_ended(process) and disturbed_s < sent_s:
+                self._note(
+                    f"{request_id} {target} at {index}, no answer: {seen}", sent_s
+                )
+            return False
         self.answers[request_id] = answer.status
         self.latest.append(answer.status)
         if answer.status == 200 and answer.body != f"answer to {request_id}".encode():
-            self.problems.append(f"{request_id} got {answer.body!r:.60}")
+            self._note(f"{request_id} got {answer.body!r:.60}", sent_s)
         if answer.status in (400, 404, 413, 431):
-            self.problems.append(f"{request_id} got {answer.status}")
-        if answer.headers.get("connection") == "close":
-            caller.close()
-            return None
-        return caller
+            self._note(f"{request_id} got {answer.status}", sent_s)
+        disturbed_s = max(disturbed_s, self.fleet.disturbed_s[self.fleet.STEADY])
+        is_settled = disturbed_s < sent_s - SETTLE_S
+        if is_steady and is_settled and answer.status not in (200, 503):
+            self._note(f"{request_id} {target} at {index} got {answer.status}", sent_s)
+        return answer.headers.get("connection") != "close"
+
+    def _note(self, problem: str, sent_s: float) -> None:
+        """Keep a problem with the time of its request, in seconds of the run."""
+        self.problems.append(f"{problem} (sent at {sent_s - self._begun_s:.2f} s)")
 
     def _check(self) -> None:
         """Compare the answers to callers with the executions at upstreams."""
@@ -276,7 +388,9 @@
                 request_id = run["request-id"]
                 if run["body"] != self.bodies.get(request_id, run["body"]):
                     self.problems.append(f"{request_id} ran with another body")
-        if "abandoned" in runs:
+        self.problems += self.fleet.ends
+        lines = (run["line"] for item in self.fleet.upstreams for run in item.runs)
+        if "abandoned" in runs or any("/upload/endless" in line for line in lines):
             self.problems.append("a request without its complete body ran")
         for request_id, n_runs in runs.items():
             if request_id in unsafe and n_runs > 1:
@@ -310,7 +424,9 @@
     def _check_retries(self) -> None:
         """Check that the service got no more repeats than the budget allows."""
         arrivals = sorted(
-            arrival for item in self.fleet.upstreams for arrival in item.arrivals
+            arrival
+            for index in self.fleet.PLANNERS
+            for arrival in self.fleet.upstreams[index].arrivals
         )
         seen: set[str] = set()
         repeats_s = []
@@ -348,6 +464,8 @@
 
     soak.fleet.stop = keep_logs_and_stop
     asyncio.run(soak.run(seconds))
+    counts = dict(collections.Counter(soak.answers.values()))
+    print(f"seed {seed}: answers {counts}, {soak.fleet.peak_bytes / MB:.0f} MB at most")
     if soak.problems:
         print(f"seed {seed}: faults {soak.faults}; logs in {log_folder}")
     else:
@@ -366,7 +484,7 @@
     for seed in range(arguments.first, arguments.first + arguments.seeds):
         problems = run_seed(seed, arguments.seconds)
         n_violated += bool(problems)
-        print(f"seed {seed}: {problems[:5] or 'ok'}", flush=True)
+        print(f"seed {seed}: {problems[:20] or 'ok'}", flush=True)
     return 1 if n_violated else 0
 
 
