soak: callers that send requests ahead get all their answers

Cause: the new faults sent requests ahead without reading the answers, so that a dropped request would not be seen. Change: up to 50 requests and offers of upgrades are sent ahead over one connection to the sound service; a daemon that was not disturbed may not close it before the last answer unless an answer says so.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,9 +6,10 @@
 
 from tests.savoryroute_platform.endless_upstream import BODY, CHUNK, TRAILERS
 
-__all__ = ["INPUTS", "misbehave"]
+__all__ = ["INPUTS", "STEADY", "UPGRADE", "misbehave"]
 
 GET = b"GET /faulty/%b HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: e\r\n"
+STEADY = b"GET /steady/ahead HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: a%d\r\n"
 POST = b"POST /upload/endless HTTP/1.1\r\nHost: shop.example\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 UPGRADE = b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -70,9 +70,9 @@
         self.processes: list[subprocess.Popen] = []
         self.logs: list[pathlib.Path] = []
         self.version = 0
-        # Ends of daemons other than by this fleet's signals, most resident memory of
-        # any daemon in bytes, and monotonic times of the last signals to each.
-        self.ends: list[str] = []
+        # Promises that daemons broke during faults, most resident memory of any daemon
+        # in bytes, and monotonic times of the last starts of and signals to each.
+        self.problems: list[str] = []
         self.peak_bytes = 0
         self.disturbed_s = [0.0] * len(self.SERVICES)
         self._rng = random.Random(seed)
@@ -141,6 +141,12 @@
             if number in (signal.SIGKILL, signal.SIGTERM):
                 self._signalled.add(process)
 
+    def is_undisturbed(
+        self, index: int, process: subprocess.Popen, since_s: float
+    ) -> bool:
+        """Whether a daemon's process got no signals since a monotonic time."""
+        return not self.was_ended(process) and self.disturbed_s[index] < since_s
+
     def was_ended(self, process: subprocess.Popen) -> bool:
         """Whether this fleet has sent a process a signal that ends it."""
         return process in self._signalled
@@ -181,7 +187,7 @@
             is_over = n_bytes > MEMORY_MB * MB
             if is_over or process.poll() is not None and not self.was_ended(process):
                 seen = f"{n_bytes / MB:.0f} MB, status {process.poll()}"
-                self.ends.append(f"host {index} ended: {seen}")
+                self.problems.append(f"host {index} ended: {seen}")
                 self._signalled.add(process)
                 process.kill()
                 await asyncio.sleep(RESTART_S)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,7 +22,7 @@
 from tests.savoryroute_platform.process_fleet import MB
 from tests.savoryroute_platform.test_process_start import ignores_hangup
 
-from .callers import INPUTS, misbehave
+from .callers import INPUTS, STEADY, UPGRADE, misbehave
 from .fleet import RETRY_RATIO, RETRY_SLACK, SoakFleet
 from .proxy import Fault
 
@@ -217,6 +217,36 @@
     await misbehave(ip, fleet.port, name, rng.randint(1, 16), rng.uniform(0.5, 3.0))
 
 
+@fault
+async def send_ahead(fleet, index, rng):
+    """Send requests and offers of upgrades ahead, and read all of their answers."""
+    index = rng.randrange(len(fleet.SERVICES))
+    process = fleet.processes[index]
+    requests = [
+        STEADY % rng.randrange(10**9) + rng.choice([b"\r\n", UPGRADE])
+        for _ in range(rng.randint(2, 50))
+    ]
+    data, is_closed = b"", False
+    sent_s = time.monotonic()
+    try:
+        reader, writer = await asyncio.open_connection(fleet.ip(index), fleet.port)
+        writer.write(b"".join(requests))
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while data.count(b"HTTP/1.1 ") < len(requests) and not is_closed:
+                piece = await reader.read(65536)
+                data += piece
+                is_closed = not piece
+        writer.close()
+    except (OSError, TimeoutError) as error:
+        is_closed = isinstance(error, ConnectionError) and bool(data)
+    # An answer that closes the connection says that the next ones were not read.
+    is_closed = is_closed and b"connection: close" not in data.lower()
+    if is_closed and fleet.is_undisturbed(index, process, sent_s):
+        n_answers = data.count(b"HTTP/1.1 ")
+        seen = f"{n_answers} of {len(requests)} requests sent ahead were answered"
+        fleet.problems.append(f"host {index}: {seen}, last {data[-200:]!r}")
+
+
 class Soak:
     """One run of the soak test, with faults drawn from a seed."""
 
@@ -348,10 +378,9 @@
                 answer = await caller.read()
         except (OSError, TimeoutError) as error:
             answer, seen = None, repr(error)
-        disturbed_s = self.fleet.disturbed_s[index]
         if answer is None or not answer.is_complete:
             self.answers[request_id] = 0
-            if not self.fleet.was_ended(process) and disturbed_s < sent_s:
+            if self.fleet.is_undisturbed(index, process, sent_s):
                 self._note(
                     f"{request_id} {target} at {index}, no answer: {seen}", sent_s
                 )
@@ -362,7 +391,9 @@
             self._note(f"{request_id} got {answer.body!r:.60}", sent_s)
         if answer.status in (400, 404, 413, 431):
             self._note(f"{request_id} got {answer.status}", sent_s)
-        disturbed_s = max(disturbed_s, self.fleet.disturbed_s[self.fleet.STEADY])
+        disturbed_s = max(
+            self.fleet.disturbed_s[host] for host in (index, self.fleet.STEADY)
+        )
         is_settled = disturbed_s < sent_s - SETTLE_S
         if is_steady and is_settled and answer.status not in (200, 503):
             self._note(f"{request_id} {target} at {index} got {answer.status}", sent_s)
@@ -388,7 +419,7 @@
                 request_id = run["request-id"]
                 if run["body"] != self.bodies.get(request_id, run["body"]):
                     self.problems.append(f"{request_id} ran with another body")
-        self.problems += self.fleet.ends
+        self.problems += self.fleet.problems
         lines = (run["line"] for item in self.fleet.upstreams for run in item.runs)
         if "abandoned" in runs or any("/upload/endless" in line for line in lines):
             self.problems.append("a request without its complete body ran")
