links: a long frame has to be complete within ten seconds

Cause: a peer that stops within a frame, while its host still answers keepalives, held what it had sent for as long as the connection lived; with the memory of all links spent, sound links with long frames were cut off in its place. Change: a timer runs while more than 64 KiB of an incomplete frame are held, and not while complete frames wait for their turn. Ruled out: the same for unread frames; a sound link that is full has as much unread for as long as it is full. Measured: test_link_with_a_frame_that_stays_incomplete_is_cut_off passes; nothing ended such a link before (by reading). test_path, test_released_memory, test_uploads and test_odd_routes pass (one run).

--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -35,6 +35,9 @@
 # Bytes that each link may hold uncounted, so that links with short frames go on while
 # others take up the memory.
 UNCOUNTED_BYTES = 64 * 1024
+# Seconds in which a frame longer than that has to be complete: the longest value of the
+# platform then needs 0.8 Mbit/s.
+FRAME_TIMEOUT_S = 10.0
 # Bytes that wait to be written above which no further piece of a body is added: they
 # delay all frames that are sent next.
 WRITE_BUFFER_BYTES = 32 * 1024
@@ -65,6 +68,7 @@
     ) -> None:
         self._memory = BodyBudget(sys.maxsize) if memory is None else memory
         self._counted_bytes = 0
+        self._frame_timer: asyncio.TimerHandle | None = None
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._on_bad_frame = on_bad_frame
@@ -164,12 +168,30 @@
             self.abort()
             return
         self._counted_bytes = n_bytes
+        # While complete frames wait for a turn, it is not the peer who is slow.
+        if self._has_turn or len(self._buffer) <= UNCOUNTED_BYTES:
+            self._stop_timer()
+        elif self._frame_timer is None:
+            loop = asyncio.get_running_loop()
+            self._frame_timer = loop.call_later(FRAME_TIMEOUT_S, self._time_out)
+
+    def _time_out(self) -> None:
+        """Abort a link whose frame stays incomplete and holds memory for good."""
+        detail = f"{len(self._buffer)} bytes of a frame stay incomplete"
+        self._on_bad_frame(f"{self.peer_ip}: {detail}")
+        self.abort()
+
+    def _stop_timer(self) -> None:
+        if self._frame_timer is not None:
+            self._frame_timer.cancel()
+            self._frame_timer = None
 
     def _end(self) -> None:
         """Drop what refers to this link or takes up memory."""
         self._buffer = bytearray()
         self._memory.release(self._counted_bytes)
         self._counted_bytes = 0
+        self._stop_timer()
         self._on_lost(self)
         self.on_writable = None
 
--- a/tests/savoryroute/transport/test_frame_link.py
+++ b/tests/savoryroute/transport/test_frame_link.py
@@ -5,12 +5,14 @@
 import time
 import tracemalloc
 import unittest
+from unittest import mock
 
 import cbor2
 from hypothesis import given
 from hypothesis import strategies as st
 
 from savoryroute.state.body_budget import BodyBudget
+from savoryroute.transport import frame_link
 from savoryroute.transport.frame_link import (
     FRAME_BYTES_MAX,
     ITEMS_MAX,
@@ -127,10 +129,8 @@
         )
     )
     def test_long_frames_of_few_items_are_read(self, item):
-        sender, wire, _, _ = connect()
-        sender.send([b"x" * 70_000, item])
         link, _, frames, bad = connect()
-        link.data_received(wire.data)
+        link.data_received(pack(cbor2.dumps([b"x" * 70_000, item])))
         self.assertEqual((frames, bad), ([[b"x" * 70_000, item]], []))
 
 
@@ -179,7 +179,7 @@
         self.assertEqual((len(self.numbers), self.events[1:]), (50, ["lost"]))
 
 
-class MemoryTest(unittest.TestCase):
+class MemoryTest(unittest.IsolatedAsyncioTestCase):
     """Frames that peers send in part, or do not read, took up any memory."""
 
     def setUp(self):
@@ -201,7 +201,7 @@
             link.connection_lost(None)
         self.assertEqual(self.memory.held_bytes, 0)
 
-    def test_partial_frames_on_many_links(self):
+    async def test_partial_frames_on_many_links(self):
         head = struct.pack(">I", FRAME_BYTES_MAX)
         for link, transport, _, bad in self.links:
             for piece in (head, *[b"x" * 200_000] * 6):
@@ -218,7 +218,7 @@
         self.assertEqual(len(frames), 1)
         self.lose_all()
 
-    def test_peers_that_do_not_read(self):
+    async def test_peers_that_do_not_read(self):
         for _ in range(10):
             for link, transport, _, _ in self.links:
                 link.send([b"x" * 30_000])
@@ -227,7 +227,7 @@
         self.assert_bounded()
         self.lose_all()
 
-    def test_memory_returns_when_frames_are_complete_or_written(self):
+    async def test_memory_returns_when_frames_are_complete_or_written(self):
         link, transport, frames, bad = self.links[0]
         data = pack(cbor2.dumps([b"x" * 900_000]))
         for start in range(0, len(data), 50_000):
@@ -238,3 +238,19 @@
         transport.data = b""
         link.resume_writing()
         self.assertEqual(self.memory.held_bytes, 0)
+
+    async def test_link_with_a_frame_that_stays_incomplete_is_cut_off(self):
+        """A peer that stopped within a frame held memory for as long as it lived."""
+        slow, moving = self.links[:2]
+        data = pack(cbor2.dumps([b"x" * 100_000]))
+        with mock.patch.object(frame_link, "FRAME_TIMEOUT_S", 0.2):
+            slow[0].data_received(data[:-1])
+            for _ in range(8):
+                moving[0].data_received(data[:-1])
+                await asyncio.sleep(0.05)
+                moving[0].data_received(data[-1:])
+        self.assertEqual((len(moving[2]), moving[3]), (8, []))
+        self.assertTrue(slow[1].is_aborted)
+        self.assertIn("incomplete", slow[3][0])
+        slow[0].connection_lost(None)
+        self.assertEqual(self.memory.held_bytes, 0)
