links: a frame that the peer would refuse is not sent

Since frames have 4 MiB at most, a longer one makes the peer abort the link with all calls on it, again with each poll. Keys are replaced by digests before routes are passed on: empty tenants of 480 kB in the store become 4.3 MB. Change: a longer frame is logged and dropped. Not played on a fleet.

--- a/packages/savoryroute/savoryroute/transport/frame_link.py
+++ b/packages/savoryroute/savoryroute/transport/frame_link.py
@@ -37,7 +37,8 @@
     Args:
         on_frame: Handles each frame.
         on_lost: Called when the connection is closed or lost.
-        on_bad_frame: Called with the error in a frame before the connection is aborted.
+        on_bad_frame: Called with the error in a frame before the connection is aborted,
+            and when a frame is too long to be sent.
     """
 
     def __init__(
@@ -75,10 +76,17 @@
         )
 
     def send(self, frame: list[Any]) -> None:
-        """Send one frame; it is dropped if the connection is closed."""
+        """Send one frame; it is dropped if the connection is closed or it is too long.
+
+        The peer would close the connection, with all calls on it.
+        """
         if self._transport is None or self._transport.is_closing():
             return
         data = cbor2.dumps(frame)
+        if len(data) > FRAME_BYTES_MAX:
+            detail = f"frame of kind {frame[0]} with {len(data)} bytes is not sent"
+            self._on_bad_frame(f"to {self.peer_ip}: {detail}")
+            return
         self._transport.write(_LENGTH.pack(len(data)) + data)
 
     def close(self) -> None:
--- a/tests/savoryroute/transport/test_frame_link.py
+++ b/tests/savoryroute/transport/test_frame_link.py
@@ -56,6 +56,11 @@
         self.assertEqual(frames, sent)
         self.assertEqual(bad, [])
 
+    def test_frame_that_the_peer_would_refuse_is_not_sent(self):
+        link, wire, _, bad = connect()
+        link.send([8, b"a" * FRAME_BYTES_MAX])
+        self.assertEqual((wire.data, len(bad)), (b"", 1))
+
     def test_invalid_frame_aborts_the_connection(self):
         for data in (
             struct.pack(">I", FRAME_BYTES_MAX + 1),
