watchers: a store that repeats a page of the list is an error

A list whose last page always has more was read on for good, without a pause: the calls of all daemons share one rate. A list with ever new keys is still read without end.

--- a/tests/savoryroute_platform/test_store.py
+++ b/tests/savoryroute_platform/test_store.py
@@ -1,10 +1,12 @@
-"""Answers of the store that cost more to decode than they say."""
+"""Answers of the store that cost more than they say."""
 
 import asyncio
 import unittest
+from unittest import mock
 
-from result import Err
-from savoryroute_platform.store import StoreClient
+from result import Err, Ok
+from savoryroute_platform.store import Change, RangePage, StoreClient
+from savoryroute_platform.watchers import follow_instances
 
 REVISION = b'],"store-revision":1,"has-more":false}'
 ANSWERS = {
@@ -31,3 +33,19 @@
                 read = await client.read_page("op/")
                 self.assertIsInstance(read, Err)
                 self.assertRegex(str(read.err_value), "too many values|not JSON")
+
+
+class RepeatedPageTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reads_of_a_list_that_does_not_end_are_delayed(self):
+        page = RangePage([Change("servers/a", None)], 1, has_more=True)
+
+        async def read_page(prefix, after_key):
+            await asyncio.sleep(0)
+            return Ok(page)
+
+        store = mock.Mock(read_page=mock.Mock(side_effect=read_page))
+        following = asyncio.create_task(follow_instances(store, mock.Mock()))
+        self.addCleanup(following.cancel)
+        for _ in range(1000):
+            await asyncio.sleep(0)
+        self.assertLessEqual(store.read_page.call_count, 4)
