http server: a refused request is dropped at once

A connection whose request was refused stays up to a second, so that the caller can read the refusal, and kept the headers and the body. Headers that followed the refusal in the same read were added, too. Change: the refusal drops both and releases the memory reserved for them.

--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -176,7 +176,8 @@
         self._count_header(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
+        if self._is_reading_body:
+            self._headers.append((name.lower(), value))
         self._count_header(len(name) + len(value) + 4)
         self._reserve_headers()
 
@@ -410,6 +411,10 @@
         """
         if self._is_closing:
             return
+        # The connection stays until the caller has read the refusal.
+        self._release_reserved()
+        self._headers = []
+        self._body = bytearray()
         if self._exchange is not None or self._waiting:
             self._pending_refusal = (status, detail)
             return
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -303,6 +303,9 @@
             writer.write(head)
         line = await asyncio.wait_for(reader.readline(), 2)
         self.assertEqual(line.split()[1], b"503")
+        refused = [item for item in self.listener.connections if item._is_closing]
+        self.assertTrue(refused)
+        self.assertFalse(any(item._headers for item in refused))
 
     async def test_request_sent_ahead_while_the_host_leaves_is_answered(self):
         held = []
