--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -70,6 +70,7 @@
     def _reset_message(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
+        self._is_head_complete = False
         self._header_bytes = 0
         # The part of the reserved memory that is for headers.
         self._reserved_header_bytes = 0
@@ -176,13 +177,15 @@
         self._count_header(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._is_reading_body:
+        # Trailers are not merged into the headers (RFC 9110, section 6.5.1).
+        if self._is_reading_body and not self._is_head_complete:
             self._headers.append((name.lower(), value))
         self._count_header(len(name) + len(value) + 4)
         self._reserve_headers()
 
     def on_headers_complete(self) -> None:
         self._barren_bytes = 0
+        self._is_head_complete = True
         if self._parser.get_method() == b"CONNECT":
             self._refuse(400, "tunnels are not supported")
             return
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -49,6 +49,12 @@
         await self.send(head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", 1)
         self.assertEqual(self.exchanges[0].request.body, b"abcde")
 
+    async def test_trailers_are_not_headers(self):
+        head = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        await self.send(head + b"1\r\na\r\n0\r\nAuthorization: x\r\n\r\n", 1)
+        names = [name for name, _ in self.exchanges[0].request.headers]
+        self.assertEqual(names, [b"transfer-encoding"])
+
     async def test_length_and_chunks_together_are_refused(self):
         await self.send(
             b"POST /a HTTP/1.1\r\nContent-Length: 3\r\n"
