http server: a request that need not wait is started without the queue

Cause: the memory of a waiting request was worked out twice for each request, also if it started at once. Change: such a request is started directly.

--- a/packages/savoryroute/savoryroute/transport/http_server.py
+++ b/packages/savoryroute/savoryroute/transport/http_server.py
@@ -258,9 +258,11 @@
         )
         self._body = bytearray()
         self._reserved_bytes = self._reserved_header_bytes = 0
-        self._waiting.append(request)
-        self._waiting_bytes += _waiting_cost(request)
-        self._serve_waiting()
+        if self._can_start and not self._waiting:
+            self._start(request)
+        else:
+            self._waiting.append(request)
+            self._waiting_bytes += _waiting_cost(request)
 
     # Exchanges.
 
@@ -318,22 +320,23 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _serve_waiting(self) -> None:
-        """Start waiting requests, one after the other, while they end at once.
+    @property
+    def _can_start(self) -> bool:
+        """Whether a request may be started: the answers before it are being read."""
+        return (
+            self._exchange is None
+            and not self._is_closing
+            and self._stalled_since_s is None
+        )
 
-        None is started while the caller does not read the answers before it.
-        """
+    def _serve_waiting(self) -> None:
+        """Start waiting requests, one after the other, while they end at once."""
         if self._is_serving_waiting:
             # The request that the loop below has started has ended already.
             return
         self._is_serving_waiting = True
         try:
-            while (
-                self._waiting
-                and self._exchange is None
-                and not self._is_closing
-                and self._stalled_since_s is None
-            ):
+            while self._waiting and self._can_start:
                 request = self._waiting.popleft()
                 self._waiting_bytes -= _waiting_cost(request)
                 self._start(request)
