--- a/tests/mutations/node_mutations.py
+++ b/tests/mutations/node_mutations.py
@@ -116,9 +116,9 @@
     ),
     Mutation(
         "node complete: an oversized answer is truncated",
-        "protocol/upstream_http.py",
-        "        if answer.content_length > limit:\n            return None\n",
-        '        if answer.content_length > limit:\n            return b""\n',
+        "transport/bounded_read.py",
+        "answer.content_length > limit:\n        return None\n",
+        'answer.content_length > limit:\n        return b""\n',
         f"{NODE}.CompleteAnswersTest.test_an_answer_above_the_limit_is_refused",
     ),
     Mutation(
