tests: calls cut off in their body, and requests that wait behind a held one

Cause: two mutations were not caught: a call cut off in its body that is reported as having run (its test is listed in KNOWN-RED.txt, which the runner passes over), and an answer that starts the next request within its own call (the test's handler left none waiting). Change: a test for each, and the mutations name them.

--- a/tests/mutations/mesh_mutations.py
+++ b/tests/mutations/mesh_mutations.py
@@ -64,6 +64,13 @@
         "should_upgrade():\n            pass\n        self._barren_bytes = 0",
         "tests.savoryroute.transport.test_http_server.AnsweringListenerTest",
     ),
+    Mutation(
+        "mesh callers: an answer starts the next request within its own call",
+        "transport/http_server.py",
+        "        self._is_serving_waiting = True",
+        "        self._is_serving_waiting = False",
+        "tests.savoryroute.transport.test_http_server.AnsweringListenerTest",
+    ),
     Mutation(
         "mesh links: a frame in part is not counted",
         "transport/frame_link.py",
@@ -161,7 +168,7 @@
         "coordination/peer_links.py",
         "lost = _lost(connection.peer_ip, link.bodies.stop(call_id))",
         "lost = _lost(connection.peer_ip, False)",
-        "tests.savoryroute_platform.test_uploads.LostLinkTest",
+        "tests.savoryroute.coordination.test_peer_links",
     ),
     Mutation(
         "mesh uploads: bodies are held without a limit",
--- a/tests/savoryroute/coordination/test_peer_links.py
+++ b/tests/savoryroute/coordination/test_peer_links.py
@@ -80,6 +80,18 @@
                 await asyncio.sleep(0.01)
                 self.links.sweep()
 
+    async def test_call_cut_off_in_its_body_has_not_run(self):
+        self.call()
+        await self.wait_until(lambda: self.answers)
+        self.accepted[0]._transport.pause_reading()
+        call = make_call()
+        call.body_bytes = 30_000_000
+        self.links.call("127.0.0.1", call, b"x" * call.body_bytes, self.answers.append)
+        await asyncio.sleep(0.1)
+        self.accepted[0].abort()
+        await self.wait_until(lambda: len(self.answers) == 2)
+        self.assertIs(self.answers[1].verdict, Verdict.NOT_RUN)
+
     async def test_call_is_answered_once(self):
         self.call()
         await self.wait_until(lambda: self.answers)
--- a/tests/savoryroute/transport/test_http_server.py
+++ b/tests/savoryroute/transport/test_http_server.py
@@ -221,7 +221,6 @@
         self.assertEqual(self.listener.n_open, 0)
 
     async def test_many_requests_sent_ahead_that_end_at_once_are_answered(self):
-        """Each answer started the next request within its own call."""
         n_requests = 2000
         self.writer.writelines(
             b"GET /%d HTTP/1.1\r\n\r\n" % number for number in range(n_requests)
@@ -229,6 +228,26 @@
         for number in range(n_requests):
             self.assertEqual(await self.read_answer(), (200, b"/%d" % number))
 
+    async def test_many_requests_that_wait_are_answered(self):
+        """Each answer started the next request within its own call."""
+        held = []
+
+        def handle(exchange):
+            if exchange.request.target == b"/0":
+                held.append(exchange)
+            else:
+                self.handle(exchange)
+
+        self.listener.handle = handle
+        n_requests = 400
+        self.writer.writelines(
+            b"GET /%d HTTP/1.1\r\n\r\n" % number for number in range(n_requests)
+        )
+        await asyncio.sleep(0.2)
+        self.handle(held.pop())
+        for number in range(n_requests):
+            self.assertEqual(await self.read_answer(), (200, b"/%d" % number))
+
     async def test_body_in_chunks_of_one_byte(self):
         head = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
         self.writer.write(head + b"1\r\na\r\n" * 50_000 + b"0\r\n\r\n")
