review: short requests are cut off in a planned stop while a backend pauses its reading

A payment of 16,000 bytes whose backend reads nothing for 3 s gets 502 three seconds after the SIGTERM of the daemon that took it.

--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -49,11 +49,12 @@
         services: Service of each machine.
         slots: Slots of each backend.
         work_s: Seconds for which backends work on a request.
+        backend: Class of the backends.
     """
 
     heartbeat_s = 1.5
 
-    def __init__(self, folder, services, slots=46, work_s=0.1):
+    def __init__(self, folder, services, slots=46, work_s=0.1, backend=Backend):
         self.services = services
         self.store = Store()
         self.started_s = time.monotonic()
@@ -71,7 +72,7 @@
         # Monotonic times at which each daemon was last started or ended.
         self.disturbed_s = [0.0] * len(services)
         self.backends = [
-            Backend(
+            backend(
                 self,
                 index,
                 service,
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -357,3 +357,94 @@
     finally:
         for sock in socks:
             sock.close()
+
+
+class SlowReader(Backend):
+    """Backend with a small receive window that may pause while it reads a body."""
+
+    # Bytes of the receive buffer of each connection, which the kernel doubles.
+    receive_buffer = 8192
+    # Bytes of a body after which it pauses, and seconds for which it does.
+    pause_after = 2000
+    pause_s = 0.0
+
+    async def start(self):
+        """Listen on a socket whose connections have the small receive buffer."""
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self._sock = socket.socket()
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
+        self._sock.bind((self.ip, self.port))
+        self._sock.listen(64)
+        self._sock.setblocking(False)
+        self.is_up = True
+        self._accepter = asyncio.create_task(self._accept())
+        self._beat = asyncio.create_task(self._register())
+
+    def close(self):
+        """End at the end of the case."""
+        for task in (self._accepter, self._beat, *self._tasks):
+            task.cancel()
+        self._sock.close()
+
+    async def _accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self._sock)
+            task = asyncio.create_task(self._talk(sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _talk(self, sock):
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        data = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in data:
+                    if not (piece := await loop.sock_recv(sock, 1000)):
+                        return
+                    data += piece
+                head, _, data = data.partition(b"\r\n\r\n")
+                lines = head.decode("latin-1").split("\r\n")
+                headers = {
+                    name.lower(): value.strip()
+                    for name, _, value in (line.partition(":") for line in lines[1:])
+                }
+                data = await self._run(sock, lines[0], headers, data)
+        except OSError as error:
+            self.fleet.note("broken off", backend=self.id, error=repr(error))
+        finally:
+            sock.close()
+
+    async def _run(self, sock, line, headers, data):
+        """Run a request; return the bytes that follow it."""
+        loop = asyncio.get_running_loop()
+        request_id = headers["request-id"].encode()
+        began_s = time.monotonic()
+        n_bytes = int(headers.get("content-length", 0))
+        self.fleet.note(
+            "begins", backend=self.id, id=request_id.decode(), line=line[:40]
+        )
+        if self.on_run is not None:
+            self.on_run(self, request_id.decode(), line.split(" ")[1])
+        has_paused = False
+        while len(data) < n_bytes:
+            if not has_paused and len(data) >= min(self.pause_after, n_bytes):
+                has_paused = True
+                await asyncio.sleep(self.pause_s)
+            piece = await loop.sock_recv(sock, 1000)
+            if not piece:
+                raise ConnectionResetError("the connection ended in the body")
+            data += piece
+        left_s = self.work_s - (time.monotonic() - began_s)
+        await asyncio.sleep(max(0.0, left_s))
+        answer = b"answer to " + request_id
+        await loop.sock_sendall(
+            sock,
+            self.head(200, request_id, b"Server-Stamp: s.%b\r\n" % request_id)
+            + b"Content-Length: %d\r\n\r\n%b" % (len(answer), answer),
+        )
+        self.fleet.note("answers", backend=self.id, id=request_id.decode())
+        return data[n_bytes:]
